--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets over CMake and Ninja. `make help` lists them.
+BUILD ?= build
+
+.PHONY: help packages build check demo format lint bench policy soak
+
+help:
+	@echo "packages  install the Debian packages that the build needs"
+	@echo "build     build all programs and tests"
+	@echo "check     build and pass all tests"
+	@echo "demo      build, start everything on loopback, serve a request, stop"
+	@echo "lint      formatter and linter, as CI runs them"
+	@echo "format    format the sources in place"
+	@echo "bench     added latency and throughput of the request path"
+	@echo "policy    goodput of the scheduling policy against baselines"
+	@echo "soak      long randomised run: make soak SEED=1 STEPS=1000000"
+
+packages:
+	tools/packages
+
+build: packages
+	cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	cmake --build $(BUILD)
+
+check: build
+	tools/check $(BUILD)
+
+lint: build
+	tools/lint $(BUILD)
+
+format:
+	tools/format
+
--- /dev/null
+++ b/include/zinniagauge/adapt/http_client.h
@@ -0,0 +1,49 @@
+// One blocking HTTP call, for the control path and command lines. The request
+// path has its own client, which never blocks.
+#ifndef ZINNIAGAUGE_ADAPT_HTTP_CLIENT_H
+#define ZINNIAGAUGE_ADAPT_HTTP_CLIENT_H
+
+#include "zinniagauge/board/error.h"
+#include "zinniagauge/time/clock.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace zinniagauge {
+
+/// A header's name and value.
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+/// One call to make.
+struct HttpCall {
+  std::string_view Method = "GET";
+  std::string_view Url; // "http://ip:port/path".
+  std::span<const HttpHeader> Headers;
+  std::string_view Body;
+  Duration Timeout = std::chrono::seconds(5); // For the whole call.
+  Step At = Step::Platform;                   // For errors.
+};
+
+/// A whole answer, whatever its status.
+struct HttpAnswer {
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+};
+
+/// Makes the call on the calling thread, over a connection that the thread
+/// keeps for next time. Fails with Unavailable if no connection was made (then
+/// nothing was sent), or with TimedOut or Broken (then it may have been).
+[[nodiscard]] Result<HttpAnswer> httpCall(const HttpCall &call);
+
+/// Initialises libcurl; call it in main before any thread starts.
+void initHttpClient();
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_ADAPT_HTTP_CLIENT_H
--- /dev/null
+++ b/include/zinniagauge/board/member.h
@@ -0,0 +1,43 @@
+// The VMs of the system, as exchange and the VM list tell of them.
+#ifndef ZINNIAGAUGE_BOARD_MEMBER_H
+#define ZINNIAGAUGE_BOARD_MEMBER_H
+
+#include "zinniagauge/board/ids.h"
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace zinniagauge {
+
+/// Whether a VM may hold roles.
+enum class MemberState : std::uint8_t {
+  Alive,   ///< Heard from lately.
+  Suspect, ///< Silent for longer than expected; may be paused or cut off.
+  Leaving, ///< Stops by plan: finishes its requests, holds no role.
+  Dead,    ///< Silent for so long that its roles are taken by others.
+};
+
+/// One VM with its entry and its agent.
+struct Member {
+  std::string Name;
+  VmId Id;
+  std::string ZoneName;
+  ZoneId Zone;
+  std::string EntryAddress;      // "ip:port" of the entry's RPC.
+  std::string AgentAddress;      // "ip:port" of the agent's RPC.
+  std::uint64_t Incarnation = 0; // Rises with each start.
+  std::uint64_t Heartbeat = 0;   // Rises with each beat of the incarnation.
+  std::uint64_t BundleVersion = 0;
+  MemberState State = MemberState::Alive;
+};
+
+/// The members section of the board, sorted by id.
+struct MemberList {
+  std::vector<Member> Members;
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_BOARD_MEMBER_H
--- /dev/null
+++ b/include/zinniagauge/zinniagauge.h
@@ -0,0 +1,18 @@
+// Everything that needs no library of an encoding or transport: the board, the
+// decisions and the timer service. Adapters are included one by one.
+#ifndef ZINNIAGAUGE_ZINNIAGAUGE_H
+#define ZINNIAGAUGE_ZINNIAGAUGE_H
+
+#include "zinniagauge/board/board.h"
+#include "zinniagauge/board/error.h"
+#include "zinniagauge/board/invariant.h"
+#include "zinniagauge/board/request.h"
+#include "zinniagauge/board/ticket.h"
+#include "zinniagauge/config.h"
+#include "zinniagauge/decide/admit.h"
+#include "zinniagauge/decide/assign.h"
+#include "zinniagauge/decide/schedule.h"
+#include "zinniagauge/fwd.h"
+#include "zinniagauge/time/timer_service.h"
+
+#endif // ZINNIAGAUGE_ZINNIAGAUGE_H
--- /dev/null
+++ b/src/adapt/http_client.cpp
@@ -0,0 +1,112 @@
+#include "zinniagauge/adapt/http_client.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <utility>
+
+namespace zinniagauge {
+
+namespace {
+
+struct EasyDeleter {
+  void operator()(CURL *h) const noexcept { curl_easy_cleanup(h); }
+};
+struct SlistDeleter {
+  void operator()(curl_slist *l) const noexcept { curl_slist_free_all(l); }
+};
+using Easy = std::unique_ptr<CURL, EasyDeleter>;
+using Slist = std::unique_ptr<curl_slist, SlistDeleter>;
+
+std::size_t onBody(char *data, std::size_t size, std::size_t n, void *to) {
+  static_cast<std::string *>(to)->append(data, size * n);
+  return size * n;
+}
+
+std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *to) {
+  std::string_view line(data, size * n);
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos)
+    return line.size();
+  std::string_view val = line.substr(colon + 1);
+  while (!val.empty() && val.front() == ' ')
+    val.remove_prefix(1);
+  while (!val.empty() && (val.back() == '\r' || val.back() == '\n'))
+    val.remove_suffix(1);
+  static_cast<std::vector<HttpHeader> *>(to)->push_back(
+      {std::string(line.substr(0, colon)), std::string(val)});
+  return line.size();
+}
+
+Slist headerList(std::span<const HttpHeader> headers) {
+  Slist list;
+  const auto append = [&](const std::string &line) {
+    curl_slist *longer = curl_slist_append(list.get(), line.c_str());
+    static_cast<void>(list.release());
+    list.reset(longer);
+  };
+  append("Expect:");
+  for (const HttpHeader &h : headers)
+    append(h.Name + ": " + h.Value);
+  return list;
+}
+
+ErrorCode codeOf(CURLcode rc) noexcept {
+  switch (rc) {
+  case CURLE_COULDNT_CONNECT:
+  case CURLE_COULDNT_RESOLVE_HOST:
+    return ErrorCode::Unavailable;
+  case CURLE_OPERATION_TIMEDOUT:
+    return ErrorCode::TimedOut;
+  case CURLE_URL_MALFORMAT:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+    return ErrorCode::Invalid;
+  default:
+    return ErrorCode::Broken;
+  }
+}
+
+void setUp(CURL *h, const HttpCall &call, const std::string &url,
+           const std::string &method, curl_slist *headers) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.Timeout);
+  curl_easy_setopt(h, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, method.c_str());
+  curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(ms.count()));
+  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(h, CURLOPT_PROXY, "");
+  if (call.Body.empty())
+    return;
+  curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(call.Body.size()));
+  curl_easy_setopt(h, CURLOPT_POSTFIELDS, call.Body.data());
+}
+
+} // namespace
+
+void initHttpClient() { curl_global_init(CURL_GLOBAL_DEFAULT); }
+
+Result<HttpAnswer> httpCall(const HttpCall &call) {
+  thread_local const Easy handle(curl_easy_init());
+  CURL *h = handle.get();
+  curl_easy_reset(h);
+  const std::string url(call.Url);
+  const std::string method(call.Method);
+  const Slist headers = headerList(call.Headers);
+  setUp(h, call, url, method, headers.get());
+  HttpAnswer ans;
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(h, CURLOPT_WRITEDATA, &ans.Body);
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &ans.Headers);
+  const CURLcode rc = curl_easy_perform(h);
+  if (rc != CURLE_OK)
+    return fail({codeOf(rc), call.At, url, curl_easy_strerror(rc)});
+  long status = 0;
+  curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+  ans.Status = static_cast<int>(status);
+  return ans;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/board/bundle.cpp
@@ -0,0 +1,81 @@
+#include "zinniagauge/board/bundle.h"
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+namespace {
+
+/// Whether \p prefix leads to \p path: whole segments only, so that "/cue"
+/// does not take "/cues".
+bool leadsTo(std::string_view prefix, std::string_view path) noexcept {
+  if (prefix.empty() || !path.starts_with(prefix))
+    return false;
+  return prefix.back() == '/' || path.size() == prefix.size() ||
+         path[prefix.size()] == '/' || path[prefix.size()] == '?';
+}
+
+template <typename T, typename Id>
+const T *lookUp(const std::vector<T> &list,
+                const std::unordered_map<Id, std::size_t> &index,
+                Id id) noexcept {
+  const auto it = index.find(id);
+  return it == index.end() ? nullptr : &list[it->second];
+}
+
+} // namespace
+
+void indexBundle(Bundle &b) {
+  b.ByKeyDigest.clear();
+  b.ByEndpoint.clear();
+  b.ByPool.clear();
+  for (std::size_t n = 0; n < b.Workspaces.size(); ++n)
+    for (const std::string &digest : b.Workspaces[n].KeyDigests)
+      b.ByKeyDigest.emplace(digest, n);
+  for (std::size_t n = 0; n < b.Endpoints.size(); ++n)
+    b.ByEndpoint.emplace(b.Endpoints[n].Id, n);
+  for (std::size_t n = 0; n < b.Pools.size(); ++n)
+    b.ByPool.emplace(b.Pools[n].Id, n);
+}
+
+const WorkspaceSpec *findWorkspace(const Bundle &b,
+                                   std::string_view digest) noexcept {
+  const auto it = b.ByKeyDigest.find(std::string(digest));
+  return it == b.ByKeyDigest.end() ? nullptr : &b.Workspaces[it->second];
+}
+
+const RouteSpec *findModel(const Bundle &b, std::string_view model) noexcept {
+  const auto it =
+      std::find_if(b.Routes.begin(), b.Routes.end(), [&](const RouteSpec &r) {
+        return !r.Model.empty() && r.Model == model;
+      });
+  return it == b.Routes.end() ? nullptr : &*it;
+}
+
+const RouteSpec *findPath(const Bundle &b, std::string_view path) noexcept {
+  const RouteSpec *best = nullptr;
+  for (const RouteSpec &r : b.Routes) {
+    if (!leadsTo(r.PathPrefix, path))
+      continue;
+    if (!best || r.PathPrefix.size() > best->PathPrefix.size())
+      best = &r;
+  }
+  return best;
+}
+
+const TierSpec *findTier(const Bundle &b, std::string_view name) noexcept {
+  const auto it =
+      std::find_if(b.Tiers.begin(), b.Tiers.end(),
+                   [&](const TierSpec &t) { return t.Name == name; });
+  return it == b.Tiers.end() ? nullptr : &*it;
+}
+
+const EndpointSpec *findEndpoint(const Bundle &b, EndpointId id) noexcept {
+  return lookUp(b.Endpoints, b.ByEndpoint, id);
+}
+
+const PoolSpec *findPool(const Bundle &b, PoolId id) noexcept {
+  return lookUp(b.Pools, b.ByPool, id);
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/board/endpoint.cpp
@@ -0,0 +1,17 @@
+#include "zinniagauge/board/endpoint.h"
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+const EndpointState *findState(const EndpointList &list,
+                               EndpointId id) noexcept {
+  const auto it = std::lower_bound(
+      list.Endpoints.begin(), list.Endpoints.end(), id,
+      [](const EndpointState &s, EndpointId key) { return s.Id < key; });
+  if (it == list.Endpoints.end() || it->Id != id)
+    return nullptr;
+  return &*it;
+}
+
+} // namespace zinniagauge
