Let a ticket say which versions may serve it

Cause: the share of a version move must bound each entry's own dispatches; a scheduler that chooses the version alone can't promise that for each entry. Ruled out: an entry that gives grants back until the version suits it (costs a round trip each). Conclusion: the entry chooses by its own counts and the ticket carries the choice. No behaviour yet; builds and tests as before.

--- a/include/zinniagauge/board/ticket.h
+++ b/include/zinniagauge/board/ticket.h
@@ -20,6 +20,16 @@
   auto operator<=>(const AttemptId &) const = default;
 };
 
+/// Which versions may serve a request while its pool has a version move. The
+/// entry chooses by its own counts, so that the move's share bounds each
+/// entry's own dispatches.
+enum class VersionChoice : std::uint8_t {
+  Any,      ///< The pool has no move in progress.
+  From,     ///< Any version but the one moved to.
+  PreferTo, ///< The version moved to if it has room, otherwise as From.
+  To,       ///< Only the version moved to.
+};
+
 /// What an entry tells a scheduler of a request that waits.
 struct Ticket {
   AttemptId Attempt;
@@ -33,6 +43,8 @@
   std::uint64_t PrefixHash = 0;
   Duration TimeLeft = Duration::zero(); // Until the deadline, when sent.
   EndpointId Avoid; // The endpoint that refused the last attempt, if any.
+  VersionChoice Choice = VersionChoice::Any;
+  VersionId MoveTo; // The version moved to, unless Choice is Any.
 };
 
 /// Names a grant within the scheduler that gave it.
--- a/schema/zinnia.capnp
+++ b/schema/zinnia.capnp
@@ -24,6 +24,9 @@
   avoid @10 :UInt64;
   zone @11 :UInt64;
   # Of the scheduling role that is asked.
+
+  choice @12 :UInt8;
+  moveTo @13 :UInt64;
 }
 
 struct GrantId {
--- a/schema/zinnia.capnp.h
+++ b/schema/zinnia.capnp.h
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4e92e440f5fe023, 10, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e4e92e440f5fe023, 11, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -694,6 +694,10 @@
 
   inline  ::uint64_t getZone() const;
 
+  inline  ::uint8_t getChoice() const;
+
+  inline  ::uint64_t getMoveTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -762,6 +766,12 @@
   inline  ::uint64_t getZone();
   inline void setZone( ::uint64_t value);
 
+  inline  ::uint8_t getChoice();
+  inline void setChoice( ::uint8_t value);
+
+  inline  ::uint64_t getMoveTo();
+  inline void setMoveTo( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3733,6 +3743,34 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t Ticket::Reader::getChoice() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Ticket::Builder::getChoice() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setChoice( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Ticket::Reader::getMoveTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ticket::Builder::getMoveTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setMoveTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GrantId::Reader::getScheduler() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
