Bound a scheduler's clock, so that no grant is used past its end

Cause: grants carry times of the scheduler's clock, which entries can't read. Ruled out: comparing wall clocks (they jump) and counting Ttl from receipt (a delayed grant would outlive its end). Unknown, stale or another process's bound: not usable.

--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -8,6 +8,7 @@
 struct AttemptId;
 struct Board;
 struct Bundle;
+struct ClockBound;
 struct Counters;
 struct EndpointList;
 struct EndpointSpec;
--- /dev/null
+++ b/tests/unit/clock_bound_test.cpp
@@ -0,0 +1,88 @@
+#include "zinniagauge/zinniagauge.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const VmId Vm = VmId::of("vm");
+
+ClockBound bound(Duration theirs, Duration sent) {
+  return {Vm, 1, Time(theirs), Time(sent), true};
+}
+
+Grant grant(Duration issued) {
+  Grant g;
+  g.Id = {Vm, 1, 7};
+  g.Issued = Time(issued);
+  g.Ttl = seconds(2);
+  return g;
+}
+
+} // namespace
+
+TEST_CASE("a grant is used only while its end is surely ahead",
+          "[clock_bound]") {
+  const ClockBound cb = bound(seconds(500), seconds(10));
+  const Grant g = grant(seconds(501));
+  CHECK(mayUse(cb, g, Time(seconds(12))));
+  CHECK_FALSE(mayUse(cb, g, Time(seconds(13))));
+  CHECK_FALSE(mayUse(cb, g, Time(seconds(9))));
+}
+
+TEST_CASE("without a fresh bound of the giver no grant is used",
+          "[clock_bound]") {
+  const Time now(seconds(10));
+  CHECK_FALSE(mayUse(ClockBound{}, grant(seconds(1000)), now));
+  ClockBound other = bound(seconds(500), seconds(10));
+  other.Incarnation = 2;
+  CHECK_FALSE(mayUse(other, grant(seconds(500)), now));
+  other = bound(seconds(500), seconds(10));
+  other.Scheduler = VmId::of("another");
+  CHECK_FALSE(mayUse(other, grant(seconds(500)), now));
+  const ClockBound old = bound(seconds(500), seconds(10));
+  const Time later = now + MaxBoundAge + milliseconds(1);
+  CHECK_FALSE(mayUse(old, grant(seconds(515)), later));
+}
+
+TEST_CASE("the tighter bound is kept, a restart replaces it", "[clock_bound]") {
+  ClockBound cb = bound(seconds(500), seconds(10));
+  // A slow answer: its bound is a second looser.
+  tighten(cb, bound(seconds(502), seconds(11)), Time(seconds(12)));
+  CHECK(cb.Sent == Time(seconds(10)));
+  tighten(cb, bound(seconds(506), seconds(15)), Time(seconds(16)));
+  CHECK(cb.Sent == Time(seconds(15)));
+  ClockBound restarted = bound(seconds(3), seconds(14));
+  restarted.Incarnation = 2;
+  tighten(cb, restarted, Time(seconds(16)));
+  CHECK(cb.Incarnation == 2);
+}
+
+TEST_CASE("whatever the delays and the drift, no grant is used after its end",
+          "[clock_bound]") {
+  rc::check([] {
+    const auto micros = [](std::int64_t most) {
+      return Duration(*rc::gen::inRange<std::int64_t>(0, most) * 1000);
+    };
+    // The scheduler's clock shows offset + elapsed * (1 + drift).
+    const Duration offset = micros(1'000'000'000);
+    const auto drift = *rc::gen::inRange<std::int64_t>(-1500, 1500);
+    const auto theirs = [&](Duration at) {
+      return Time(offset + at + at / 1'000'000 * drift);
+    };
+    const Duration sent = micros(1'000'000);
+    const Duration read = sent + micros(3'000'000);
+    const Duration issued = micros(8'000'000);
+    const Duration used = read + micros(12'000'000);
+    ClockBound cb = bound(Duration::zero(), sent);
+    cb.Theirs = theirs(read);
+    Grant g = grant(Duration::zero());
+    g.Issued = theirs(issued);
+    if (mayUse(cb, g, Time(used)))
+      RC_ASSERT(theirs(used) < g.Issued + g.Ttl);
+  });
+}
