Read checked settings from JSON

Cause: programs need their addresses, limits and timeouts from a file, and an operator should learn of every fault at once. One table for each program holds key, unit, form, range, choices and the kept member; the JSON Schema that valijson checks, the defaults, the messages and docs/SETTINGS.md are made from it, so they can't differ. Ruled out: additionalProperties false, since valijson then names only the first unknown key; a schema that admits no value names each. JSON lets repeated keys pass silently, so the parser's events are watched for them.

--- /dev/null
+++ b/src/adapt/settings.cpp
@@ -0,0 +1,466 @@
+#include "zinniagauge/adapt/settings.h"
+
+#include "settings_table.h"
+
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <type_traits>
+#include <variant>
+
+namespace zinniagauge {
+
+using impl::SettingForm;
+using impl::SettingSpec;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 2> FormatNames = {"json", "plain"};
+constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warn",
+                                                        "error"};
+
+constexpr std::uint64_t HourMs = 3'600'000;
+
+/// Where a setting's value is kept in T.
+template <typename T>
+using Member =
+    std::variant<std::string T::*, std::vector<std::string> T::*,
+                 std::vector<OperatorKey> T::*, std::uint32_t T::*,
+                 std::uint64_t T::*, Duration T::*, std::string LogSettings::*,
+                 LogFormat LogSettings::*, LogLevel LogSettings::*>;
+
+/// One setting and where its value is kept. Its default is the one of a T that
+/// was just made.
+template <typename T> struct Field {
+  SettingSpec Spec;
+  Member<T> Kept;
+};
+
+template <typename T>
+Field<T> text(std::string_view key, SettingForm form, bool required,
+              std::string T::*kept, std::string_view help) {
+  return {{.Key = key, .Help = help, .Form = form, .Required = required}, kept};
+}
+
+template <typename T>
+Field<T> required(std::string_view key, SettingForm form, std::string T::*kept,
+                  std::string_view help) {
+  return text(key, form, true, kept, help);
+}
+
+template <typename T>
+Field<T> millis(std::string_view key, std::uint64_t most, Duration T::*kept,
+                std::string_view help) {
+  return {{.Key = key,
+           .Unit = "ms",
+           .Help = help,
+           .Form = SettingForm::Number,
+           .Least = 1,
+           .Most = most},
+          kept};
+}
+
+template <typename T, typename N>
+Field<T> number(std::string_view key, std::string_view unit,
+                std::uint64_t least, std::uint64_t most, N T::*kept,
+                std::string_view help) {
+  return {{.Key = key,
+           .Unit = unit,
+           .Help = help,
+           .Form = SettingForm::Number,
+           .Least = least,
+           .Most = most},
+          kept};
+}
+
+template <typename T> void addLogFields(std::vector<Field<T>> &to) {
+  to.push_back({{.Key = "log_format",
+                 .Help = "How log lines are written.",
+                 .Form = SettingForm::Choice,
+                 .Choices = FormatNames},
+                &LogSettings::Format});
+  to.push_back({{.Key = "log_level",
+                 .Help = "The least severity that is logged.",
+                 .Form = SettingForm::Choice,
+                 .Choices = LevelNames},
+                &LogSettings::Level});
+  to.push_back({{.Key = "log_file",
+                 .Help = "Where log lines go; none: standard error.",
+                 .Form = SettingForm::Text},
+                &LogSettings::File});
+}
+
+template <typename T> void addNameFields(std::vector<Field<T>> &to) {
+  to.push_back(required("vm_name", SettingForm::Name, &T::VmName,
+                        "The name of this VM, as in the VM list."));
+  to.push_back(required("zone_name", SettingForm::Name, &T::ZoneName,
+                        "The availability zone of this VM."));
+}
+
+void addEntryAddresses(std::vector<Field<EntrySettings>> &to) {
+  using S = EntrySettings;
+  constexpr auto Address = SettingForm::Address;
+  to.push_back(
+      required("http_address", Address, &S::HttpAddress, "Serves callers."));
+  to.push_back(required("rpc_address", Address, &S::RpcAddress,
+                        "Serves other entries and the agent of this VM."));
+  to.push_back(required("metrics_address", Address, &S::MetricsAddress,
+                        "Serves /metrics, /livez, /startupz and /readyz."));
+  to.push_back(text("platform_url", SettingForm::Url, false, &S::PlatformUrl,
+                    "The platform's service, for claims; none: keyed calls "
+                    "that may run once only are refused."));
+}
+
+void addEntryLimits(std::vector<Field<EntrySettings>> &to) {
+  using S = EntrySettings;
+  constexpr std::uint64_t LeastBody = 1024;
+  constexpr std::uint64_t MostBody = std::uint64_t{1} << 30U;
+  to.push_back(number("io_threads", "", 1, 64, &S::IoThreads,
+                      "Threads that read requests and write answers."));
+  to.push_back(number("worker_threads", "", 1, 64, &S::WorkerThreads,
+                      "Threads that call endpoints."));
+  to.push_back(number("max_body_bytes", "bytes", LeastBody, MostBody,
+                      &S::MaxBodyBytes,
+                      "The largest request that is read, with its headers."));
+}
+
+void addEntryTimeouts(std::vector<Field<EntrySettings>> &to) {
+  using S = EntrySettings;
+  constexpr std::uint64_t MinuteMs = 60'000;
+  const auto add = [&](std::string_view key, std::uint64_t most,
+                       Duration S::*kept, std::string_view help) {
+    to.push_back(millis(key, most, kept, help));
+  };
+  add("header_timeout_ms", MinuteMs, &S::HeaderTimeout,
+      "For a caller to send the headers.");
+  add("body_timeout_ms", HourMs, &S::BodyTimeout,
+      "For a caller to send the body.");
+  add("keep_alive_timeout_ms", HourMs, &S::KeepAliveTimeout,
+      "How long an idle connection of a caller is kept.");
+  add("connect_timeout_ms", MinuteMs, &S::ConnectTimeout,
+      "To open a connection to an endpoint.");
+  add("first_byte_timeout_ms", HourMs, &S::FirstByteTimeout,
+      "From dispatch to the endpoint's first byte.");
+  add("idle_timeout_ms", HourMs, &S::IdleTimeout,
+      "Between two parts of an endpoint's answer.");
+  add("peer_heartbeat_period_ms", MinuteMs, &S::PeerHeartbeatPeriod,
+      "Between heartbeats on a connection to a scheduler.");
+  add("peer_timeout_ms", MinuteMs, &S::PeerTimeout,
+      "After which a silent scheduler is left for the next.");
+  add("platform_timeout_ms", MinuteMs, &S::PlatformTimeout,
+      "For a claim in the table service.");
+  add("stop_timeout_ms", HourMs, &S::StopTimeout,
+      "For requests in progress to finish when the entry stops.");
+}
+
+std::vector<Field<EntrySettings>> entryFields() {
+  std::vector<Field<EntrySettings>> fields;
+  addNameFields(fields);
+  addEntryAddresses(fields);
+  addEntryLimits(fields);
+  addEntryTimeouts(fields);
+  addLogFields(fields);
+  return fields;
+}
+
+void addAgentAddresses(std::vector<Field<AgentSettings>> &to) {
+  using S = AgentSettings;
+  const auto add = [&](std::string_view key, std::string S::*kept,
+                       std::string_view help) {
+    to.push_back(required(key, SettingForm::Address, kept, help));
+  };
+  add("rpc_address", &S::RpcAddress, "Serves other agents.");
+  add("entry_rpc_address", &S::EntryRpcAddress,
+      "The rpc_address of the entry on this VM, told to other VMs.");
+  add("entry_http_address", &S::EntryHttpAddress,
+      "The http_address of the entry on this VM.");
+  add("entry_metrics_address", &S::EntryMetricsAddress,
+      "The metrics_address of the entry on this VM.");
+  add("operator_address", &S::OperatorAddress, "Serves the operator API.");
+  add("metrics_address", &S::MetricsAddress,
+      "Serves /metrics, /livez, /startupz and /readyz.");
+  to.push_back(required("platform_url", SettingForm::Url, &S::PlatformUrl,
+                        "The platform's service."));
+}
+
+void addAgentLists(std::vector<Field<AgentSettings>> &to) {
+  using S = AgentSettings;
+  to.push_back({{.Key = "operator_keys",
+                 .Help = "Who may use the operator API.",
+                 .Form = SettingForm::Keys},
+                &S::OperatorKeys});
+  to.push_back({{.Key = "peer_agents",
+                 .Help = "rpc_address of agents to meet the others by; the VM "
+                         "list tells of more.",
+                 .Form = SettingForm::Addresses},
+                &S::PeerAgents});
+}
+
+void addAgentPeriods(std::vector<Field<AgentSettings>> &to) {
+  using S = AgentSettings;
+  constexpr std::uint64_t MinuteMs = 60'000;
+  const auto add = [&](std::string_view key, std::uint64_t most,
+                       Duration S::*kept, std::string_view help) {
+    to.push_back(millis(key, most, kept, help));
+  };
+  add("heartbeat_period_ms", MinuteMs, &S::HeartbeatPeriod,
+      "Between exchanges with other agents.");
+  add("suspect_after_ms", HourMs, &S::SuspectAfter,
+      "Silence after which a VM is suspect.");
+  add("dead_after_ms", HourMs, &S::DeadAfter,
+      "Silence after which others take a VM's roles.");
+  add("poll_period_ms", MinuteMs, &S::PollPeriod,
+      "Between reads of the bundle's head in the table.");
+  add("vm_list_period_ms", MinuteMs, &S::VmListPeriod,
+      "Between reads of the VM list.");
+  add("endpoint_period_ms", MinuteMs, &S::EndpointPeriod,
+      "Between calls to an endpoint for its status and load.");
+  add("move_period_ms", MinuteMs, &S::MovePeriod,
+      "Between steps of a version move.");
+  add("lease_ttl_ms", HourMs, &S::LeaseTtl,
+      "How long the lease on a version move holds.");
+  add("platform_timeout_ms", MinuteMs, &S::PlatformTimeout,
+      "For one call to the platform.");
+  add("endpoint_timeout_ms", MinuteMs, &S::EndpointTimeout,
+      "For one call to an endpoint.");
+  add("stop_timeout_ms", HourMs, &S::StopTimeout,
+      "For the entry to finish its requests when the VM stops.");
+}
+
+std::vector<Field<AgentSettings>> agentFields() {
+  std::vector<Field<AgentSettings>> fields;
+  addNameFields(fields);
+  addAgentAddresses(fields);
+  addAgentLists(fields);
+  addAgentPeriods(fields);
+  addLogFields(fields);
+  return fields;
+}
+
+/// Two of these for every type of a kept value: to JSON and back.
+json toJson(const std::string &val) { return val; }
+json toJson(const std::vector<std::string> &val) { return val; }
+json toJson(const std::vector<OperatorKey> &) { return json::array(); }
+json toJson(std::uint32_t val) { return val; }
+json toJson(std::uint64_t val) { return val; }
+json toJson(Duration val) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(val).count();
+}
+json toJson(LogFormat val) {
+  return FormatNames[static_cast<std::size_t>(val)];
+}
+json toJson(LogLevel val) { return LevelNames[static_cast<std::size_t>(val)]; }
+
+void fromJson(const json &doc, std::string &val) { doc.get_to(val); }
+void fromJson(const json &doc, std::vector<std::string> &val) {
+  doc.get_to(val);
+}
+void fromJson(const json &doc, std::vector<OperatorKey> &val) {
+  for (const json &it : doc)
+    val.push_back({it.at("name"), it.at("sha256")});
+}
+void fromJson(const json &doc, std::uint32_t &val) { doc.get_to(val); }
+void fromJson(const json &doc, std::uint64_t &val) { doc.get_to(val); }
+void fromJson(const json &doc, Duration &val) {
+  val = std::chrono::milliseconds(doc.get<std::int64_t>());
+}
+
+template <typename E, std::size_t N>
+void fromNames(const json &doc, std::span<const std::string_view, N> names,
+               E &val) {
+  for (std::size_t i = 0; i < N; ++i)
+    if (doc == names[i])
+      val = static_cast<E>(i);
+}
+void fromJson(const json &doc, LogFormat &val) {
+  fromNames(doc, std::span(FormatNames), val);
+}
+void fromJson(const json &doc, LogLevel &val) {
+  fromNames(doc, std::span(LevelNames), val);
+}
+
+/// The value that \p kept points to, in \p set or in its log settings.
+template <typename T, typename C, typename V>
+decltype(auto) valueOf(T &set, V C::*kept) {
+  if constexpr (std::is_same_v<C, LogSettings>)
+    return (set.Log.*kept);
+  else
+    return (set.*kept);
+}
+
+template <typename T>
+std::vector<SettingSpec> specsOf(const std::vector<Field<T>> &fields) {
+  const T made;
+  std::vector<SettingSpec> specs;
+  for (const Field<T> &field : fields) {
+    SettingSpec spec = field.Spec;
+    if (!spec.Required)
+      spec.Default = std::visit(
+          [&](auto kept) { return toJson(valueOf(made, kept)); }, field.Kept);
+    specs.push_back(std::move(spec));
+  }
+  return specs;
+}
+
+template <typename T>
+T readValues(const std::vector<Field<T>> &fields, const json &doc) {
+  T set;
+  for (const Field<T> &field : fields) {
+    const auto it = doc.find(field.Spec.Key);
+    if (it == doc.end())
+      continue;
+    std::visit([&](auto kept) { fromJson(*it, valueOf(set, kept)); },
+               field.Kept);
+  }
+  return set;
+}
+
+struct NamedAddress {
+  std::string_view Path;
+  std::string_view Value;
+};
+
+void checkDistinct(std::span<const NamedAddress> list,
+                   std::vector<SettingsFault> &faults) {
+  std::set<std::string_view> seen;
+  for (const NamedAddress &it : list)
+    if (!seen.insert(it.Value).second)
+      faults.push_back({std::string(it.Path), "\"" + std::string(it.Value) +
+                                                  "\" is stated for another "
+                                                  "address as well"});
+}
+
+/// What a schema can't say: how settings must stand to each other.
+void checkTogether(const EntrySettings &set,
+                   std::vector<SettingsFault> &faults) {
+  const std::array list = {
+      NamedAddress{"/http_address", set.HttpAddress},
+      NamedAddress{"/rpc_address", set.RpcAddress},
+      NamedAddress{"/metrics_address", set.MetricsAddress}};
+  checkDistinct(list, faults);
+  if (set.PeerTimeout <= set.PeerHeartbeatPeriod)
+    faults.push_back(
+        {"/peer_timeout_ms", "must be greater than peer_heartbeat_period_ms"});
+}
+
+void checkTogether(const AgentSettings &set,
+                   std::vector<SettingsFault> &faults) {
+  const std::array list = {
+      NamedAddress{"/rpc_address", set.RpcAddress},
+      NamedAddress{"/entry_rpc_address", set.EntryRpcAddress},
+      NamedAddress{"/entry_http_address", set.EntryHttpAddress},
+      NamedAddress{"/entry_metrics_address", set.EntryMetricsAddress},
+      NamedAddress{"/operator_address", set.OperatorAddress},
+      NamedAddress{"/metrics_address", set.MetricsAddress}};
+  checkDistinct(list, faults);
+  if (set.SuspectAfter <= set.HeartbeatPeriod)
+    faults.push_back(
+        {"/suspect_after_ms", "must be greater than heartbeat_period_ms"});
+  if (set.DeadAfter <= set.SuspectAfter)
+    faults.push_back(
+        {"/dead_after_ms", "must be greater than suspect_after_ms"});
+}
+
+boost::leaf::error_id invalid(std::string_view file,
+                              std::span<const SettingsFault> faults) {
+  return fail({ErrorCode::Invalid, Step::Settings, std::string(file),
+               std::to_string(faults.size()) + " faults, the first at " +
+                   faults.front().Path + ": " + faults.front().Detail});
+}
+
+template <typename T>
+Result<T> parse(const std::vector<Field<T>> &fields, std::string_view file,
+                std::string_view text, std::vector<SettingsFault> &faults) {
+  const auto doc = impl::checkSettings(specsOf(fields), text, faults);
+  if (!doc)
+    return invalid(file, faults);
+  T set = readValues(fields, *doc);
+  checkTogether(set, faults);
+  if (!faults.empty())
+    return invalid(file, faults);
+  return set;
+}
+
+template <typename T>
+Result<T> load(const std::vector<Field<T>> &fields, const std::string &path,
+               std::vector<SettingsFault> &faults) {
+  std::ifstream in(path, std::ios::binary);
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in) {
+    faults.push_back({{}, "the file can't be read"});
+    return fail(
+        {ErrorCode::NotFound, Step::Settings, path, faults.back().Detail});
+  }
+  return parse(fields, path, text, faults);
+}
+
+} // namespace
+
+Result<EntrySettings> parseEntrySettings(std::string_view text,
+                                         std::vector<SettingsFault> &faults) {
+  return parse(entryFields(), {}, text, faults);
+}
+
+Result<AgentSettings> parseAgentSettings(std::string_view text,
+                                         std::vector<SettingsFault> &faults) {
+  return parse(agentFields(), {}, text, faults);
+}
+
+Result<EntrySettings> loadEntrySettings(const std::string &path,
+                                        std::vector<SettingsFault> &faults) {
+  return load(entryFields(), path, faults);
+}
+
+Result<AgentSettings> loadAgentSettings(const std::string &path,
+                                        std::vector<SettingsFault> &faults) {
+  return load(agentFields(), path, faults);
+}
+
+std::string describe(std::string_view file,
+                     std::span<const SettingsFault> faults) {
+  std::string text;
+  for (const SettingsFault &it : faults) {
+    text.append(file).append(": ");
+    if (!it.Path.empty())
+      text.append(it.Path).append(": ");
+    text.append(it.Detail).append("\n");
+  }
+  return text;
+}
+
+IpPort splitAddress(std::string_view address) {
+  const auto colon = address.rfind(':');
+  if (colon == std::string_view::npos)
+    return {};
+  IpPort out;
+  const std::string_view port = address.substr(colon + 1);
+  const auto res =
+      std::from_chars(port.data(), port.data() + port.size(), out.Port);
+  if (res.ec != std::errc() || res.ptr != port.data() + port.size())
+    return {};
+  out.Host = address.substr(0, colon);
+  return out;
+}
+
+std::string entrySettingsSchema() {
+  return impl::schemaOf(specsOf(entryFields())).dump(2);
+}
+
+std::string agentSettingsSchema() {
+  return impl::schemaOf(specsOf(agentFields())).dump(2);
+}
+
+std::string settingsPage() {
+  return "# Settings\n\n"
+         "Each program reads one JSON file and checks it whole: every fault is "
+         "printed at\nits path, and the program ends with exit code 2. "
+         "`--check-settings` does only\nthis. Addresses are IPv4 numbers with "
+         "a port. A unit test keeps this page and the\nschema the same.\n" +
+         impl::pageSection("zinnia-entry", specsOf(entryFields())) +
+         impl::pageSection("zinnia-agent", specsOf(agentFields()));
+}
+
+} // namespace zinniagauge
