Serve a request from end to end: front end, workers, RPC thread

Cause: nothing served a request yet. Three kinds of thread carry it: Pistache I/O threads admit and hand over, workers hold requests and call endpoints, one RPC thread runs this VM's schedulers and asks those of other VMs. They share the board and hand work over by lock-free queues.

Ruled out: curl_multi_poll (walks all handles on each wake-up), in favour of curl_multi_socket_action under epoll; waiting for bytes to leave to decide whether they may (libcurl's callback between connection and first byte is the exact moment).

--- /dev/null
+++ b/include/zinniagauge/adapt/front.h
@@ -0,0 +1,34 @@
+// The front end towards callers: OpenAI-compatible model requests and plain
+// services over HTTP. It only translates and admits; workers do the rest.
+#ifndef ZINNIAGAUGE_ADAPT_FRONT_H
+#define ZINNIAGAUGE_ADAPT_FRONT_H
+
+#include "zinniagauge/adapt/messages.h"
+#include "zinniagauge/board/board.h"
+#include "zinniagauge/board/error.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+
+namespace zinniagauge {
+
+/// What the front end works with.
+struct FrontOptions {
+  Board *Shared = nullptr; // Outlives the front end.
+  HttpServerOptions Http;
+  std::uint64_t IdHigh = 0; // The upper half of this process's request ids.
+  /// Hands an admitted request to a worker.
+  std::function<void(Arrival)> ToWorker;
+  /// Tells all workers that a caller's connection has closed.
+  std::function<void(std::uint64_t)> OnGone;
+  /// Whether this process is stopping by plan and takes no new requests.
+  std::function<bool()> Stopping;
+};
+
+/// Starts to serve callers.
+[[nodiscard]] Result<HttpServer> startFront(FrontOptions opt);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_ADAPT_FRONT_H
--- a/include/zinniagauge/board/bundle.h
+++ b/include/zinniagauge/board/bundle.h
@@ -106,6 +106,7 @@
   std::unordered_map<std::string, std::size_t> ByKeyDigest;
   std::unordered_map<EndpointId, std::size_t> ByEndpoint;
   std::unordered_map<PoolId, std::size_t> ByPool;
+  std::unordered_map<PoolId, std::vector<ZoneId>> ZonesOfPool; // Sorted.
 };
 
 /// Fills the indexes of \p b from its lists.
@@ -135,6 +136,10 @@
 /// The pool with id \p id, or null.
 [[nodiscard]] const PoolSpec *findPool(const Bundle &b, PoolId id) noexcept;
 
+/// The zones in which \p pool has endpoints, sorted.
+[[nodiscard]] std::span<const ZoneId> zonesOf(const Bundle &b,
+                                              PoolId pool) noexcept;
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_BOARD_BUNDLE_H
--- a/include/zinniagauge/decide/schedule.h
+++ b/include/zinniagauge/decide/schedule.h
@@ -52,6 +52,7 @@
 
 /// The state of one pool's scheduler. Only the functions below change it.
 struct Scheduler {
+  ZoneId Zone;
   PoolId Pool;
   VmId Self;
   std::uint64_t Incarnation = 0;
--- a/schema/zinnia.capnp
+++ b/schema/zinnia.capnp
@@ -64,8 +64,6 @@
   dispatched @8 :Bool;
   refused @9 :Bool;
   broken @10 :Bool;
-  pool @11 :UInt64;
-  zone @12 :UInt64;
 }
 
 # Served by each entry to the other entries.
--- a/schema/zinnia.capnp.h
+++ b/schema/zinnia.capnp.h
@@ -145,7 +145,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b53a2471a22dffa7, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b53a2471a22dffa7, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1136,10 +1136,6 @@
 
   inline bool getBroken() const;
 
-  inline  ::uint64_t getPool() const;
-
-  inline  ::uint64_t getZone() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1209,12 +1205,6 @@
   inline bool getBroken();
   inline void setBroken(bool value);
 
-  inline  ::uint64_t getPool();
-  inline void setPool( ::uint64_t value);
-
-  inline  ::uint64_t getZone();
-  inline void setZone( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4254,34 +4244,6 @@
       ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantReturn::Reader::getPool() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GrantReturn::Builder::getPool() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void GrantReturn::Builder::setPool( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t GrantReturn::Reader::getZone() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GrantReturn::Builder::getZone() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void GrantReturn::Builder::setZone( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
 #if !CAPNP_LITE
 inline Scheduler::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- /dev/null
+++ b/src/adapt/front.cpp
@@ -0,0 +1,183 @@
+#include "zinniagauge/adapt/front.h"
+
+#include "zinniagauge/adapt/digest.h"
+#include "zinniagauge/adapt/problem.h"
+#include "zinniagauge/decide/admit.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace zinniagauge {
+
+namespace {
+
+constexpr std::string_view TierHeader = "Zinnia-Tier";
+constexpr std::string_view TimeoutHeader = "Zinnia-Timeout-Ms";
+constexpr std::string_view TicketHeader = "Zinnia-Issued-Ticket";
+constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+
+/// What is read of a model request's body.
+struct ModelCall {
+  std::string Model;
+  std::string Prompt;
+  std::uint32_t MaxTokens = 0;
+  bool Stream = false;
+};
+
+struct Front {
+  FrontOptions Opt;
+  std::atomic<std::uint64_t> NextId{1};
+};
+
+bool isModelPath(std::string_view path) noexcept {
+  return path == "/v1/chat/completions" || path == "/v1/completions";
+}
+
+std::string_view bearerKey(const HttpRequest &req) noexcept {
+  constexpr std::string_view Scheme = "Bearer ";
+  const std::string_view val = req.header("Authorization");
+  return val.starts_with(Scheme) ? val.substr(Scheme.size())
+                                 : std::string_view{};
+}
+
+boost::leaf::error_id invalid(std::string detail) {
+  return fail({ErrorCode::Invalid, Step::Receive, {}, std::move(detail)});
+}
+
+/// The text of all messages, in order: what an engine caches a prefix of.
+std::string promptText(const nlohmann::json &body) {
+  if (const auto it = body.find("prompt");
+      it != body.end() && it->is_string())
+    return it->get<std::string>();
+  std::string text;
+  const auto it = body.find("messages");
+  if (it == body.end() || !it->is_array())
+    return text;
+  for (const nlohmann::json &msg : *it) {
+    if (!msg.is_object())
+      continue;
+    const auto content = msg.find("content");
+    if (content != msg.end() && content->is_string())
+      text.append(content->get_ref<const std::string &>()).push_back('\n');
+  }
+  return text;
+}
+
+Result<std::uint32_t> maxTokens(const nlohmann::json &body) {
+  const auto it = body.find("max_tokens");
+  if (it == body.end() || it->is_null())
+    return 0U;
+  constexpr std::uint64_t MostTokens = 1'000'000;
+  if (!it->is_number_unsigned() || it->get<std::uint64_t>() > MostTokens)
+    return invalid("max_tokens must be a whole number up to 1000000");
+  return it->get<std::uint32_t>();
+}
+
+Result<ModelCall> readModelCall(std::string_view text) {
+  const auto body = nlohmann::json::parse(text, nullptr, false);
+  if (body.is_discarded())
+    return invalid("the body is not valid JSON");
+  if (!body.is_object())
+    return invalid("the body is not a JSON object");
+  ModelCall call;
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string())
+    return invalid("model must be a string");
+  call.Model = model->get<std::string>();
+  call.Prompt = promptText(body);
+  BOOST_LEAF_ASSIGN(call.MaxTokens, maxTokens(body));
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_boolean())
+    return invalid("stream must be true or false");
+  call.Stream = stream != body.end() && stream->get<bool>();
+  return call;
+}
+
+Result<std::optional<Duration>> timeoutOf(const HttpRequest &req) {
+  const std::string_view text = req.header(TimeoutHeader);
+  if (text.empty())
+    return std::optional<Duration>{};
+  std::uint32_t ms = 0;
+  const auto *end = text.data() + text.size();
+  const auto res = std::from_chars(text.data(), end, ms);
+  if (res.ec != std::errc() || res.ptr != end || ms == 0)
+    return invalid("Zinnia-Timeout-Ms must be a positive whole number");
+  return std::optional<Duration>(std::chrono::milliseconds(ms));
+}
+
+Result<Admission> admitRequest(const Board &b, const HttpRequest &req,
+                               Time now) {
+  RequestHead head;
+  ModelCall call;
+  if (isModelPath(req.Path)) {
+    BOOST_LEAF_ASSIGN(call, readModelCall(req.Body));
+    head.Model = call.Model;
+    head.PrefixText = call.Prompt;
+    head.PromptBytes = static_cast<std::uint32_t>(call.Prompt.size());
+    head.MaxTokens = call.MaxTokens;
+    head.Stream = call.Stream;
+  } else {
+    head.PromptBytes = static_cast<std::uint32_t>(req.Body.size());
+    head.MaxTokens = 1;
+  }
+  head.Key = bearerKey(req);
+  head.Path = req.Path;
+  head.TierName = req.header(TierHeader);
+  BOOST_LEAF_ASSIGN(head.Timeout, timeoutOf(req));
+  const std::string digest = sha256Hex(head.Key);
+  const ReadGuard guard;
+  const Bundle &bundle = b.InForce.read(guard);
+  if (bundle.Version == 0)
+    return fail({ErrorCode::Unavailable, Step::Bundle, {},
+                 "no bundle is in force here yet"});
+  return admit(bundle, head, digest, now);
+}
+
+void onRequest(Front &fr, HttpRequest req, HttpReply reply) {
+  const RequestId id{fr.Opt.IdHigh,
+                     fr.NextId.fetch_add(1, std::memory_order_relaxed)};
+  if (fr.Opt.Stopping()) {
+    sendProblem(reply,
+                {ErrorCode::Stopping, Step::Receive, {}, "this VM is stopping"},
+                Outcome::NotRun, id);
+    return;
+  }
+  const Time now = monotonicNow();
+  std::optional<Admission> adm;
+  handle([&] { return admitRequest(*fr.Opt.Shared, req, now); },
+         [&](Admission a) {
+           adm = a;
+           return true;
+         },
+         [&](const Error &err) {
+           sendProblem(reply, err, Outcome::NotRun, id);
+           return false;
+         });
+  if (!adm)
+    return;
+  std::string key(req.header(IdempotencyHeader));
+  std::string ticket(req.header(TicketHeader));
+  fr.Opt.ToWorker(Arrival{id, *adm, std::move(req), std::move(reply), now,
+                          std::move(key), std::move(ticket)});
+}
+
+} // namespace
+
+Result<HttpServer> startFront(FrontOptions opt) {
+  // The server's handlers share the front end; the server is its only owner.
+  auto fr = std::make_shared<Front>();
+  fr->Opt = std::move(opt);
+  HttpHandlers handlers;
+  handlers.OnRequest = [fr](HttpRequest req, HttpReply reply) {
+    onRequest(*fr, std::move(req), std::move(reply));
+  };
+  handlers.OnGone = [fr](std::uint64_t conn) { fr->Opt.OnGone(conn); };
+  return HttpServer::start(fr->Opt.Http, std::move(handlers));
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/adapt/transfer.cpp
@@ -0,0 +1,314 @@
+#include "zinniagauge/adapt/transfer.h"
+
+#include <curl/curl.h>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace zinniagauge {
+
+namespace {
+
+/// Connections kept open for reuse, of one thread.
+constexpr long IdleConnections = 256;
+constexpr int EventsPerTurn = 64;
+
+struct Transfer {
+  TransferHandlers *Fns = nullptr;
+  TransferSpec Spec;
+  std::vector<HttpHeader> Headers;
+  curl_slist *Sent = nullptr;
+  CURL *Easy = nullptr;
+  int Status = 0;
+  bool HeadTold = false;
+  bool Sending = false;
+};
+
+void tellHead(Transfer &tr) {
+  if (tr.HeadTold)
+    return;
+  tr.HeadTold = true;
+  TransferEvent ev;
+  ev.Id = tr.Spec.Id;
+  ev.Stage = TransferStage::Head;
+  ev.Status = tr.Status;
+  ev.Headers = tr.Headers;
+  tr.Fns->OnEvent(ev);
+}
+
+std::string_view trimmed(std::string_view s) noexcept {
+  while (!s.empty() && (s.front() == ' ' || s.front() == '\t'))
+    s.remove_prefix(1);
+  while (!s.empty() && (s.back() == '\r' || s.back() == '\n'))
+    s.remove_suffix(1);
+  return s;
+}
+
+std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *to) {
+  auto &tr = *static_cast<Transfer *>(to);
+  const std::string_view line(data, size * n);
+  if (line.starts_with("HTTP/")) {
+    // A status line, perhaps after an interim answer: start anew.
+    tr.Headers.clear();
+    return line.size();
+  }
+  const auto colon = line.find(':');
+  if (colon == std::string_view::npos)
+    return line.size();
+  tr.Headers.push_back({std::string(line.substr(0, colon)),
+                        std::string(trimmed(line.substr(colon + 1)))});
+  return line.size();
+}
+
+void readStatus(Transfer &tr) {
+  long status = 0;
+  curl_easy_getinfo(tr.Easy, CURLINFO_RESPONSE_CODE, &status);
+  tr.Status = static_cast<int>(status);
+}
+
+std::size_t onBody(char *data, std::size_t size, std::size_t n, void *to) {
+  auto &tr = *static_cast<Transfer *>(to);
+  readStatus(tr);
+  tellHead(tr);
+  TransferEvent ev;
+  ev.Id = tr.Spec.Id;
+  ev.Stage = TransferStage::Part;
+  ev.Status = tr.Status;
+  ev.Bytes = std::string_view(data, size * n);
+  tr.Fns->OnEvent(ev);
+  return size * n;
+}
+
+int onBeforeSend(void *to, char * /*ip*/, char * /*ownip*/, int /*port*/,
+                 int /*ownport*/) {
+  auto &tr = *static_cast<Transfer *>(to);
+  // libcurl sends again by itself when a reused connection turns out dead; the
+  // first sending may have arrived, so the second never leaves.
+  if (std::exchange(tr.Sending, true))
+    return CURL_PREREQFUNC_ABORT;
+  return tr.Fns->MaySend(tr.Spec.Id) ? CURL_PREREQFUNC_OK
+                                     : CURL_PREREQFUNC_ABORT;
+}
+
+} // namespace
+
+struct TransferPool::State {
+  TransferHandlers Fns;
+  CURLM *Multi = curl_multi_init();
+  int Epoll = ::epoll_create1(EPOLL_CLOEXEC);
+  std::vector<int> Watched;
+  std::map<TransferId, std::unique_ptr<Transfer>> Running;
+  std::optional<Time> CurlTimer;
+
+  [[nodiscard]] Duration waitFor(Duration most) const noexcept;
+  void act(curl_socket_t fd, int mask) const;
+  void finishDone();
+  void drop(Transfer &tr) const;
+  static int onSocket(CURL *, curl_socket_t fd, int what, void *self,
+                      void *known);
+  static int onTimer(CURLM *, long ms, void *self);
+};
+
+int TransferPool::State::onSocket(CURL * /*easy*/, curl_socket_t fd, int what,
+                                  void *self, void *known) {
+  auto &st = *static_cast<State *>(self);
+  epoll_event ev{};
+  ev.data.fd = fd;
+  if (what == CURL_POLL_REMOVE) {
+    ::epoll_ctl(st.Epoll, EPOLL_CTL_DEL, fd, &ev);
+    return 0;
+  }
+  if (what & CURL_POLL_IN)
+    ev.events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    ev.events |= EPOLLOUT;
+  ::epoll_ctl(st.Epoll, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &ev);
+  curl_multi_assign(st.Multi, fd, self);
+  return 0;
+}
+
+int TransferPool::State::onTimer(CURLM * /*multi*/, long ms, void *self) {
+  auto &st = *static_cast<State *>(self);
+  if (ms < 0)
+    st.CurlTimer.reset();
+  else
+    st.CurlTimer = monotonicNow() + std::chrono::milliseconds(ms);
+  return 0;
+}
+
+Duration TransferPool::State::waitFor(Duration most) const noexcept {
+  if (!CurlTimer)
+    return most;
+  return std::clamp(*CurlTimer - monotonicNow(), Duration::zero(), most);
+}
+
+void TransferPool::State::act(curl_socket_t fd, int mask) const {
+  int running = 0;
+  curl_multi_socket_action(Multi, fd, mask, &running);
+}
+
+void TransferPool::State::drop(Transfer &tr) const {
+  curl_multi_remove_handle(Multi, tr.Easy);
+  curl_easy_cleanup(tr.Easy);
+  curl_slist_free_all(tr.Sent);
+}
+
+void TransferPool::State::finishDone() {
+  int left = 0;
+  while (CURLMsg *msg = curl_multi_info_read(Multi, &left)) {
+    if (msg->msg != CURLMSG_DONE)
+      continue;
+    const CURLcode rc = msg->data.result;
+    Transfer *done = nullptr;
+    curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &done);
+    const auto it = Running.find(done->Spec.Id);
+    const std::unique_ptr<Transfer> tr = std::move(it->second);
+    Running.erase(it);
+    readStatus(*tr);
+    TransferEvent ev;
+    ev.Id = tr->Spec.Id;
+    ev.Stage = TransferStage::End;
+    ev.Status = tr->Status;
+    ev.Whole = rc == CURLE_OK;
+    ev.Detail = rc == CURLE_OK ? "" : curl_easy_strerror(rc);
+    if (rc == CURLE_OK)
+      tellHead(*tr);
+    drop(*tr);
+    Fns.OnEvent(ev);
+  }
+}
+
+TransferPool::TransferPool(TransferHandlers fns) : St(std::make_unique<State>()) {
+  St->Fns = std::move(fns);
+  curl_multi_setopt(St->Multi, CURLMOPT_SOCKETFUNCTION, State::onSocket);
+  curl_multi_setopt(St->Multi, CURLMOPT_SOCKETDATA, St.get());
+  curl_multi_setopt(St->Multi, CURLMOPT_TIMERFUNCTION, State::onTimer);
+  curl_multi_setopt(St->Multi, CURLMOPT_TIMERDATA, St.get());
+  curl_multi_setopt(St->Multi, CURLMOPT_MAXCONNECTS, IdleConnections);
+  curl_multi_setopt(St->Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+}
+
+TransferPool::~TransferPool() {
+  for (auto &it : St->Running)
+    St->drop(*it.second);
+  curl_multi_cleanup(St->Multi);
+  ::close(St->Epoll);
+}
+
+void TransferPool::watch(int fd) {
+  epoll_event ev{};
+  ev.events = EPOLLIN;
+  ev.data.fd = fd;
+  ::epoll_ctl(St->Epoll, EPOLL_CTL_ADD, fd, &ev);
+  St->Watched.push_back(fd);
+}
+
+namespace {
+
+void setRequest(Transfer &tr) {
+  CURL *h = tr.Easy;
+  const TransferSpec &spec = tr.Spec;
+  tr.Sent = curl_slist_append(tr.Sent, "Expect:");
+  for (const HttpHeader &it : spec.Headers) {
+    const std::string line = it.Name + ": " + it.Value;
+    tr.Sent = curl_slist_append(tr.Sent, line.c_str());
+  }
+  curl_easy_setopt(h, CURLOPT_URL, spec.Url.c_str());
+  curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, spec.Method.c_str());
+  curl_easy_setopt(h, CURLOPT_HTTPHEADER, tr.Sent);
+  if (spec.Body.empty())
+    return;
+  curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
+                   static_cast<curl_off_t>(spec.Body.size()));
+  curl_easy_setopt(h, CURLOPT_POSTFIELDS, spec.Body.data());
+}
+
+void setConnection(Transfer &tr) {
+  using std::chrono::milliseconds;
+  CURL *h = tr.Easy;
+  const auto ms =
+      std::chrono::duration_cast<milliseconds>(tr.Spec.ConnectTimeout);
+  curl_easy_setopt(h, CURLOPT_HTTP_VERSION,
+                   static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(ms.count()));
+  curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(h, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(h, CURLOPT_PROXY, "");
+  curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, tr.Spec.Fresh ? 1L : 0L);
+  curl_easy_setopt(h, CURLOPT_FORBID_REUSE, tr.Spec.Fresh ? 1L : 0L);
+}
+
+void setCallbacks(Transfer &tr) {
+  CURL *h = tr.Easy;
+  curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(h, CURLOPT_WRITEDATA, &tr);
+  curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(h, CURLOPT_HEADERDATA, &tr);
+  curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, onBeforeSend);
+  curl_easy_setopt(h, CURLOPT_PREREQDATA, &tr);
+  curl_easy_setopt(h, CURLOPT_PRIVATE, &tr);
+}
+
+} // namespace
+
+void TransferPool::start(TransferSpec spec) {
+  auto tr = std::make_unique<Transfer>();
+  tr->Fns = &St->Fns;
+  tr->Spec = std::move(spec);
+  tr->Easy = curl_easy_init();
+  setRequest(*tr);
+  setConnection(*tr);
+  setCallbacks(*tr);
+  CURL *h = tr->Easy;
+  const TransferId id = tr->Spec.Id;
+  St->Running.emplace(id, std::move(tr));
+  curl_multi_add_handle(St->Multi, h);
+}
+
+void TransferPool::cancel(TransferId id) {
+  const auto it = St->Running.find(id);
+  if (it == St->Running.end())
+    return;
+  const std::unique_ptr<Transfer> tr = std::move(it->second);
+  St->Running.erase(it);
+  // A handle that is removed in mid-transfer closes its connection.
+  St->drop(*tr);
+}
+
+void TransferPool::turn(Duration most) {
+  using std::chrono::milliseconds;
+  std::array<epoll_event, EventsPerTurn> events{};
+  const auto ms = std::chrono::ceil<milliseconds>(St->waitFor(most));
+  const int n = ::epoll_wait(St->Epoll, events.data(), EventsPerTurn,
+                             static_cast<int>(ms.count()));
+  for (int i = 0; i < n; ++i) {
+    const epoll_event &ev = events[static_cast<std::size_t>(i)];
+    const auto &own = St->Watched;
+    if (std::find(own.begin(), own.end(), ev.data.fd) != own.end())
+      continue;
+    int mask = 0;
+    if (ev.events & (EPOLLIN | EPOLLHUP))
+      mask |= CURL_CSELECT_IN;
+    if (ev.events & EPOLLOUT)
+      mask |= CURL_CSELECT_OUT;
+    if (ev.events & EPOLLERR)
+      mask |= CURL_CSELECT_ERR;
+    St->act(ev.data.fd, mask);
+  }
+  if (St->CurlTimer && *St->CurlTimer <= monotonicNow()) {
+    St->CurlTimer.reset();
+    St->act(CURL_SOCKET_TIMEOUT, 0);
+  }
+  St->finishDone();
+}
+
+std::size_t TransferPool::size() const noexcept { return St->Running.size(); }
+
+} // namespace zinniagauge
--- a/src/board/bundle.cpp
+++ b/src/board/bundle.cpp
@@ -23,6 +23,16 @@
   return it == index.end() ? nullptr : &list[it->second];
 }
 
+void indexZones(Bundle &b) {
+  b.ZonesOfPool.clear();
+  for (const EndpointSpec &ep : b.Endpoints) {
+    std::vector<ZoneId> &zones = b.ZonesOfPool[ep.Pool];
+    const auto it = std::lower_bound(zones.begin(), zones.end(), ep.Zone);
+    if (it == zones.end() || *it != ep.Zone)
+      zones.insert(it, ep.Zone);
+  }
+}
+
 } // namespace
 
 void indexBundle(Bundle &b) {
@@ -36,6 +46,7 @@
     b.ByEndpoint.emplace(b.Endpoints[n].Id, n);
   for (std::size_t n = 0; n < b.Pools.size(); ++n)
     b.ByPool.emplace(b.Pools[n].Id, n);
+  indexZones(b);
 }
 
 const WorkspaceSpec *findWorkspace(const Bundle &b,
@@ -78,4 +89,11 @@
   return lookUp(b.Pools, b.ByPool, id);
 }
 
+std::span<const ZoneId> zonesOf(const Bundle &b, PoolId pool) noexcept {
+  const auto it = b.ZonesOfPool.find(pool);
+  if (it == b.ZonesOfPool.end())
+    return {};
+  return it->second;
+}
+
 } // namespace zinniagauge
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -32,7 +32,7 @@
   const EndpointSpec *best = nullptr;
   std::uint32_t least = 0;
   for (const EndpointSpec &ep : view.InForce.Endpoints) {
-    if (ep.Pool != s.Pool || !usable(view, ep))
+    if (ep.Pool != s.Pool || ep.Zone != s.Zone || !usable(view, ep))
       continue;
     const std::uint32_t n = inFlight(s, ep.Id);
     if (n >= ep.Slots || (best && n >= least))
