Read bundles from JSON and check them whole

Cause: operators approve bundles, so a fault has to be told before the bundle is accepted, and all faults at once, each at its JSON path. Form (types, ranges, unknown or repeated keys, units) is checked by the adapter's reader; what fits together (names, hashes, references, ranks, moves) by a decision that sees only the bundle. Ruled out: a JSON schema alone, which can't tell unknown references, and throwing at the first fault.

--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -11,6 +11,7 @@
 #include "zinniagauge/config.h"
 #include "zinniagauge/decide/admit.h"
 #include "zinniagauge/decide/assign.h"
+#include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/schedule.h"
 #include "zinniagauge/fwd.h"
 #include "zinniagauge/time/timer_service.h"
--- /dev/null
+++ b/src/adapt/digest.cpp
@@ -0,0 +1,23 @@
+#include "zinniagauge/adapt/digest.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace zinniagauge {
+
+std::string sha256Hex(std::string_view text) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> sum{};
+  SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(),
+         sum.data());
+  std::string hex;
+  hex.reserve(2 * sum.size());
+  for (const unsigned char it : sum) {
+    hex.push_back(Digits[it >> 4U]);
+    hex.push_back(Digits[it & 0xFU]);
+  }
+  return hex;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/adapt/json_reader.cpp
@@ -0,0 +1,197 @@
+#include "zinniagauge/adapt/json_reader.h"
+
+#include <array>
+#include <utility>
+
+namespace zinniagauge {
+
+using nlohmann::json;
+
+namespace {
+
+struct TimeUnit {
+  const char *Suffix;
+  Duration Length;
+};
+
+constexpr std::array<TimeUnit, 3> TimeUnits = {
+    TimeUnit{"_ms", std::chrono::milliseconds(1)},
+    TimeUnit{"_s", std::chrono::seconds(1)},
+    TimeUnit{"_min", std::chrono::minutes(1)}};
+
+/// The longest span of time that a text may state.
+constexpr Duration MaxDuration = std::chrono::hours(24 * 366);
+
+/// Notes keys that one object has twice, while the text is parsed.
+class TwiceCheck {
+public:
+  explicit TwiceCheck(std::vector<BundleFault> &faults) : Faults(faults) {}
+
+  bool operator()(int /*depth*/, json::parse_event_t event, json &val) {
+    if (event == json::parse_event_t::object_start)
+      Open.emplace_back();
+    else if (event == json::parse_event_t::object_end)
+      Open.pop_back();
+    else if (event == json::parse_event_t::key)
+      add(val.get_ref<const std::string &>());
+    return true;
+  }
+
+private:
+  void add(const std::string &key) {
+    if (!Open.back().insert(key).second)
+      Faults.push_back({"$", "an object has the key \"" + key + "\" twice"});
+  }
+
+  std::vector<BundleFault> &Faults;
+  std::vector<std::set<std::string>> Open;
+};
+
+std::string range(std::uint64_t least, std::uint64_t most) {
+  return "from " + std::to_string(least) + " to " + std::to_string(most);
+}
+
+} // namespace
+
+json parseJson(std::string_view text, std::vector<BundleFault> &faults) {
+  try {
+    return json::parse(text, TwiceCheck(faults));
+  } catch (const json::parse_error &ex) {
+    faults.push_back(
+        {"$", "malformed JSON at byte " + std::to_string(ex.byte)});
+  }
+  return nullptr;
+}
+
+JsonReader::JsonReader(const json &val, std::string path,
+                       std::vector<BundleFault> &faults)
+    : Val(val), Path(std::move(path)), Faults(faults) {
+  if (!Val.is_object())
+    Faults.push_back({Path, "must be an object"});
+}
+
+std::string JsonReader::pathOf(const std::string &key) const {
+  return Path + "." + key;
+}
+
+void JsonReader::fault(const std::string &key, std::string message) {
+  Faults.push_back({pathOf(key), std::move(message)});
+}
+
+const json *JsonReader::find(const std::string &key) {
+  Known.insert(key);
+  if (!Val.is_object())
+    return nullptr;
+  const auto it = Val.find(key);
+  return it == Val.end() ? nullptr : &*it;
+}
+
+const json *JsonReader::need(const std::string &key) {
+  const json *val = find(key);
+  if (!val && Val.is_object())
+    fault(key, "is missing");
+  return val;
+}
+
+std::string JsonReader::textOf(const char *key, const json &val) {
+  if (!val.is_string()) {
+    fault(key, "must be a text");
+    return {};
+  }
+  std::string text = val.get<std::string>();
+  if (!text.empty() && text.size() <= MaxTextBytes)
+    return text;
+  fault(key, "must have " + range(1, MaxTextBytes) + " bytes");
+  return {};
+}
+
+std::string JsonReader::text(const char *key) {
+  const json *val = need(key);
+  return val ? textOf(key, *val) : std::string();
+}
+
+std::string JsonReader::optionalText(const char *key) {
+  const json *val = find(key);
+  return val ? textOf(key, *val) : std::string();
+}
+
+std::uint64_t JsonReader::number(const char *key, std::uint64_t least,
+                                 std::uint64_t most,
+                                 std::optional<std::uint64_t> absent) {
+  const json *val = absent ? find(key) : need(key);
+  if (!val)
+    return absent.value_or(0);
+  if (!val->is_number_integer()) {
+    fault(key, "must be a whole number");
+    return 0;
+  }
+  const auto n = val->get<std::uint64_t>();
+  if (val->is_number_unsigned() && n >= least && n <= most)
+    return n;
+  fault(key, "must be " + range(least, most));
+  return 0;
+}
+
+double JsonReader::real(const char *key, double above, double below) {
+  const json *val = need(key);
+  if (!val)
+    return 0;
+  if (!val->is_number()) {
+    fault(key, "must be a number");
+    return 0;
+  }
+  const auto n = val->get<double>();
+  if (n <= above || n >= below)
+    fault(key, "must be above " + json(above).dump() + " and below " +
+                   json(below).dump());
+  return n;
+}
+
+bool JsonReader::flag(const char *key, bool absent) {
+  const json *val = find(key);
+  if (!val)
+    return absent;
+  if (!val->is_boolean()) {
+    fault(key, "must be true or false");
+    return absent;
+  }
+  return val->get<bool>();
+}
+
+Duration JsonReader::duration(const std::string &stem) {
+  Duration out = Duration::zero();
+  int given = 0;
+  for (const TimeUnit &unit : TimeUnits) {
+    const std::string key = stem + unit.Suffix;
+    if (!find(key))
+      continue;
+    ++given;
+    const auto most = static_cast<std::uint64_t>(MaxDuration / unit.Length);
+    out = unit.Length * number(key.c_str(), 1, most);
+  }
+  if (given > 1)
+    fault(stem, "is given in more than one unit");
+  if (find(stem))
+    fault(stem, "state the unit in the key, such as " + stem + "_ms");
+  else if (given == 0 && Val.is_object())
+    fault(stem + "_ms", "is missing");
+  return out;
+}
+
+const json *JsonReader::array(const char *key, bool needed) {
+  const json *val = needed ? need(key) : find(key);
+  if (!val || val->is_array())
+    return val;
+  fault(key, "must be an array");
+  return nullptr;
+}
+
+void JsonReader::finish() {
+  if (!Val.is_object())
+    return;
+  for (const auto &it : Val.items())
+    if (!Known.contains(it.key()))
+      fault(it.key(), "unknown key");
+}
+
+} // namespace zinniagauge
