--- a/src/adapt/worker.cpp
+++ b/src/adapt/worker.cpp
@@ -88,8 +88,8 @@
 /// All that lives on one worker's thread.
 class Worker {
 public:
-  Worker(WorkerOptions &opt, WorkerBox &box,
-         std::atomic<std::uint64_t> &held, Cell<EvidenceList> &seen);
+  Worker(WorkerOptions &opt, WorkerBox &box, std::atomic<std::uint64_t> &held,
+         Cell<EvidenceList> &seen);
 
   /// Works until told to stop and nothing is held any more.
   void run();
@@ -197,13 +197,13 @@
     const PoolSpec *pool = findPool(b, asked.Admitted.Pool);
     const std::size_t zones = zonesOf(b, asked.Admitted.Pool).size();
     work.Engine = pool && pool->Kind == PoolKind::Engine;
-    work.Schedulers = static_cast<std::uint32_t>(std::max<std::size_t>(
-        zones, 1));
+    work.Schedulers =
+        static_cast<std::uint32_t>(std::max<std::size_t>(zones, 1));
   }
   ByConnection[asked.Asked.Connection] = asked.Id;
   Calls.emplace(asked.Id, std::move(owned));
   Held.fetch_add(1, std::memory_order_relaxed);
-  onArrived(c.Life, work, Actions);
+  onArrived(c.Life, Rules, work, monotonicNow(), Actions);
   settle(c);
 }
 
@@ -214,7 +214,7 @@
     return;
   }
   c->GrantedAt = monotonicNow();
-  onGrant(c->Life, msg.Given, msg.Clock, c->GrantedAt, Actions);
+  onGrant(c->Life, Rules, msg.Given, msg.Clock, c->GrantedAt, Actions);
   settle(*c);
 }
 
@@ -240,7 +240,7 @@
     return;
   Call *c = find(it->second);
   Opt.Shared->Counts.CallersGone.add();
-  onCallerGone(c->Life, monotonicNow(), Actions);
+  onCallerGone(c->Life, Rules, monotonicNow(), Actions);
   settle(*c);
 }
 
@@ -281,8 +281,8 @@
 void Worker::onAnswerEnd(Call &c, const TransferEvent &ev) {
   const Time now = monotonicNow();
   if (!ev.Whole) {
-    const Error err{ErrorCode::Broken, Step::Answer, {},
-                    std::string(ev.Detail)};
+    const Error err{
+        ErrorCode::Broken, Step::Answer, {}, std::string(ev.Detail)};
     onBroken(c.Life, Rules, ev.Id, err, now, Actions);
     return;
   }
@@ -308,7 +308,7 @@
 void Worker::settle(Call &c) {
   carryOut(c);
   if (std::exchange(CallerLeft, false)) {
-    onCallerGone(c.Life, monotonicNow(), Actions);
+    onCallerGone(c.Life, Rules, monotonicNow(), Actions);
     carryOut(c);
   }
   const RequestId id = c.Asked.Id;
@@ -366,8 +366,8 @@
 }
 
 void Worker::act(Call &c, const TakeClaim & /*a*/) {
-  onClaim(c.Life, {ClaimStatus::Unreadable, std::nullopt, {}}, monotonicNow(),
-          Actions);
+  onClaim(c.Life, Rules, {ClaimStatus::Unreadable, std::nullopt, {}},
+          monotonicNow(), Actions);
 }
 
 void Worker::act(Call & /*c*/, const RecordOutcome & /*a*/) {}
@@ -385,16 +385,14 @@
   spec.Fresh = a.Fresh;
   spec.ConnectTimeout = Opt.ConnectTimeout;
   const std::string_view type = req.header("Content-Type");
-  spec.Headers.push_back(
-      {"Content-Type",
-       type.empty() ? std::string("application/json") : std::string(type)});
-  spec.Headers.push_back(
-      {std::string(RequestIdHeader), toString(c.Asked.Id)});
+  spec.Headers.push_back({"Content-Type", type.empty()
+                                              ? std::string("application/json")
+                                              : std::string(type)});
+  spec.Headers.push_back({std::string(RequestIdHeader), toString(c.Asked.Id)});
   if (!c.Asked.IdempotencyKey.empty())
     spec.Headers.push_back({"Idempotency-Key", c.Asked.IdempotencyKey});
   if (a.Offset)
-    spec.Headers.push_back(
-        {"Zinnia-Resume-Offset", std::to_string(*a.Offset)});
+    spec.Headers.push_back({"Zinnia-Resume-Offset", std::to_string(*a.Offset)});
   return spec;
 }
 
@@ -411,7 +409,9 @@
     Pool.start(std::move(*spec));
     return;
   }
-  const Error err{ErrorCode::NotFound, Step::Connect, {},
+  const Error err{ErrorCode::NotFound,
+                  Step::Connect,
+                  {},
                   "the granted endpoint is not in the bundle in force"};
   onBroken(c.Life, Rules, a.Transfer, err, monotonicNow(), Actions);
 }
@@ -459,8 +459,8 @@
     c.Asked.Reply.send(a.Status, headers, a.Body);
     return;
   }
-  Error err = a.Err.value_or(
-      Error{ErrorCode::Broken, Step::Answer, {}, "no answer"});
+  Error err =
+      a.Err.value_or(Error{ErrorCode::Broken, Step::Answer, {}, "no answer"});
   const ReadGuard guard;
   const EndpointSpec *ep =
       findEndpoint(Opt.Shared->InForce.read(guard), a.Endpoint);
@@ -545,7 +545,7 @@
     return;
   while (!Calls.empty()) {
     Call &c = *Calls.begin()->second;
-    onStop(c.Life, now, Actions);
+    onStop(c.Life, Rules, now, Actions);
     settle(c);
   }
 }
