--- a/include/zinniagauge/decide/check_bundle.h
+++ b/include/zinniagauge/decide/check_bundle.h
@@ -12,7 +12,7 @@
 
 /// One fault of a bundle, at the JSON path where it is mended.
 struct BundleFault {
-  std::string Path;    // Such as "$.endpoints[3].port".
+  std::string Path;    // Such as "/endpoints/3/port"; empty: the whole text.
   std::string Message; // One sentence without a full stop.
 };
 
@@ -26,7 +26,8 @@
 /// no index of \p b.
 void checkBundle(const Bundle &b, std::vector<BundleFault> &out);
 
-/// The faults, one a line, as "path: message".
+/// The faults, one a line, as "path: message", the whole text's path
+/// being "bundle".
 [[nodiscard]] std::string describe(std::span<const BundleFault> faults);
 
 } // namespace zinniagauge
--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -9,6 +9,7 @@
 struct Board;
 struct Bundle;
 struct BundleFault;
+struct ClockBound;
 struct Counters;
 struct EndpointList;
 struct EndpointSpec;
--- a/src/adapt/json_reader.cpp
+++ b/src/adapt/json_reader.cpp
@@ -40,7 +40,7 @@
 private:
   void add(const std::string &key) {
     if (!Open.back().insert(key).second)
-      Faults.push_back({"$", "an object has the key \"" + key + "\" twice"});
+      Faults.push_back({"", "an object has the key \"" + key + "\" twice"});
   }
 
   std::vector<BundleFault> &Faults;
@@ -57,8 +57,7 @@
   try {
     return json::parse(text, TwiceCheck(faults));
   } catch (const json::parse_error &ex) {
-    faults.push_back(
-        {"$", "malformed JSON at byte " + std::to_string(ex.byte)});
+    faults.push_back({"", "malformed JSON at byte " + std::to_string(ex.byte)});
   }
   return nullptr;
 }
@@ -71,7 +70,7 @@
 }
 
 std::string JsonReader::pathOf(const std::string &key) const {
-  return Path + "." + key;
+  return Path + "/" + key;
 }
 
 void JsonReader::fault(const std::string &key, std::string message) {
--- a/src/decide/check_bundle.cpp
+++ b/src/decide/check_bundle.cpp
@@ -16,10 +16,10 @@
 
 std::string pathOf(std::string_view list, std::size_t n,
                    std::string_view member = {}) {
-  std::string path = "$.";
-  path.append(list).append("[").append(std::to_string(n)).append("]");
+  std::string path = "/";
+  path.append(list).append("/").append(std::to_string(n));
   if (!member.empty())
-    path.append(".").append(member);
+    path.append("/").append(member);
   return path;
 }
 
@@ -69,10 +69,10 @@
 
 void checkTiers(const Bundle &b, Faults &out) {
   if (b.Tiers.empty())
-    out.push_back({"$.tiers", "a bundle needs at least one tier"});
+    out.push_back({"/tiers", "a bundle needs at least one tier"});
   if (b.Tiers.size() > MaxTiers)
-    out.push_back({"$.tiers", "at most " + std::to_string(MaxTiers) +
-                                  " tiers are allowed"});
+    out.push_back({"/tiers", "at most " + std::to_string(MaxTiers) +
+                                 " tiers are allowed"});
   UniqueTexts names("the name");
   std::map<Tier, std::size_t> ranks;
   for (std::size_t n = 0; n < b.Tiers.size(); ++n) {
@@ -96,10 +96,9 @@
   UniqueTexts digests("the key digest");
   for (std::size_t n = 0; n < b.Workspaces.size(); ++n)
     for (std::size_t k = 0; k < b.Workspaces[n].KeyDigests.size(); ++k)
-      digests.add(
-          b.Workspaces[n].KeyDigests[k],
-          pathOf("workspaces", n, "key_digests[" + std::to_string(k) + "]"),
-          out);
+      digests.add(b.Workspaces[n].KeyDigests[k],
+                  pathOf("workspaces", n, "key_digests/" + std::to_string(k)),
+                  out);
 }
 
 const PoolSpec *poolOf(const Bundle &b, PoolId id) {
@@ -129,16 +128,16 @@
   if (r.Model.empty() == r.PathPrefix.empty())
     out.push_back({path, "a route needs either model or path_prefix"});
   if (!r.PathPrefix.empty() && r.PathPrefix.front() != '/')
-    out.push_back({path + ".path_prefix", "a path prefix starts with '/'"});
-  const PoolSpec *pool = needPool(b, r.Pool, path + ".pool", out);
+    out.push_back({path + "/path_prefix", "a path prefix starts with '/'"});
+  const PoolSpec *pool = needPool(b, r.Pool, path + "/pool", out);
   if (!pool)
     return;
   if (!r.Model.empty() && pool->Kind != PoolKind::Engine)
-    out.push_back({path + ".pool", "a model's pool must be of kind engine"});
+    out.push_back({path + "/pool", "a model's pool must be of kind engine"});
   if (!r.PathPrefix.empty() && pool->Kind != PoolKind::Service)
-    out.push_back({path + ".pool", "a path's pool must be of kind service"});
+    out.push_back({path + "/pool", "a path's pool must be of kind service"});
   if (!hasEndpoint(b, r.Pool))
-    out.push_back({path + ".pool", "the pool has no endpoint"});
+    out.push_back({path + "/pool", "the pool has no endpoint"});
 }
 
 void checkRoutes(const Bundle &b, Faults &out) {
@@ -180,9 +179,9 @@
     return;
   const auto rises = [](std::uint32_t a, std::uint32_t c) { return a >= c; };
   if (std::adjacent_find(shares.begin(), shares.end(), rises) != shares.end())
-    out.push_back({path + ".shares_permille", "the shares must rise"});
+    out.push_back({path + "/shares_permille", "the shares must rise"});
   if (shares.back() != WholeShare)
-    out.push_back({path + ".shares_permille", "the last share must be 1000"});
+    out.push_back({path + "/shares_permille", "the last share must be 1000"});
 }
 
 bool servesVersion(const Bundle &b, const MoveSpec &m) {
@@ -200,17 +199,17 @@
     const std::string path = pathOf("moves", n);
     checkShares(m, path, out);
     if (!m.FromLabel.empty() && m.From == m.To)
-      out.push_back({path + ".to", "a move needs two different versions"});
-    if (!needPool(b, m.Pool, path + ".pool", out))
+      out.push_back({path + "/to", "a move needs two different versions"});
+    if (!needPool(b, m.Pool, path + "/pool", out))
       continue;
     const auto [it, fresh] = pools.emplace(m.Pool, n);
     if (!fresh)
-      out.push_back({path + ".pool", "the pool has a move at " +
+      out.push_back({path + "/pool", "the pool has a move at " +
                                          pathOf("moves", it->second) +
                                          " already"});
     if (!m.FromLabel.empty() && !m.ToLabel.empty() && !servesVersion(b, m))
       out.push_back(
-          {path + ".from", "no endpoint of the pool serves either version"});
+          {path + "/from", "no endpoint of the pool serves either version"});
   }
 }
 
@@ -230,7 +229,9 @@
   for (const BundleFault &f : faults) {
     if (!text.empty())
       text.push_back('\n');
-    text.append(f.Path).append(": ").append(f.Message);
+    text.append(f.Path.empty() ? "bundle" : f.Path)
+        .append(": ")
+        .append(f.Message);
   }
   return text;
 }
--- a/tests/unit/bundle_json_test.cpp
+++ b/tests/unit/bundle_json_test.cpp
@@ -93,55 +93,55 @@
 
 TEST_CASE("each fault is told at its path", "[bundle_json]") {
   json val = demo();
-  SECTION("not JSON") { CHECK(onlyFault(std::string("{\"tiers\": ["), "$")); }
-  SECTION("no object") { CHECK(onlyFault(std::string("[1]"), "$")); }
-  SECTION("null") { CHECK(onlyFault(std::string("null"), "$")); }
+  SECTION("not JSON") { CHECK(onlyFault(std::string("{\"tiers\": ["), "")); }
+  SECTION("no object") { CHECK(onlyFault(std::string("[1]"), "")); }
+  SECTION("null") { CHECK(onlyFault(std::string("null"), "")); }
   SECTION("a key twice") {
     std::string text = val.dump();
     text.insert(1, R"("moves":[],)");
-    CHECK(onlyFault(text, "$"));
+    CHECK(onlyFault(text, ""));
   }
   SECTION("unknown key") {
     val["endpoints"][0]["prot"] = 1;
-    CHECK(onlyFault(val, "$.endpoints[0].prot"));
+    CHECK(onlyFault(val, "/endpoints/0/prot"));
   }
   SECTION("wrong type") {
     val["endpoints"][1]["port"] = "18102";
-    CHECK(onlyFault(val, "$.endpoints[1].port"));
+    CHECK(onlyFault(val, "/endpoints/1/port"));
   }
   SECTION("out of range") {
     val["endpoints"][1]["port"] = 70000;
-    CHECK(onlyFault(val, "$.endpoints[1].port"));
+    CHECK(onlyFault(val, "/endpoints/1/port"));
   }
   SECTION("negative") {
     val["workspaces"][1]["weight"] = -1;
-    CHECK(onlyFault(val, "$.workspaces[1].weight"));
+    CHECK(onlyFault(val, "/workspaces/1/weight"));
   }
   SECTION("a name in place of an IP address") {
     val["endpoints"][1]["host"] = "localhost";
-    CHECK(onlyFault(val, "$.endpoints[1].host"));
+    CHECK(onlyFault(val, "/endpoints/1/host"));
   }
   SECTION("missing") {
     val["routes"][0].erase("pool");
-    CHECK(onlyFault(val, "$.routes[0].pool"));
+    CHECK(onlyFault(val, "/routes/0/pool"));
   }
   SECTION("no unit") {
     val["tiers"][0].erase("default_timeout_s");
     val["tiers"][0]["default_timeout"] = 10;
-    CHECK(onlyFault(val, "$.tiers[0].default_timeout"));
+    CHECK(onlyFault(val, "/tiers/0/default_timeout"));
   }
   SECTION("two units") {
     val["tiers"][0]["default_timeout_ms"] = 10;
-    CHECK(onlyFault(val, "$.tiers[0].default_timeout"));
+    CHECK(onlyFault(val, "/tiers/0/default_timeout"));
   }
   SECTION("a malformed digest") {
     val["workspaces"][0]["key_digests"][0] = "demo-key-regiduria";
-    CHECK(onlyFault(val, "$.workspaces[0].key_digests[0]"));
+    CHECK(onlyFault(val, "/workspaces/0/key_digests/0"));
   }
   SECTION("a malformed deadline") {
     val["moves"] = {move("a")};
     val["moves"][0]["deadline"] = "2026-02-30T18:00:00Z";
-    CHECK(onlyFault(val, "$.moves[0].deadline"));
+    CHECK(onlyFault(val, "/moves/0/deadline"));
   }
 }
 
@@ -149,55 +149,55 @@
   json val = demo();
   SECTION("a duplicate name") {
     val["endpoints"][1]["name"] = "surtitle-1";
-    CHECK(onlyFault(val, "$.endpoints[1].name"));
+    CHECK(onlyFault(val, "/endpoints/1/name"));
   }
   SECTION("an unknown tier") {
     val["routes"][0]["default_tier"] = "urgent";
-    CHECK(onlyFault(val, "$.routes[0].default_tier"));
+    CHECK(onlyFault(val, "/routes/0/default_tier"));
   }
   SECTION("an unknown pool") {
     val["routes"][0]["pool"] = "surtitel";
-    CHECK(onlyFault(val, "$.routes[0].pool"));
+    CHECK(onlyFault(val, "/routes/0/pool"));
   }
   SECTION("a tier without a rank") {
     val["tiers"][3].erase("rank");
-    CHECK(onlyFault(val, "$.tiers[3].rank"));
+    CHECK(onlyFault(val, "/tiers/3/rank"));
   }
   SECTION("a gap in the ranks") {
     val["tiers"][3]["rank"] = 5;
-    CHECK(onlyFault(val, "$.tiers[3].rank"));
+    CHECK(onlyFault(val, "/tiers/3/rank"));
   }
   SECTION("a key of two workspaces") {
     val["workspaces"][1]["key_digests"] = val["workspaces"][0]["key_digests"];
-    CHECK(onlyFault(val, "$.workspaces[1].key_digests[0]"));
+    CHECK(onlyFault(val, "/workspaces/1/key_digests/0"));
   }
   SECTION("a model served by a plain service") {
     val["routes"][0]["pool"] = "projection-desk";
-    CHECK(onlyFault(val, "$.routes[0].pool"));
+    CHECK(onlyFault(val, "/routes/0/pool"));
   }
   SECTION("a route with both a model and a path") {
     val["routes"][0]["path_prefix"] = "/x";
     const ReadBundle in = readBundle(1, val.dump());
     REQUIRE_FALSE(in.Faults.empty());
-    CHECK(in.Faults[0].Path == "$.routes[0]");
+    CHECK(in.Faults[0].Path == "/routes/0");
   }
   SECTION("one address for two endpoints") {
     val["endpoints"][1]["port"] = 18101;
-    CHECK(onlyFault(val, "$.endpoints[1].port"));
+    CHECK(onlyFault(val, "/endpoints/1/port"));
   }
   SECTION("two moves of one pool") {
     val["moves"] = {move("a"), move("b")};
-    CHECK(onlyFault(val, "$.moves[1].pool"));
+    CHECK(onlyFault(val, "/moves/1/pool"));
   }
   SECTION("shares that fall") {
     val["moves"] = {move("a")};
     val["moves"][0]["shares_permille"] = {100, 10, 1000};
-    CHECK(onlyFault(val, "$.moves[0].shares_permille"));
+    CHECK(onlyFault(val, "/moves/0/shares_permille"));
   }
   SECTION("versions that nothing serves") {
     val["moves"] = {move("a")};
     val["moves"][0]["from"] = "surtitle-3";
-    CHECK(onlyFault(val, "$.moves[0].from"));
+    CHECK(onlyFault(val, "/moves/0/from"));
   }
 }
 
@@ -221,5 +221,5 @@
   std::vector<BundleFault> faults;
   checkBundle(b, faults);
   REQUIRE(faults.size() == 1);
-  CHECK(faults[0].Path == "$.endpoints[1].name");
+  CHECK(faults[0].Path == "/endpoints/1/name");
 }
