--- a/include/zinniagauge/adapt/json_reader.h
+++ b/include/zinniagauge/adapt/json_reader.h
@@ -61,7 +61,7 @@
     if (!list)
       return;
     for (std::size_t n = 0; n < list->size(); ++n)
-      fn((*list)[n], pathOf(key) + "[" + std::to_string(n) + "]");
+      fn((*list)[n], pathOf(key) + "/" + std::to_string(n));
   }
 
   /// Notes \p message at member \p key.
--- a/src/adapt/bundle_json.cpp
+++ b/src/adapt/bundle_json.cpp
@@ -189,7 +189,7 @@
 }
 
 void readLists(const json &val, Bundle &b, Faults &faults) {
-  JsonReader in(val, "$", faults);
+  JsonReader in(val, "", faults);
   using Path = const std::string &;
   in.each("tiers", true, [&](const json &it, Path at) {
     b.Tiers.push_back(readTier(it, at, faults));
@@ -217,8 +217,8 @@
 ReadBundle readBundle(std::uint64_t version, std::string_view text) {
   ReadBundle out;
   if (text.size() > MaxBundleBytes) {
-    out.Faults.push_back({"$", "the text is longer than " +
-                                   std::to_string(MaxBundleBytes) + " bytes"});
+    out.Faults.push_back({"", "the text is longer than " +
+                                  std::to_string(MaxBundleBytes) + " bytes"});
     return out;
   }
   const json val = parseJson(text, out.Faults);
