Bound the share of a version move on each entry's own dispatches

Cause: a move's share has to hold as a hard bound at every moment on each entry, with several worker threads and no lock. Ruled out: a random draw per request (holds only on average), a count per worker (the sum may pass the bound after a change of share), a check at the dispatch alone (open tickets would pass it together).

--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -26,6 +26,8 @@
 struct ScheduleChanges;
 struct Scheduler;
 struct ScheduleView;
+struct ShareChoice;
+struct ShareGates;
 struct Ticket;
 struct TierSpec;
 struct WorkspaceSpec;
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -12,6 +12,7 @@
 #include "zinniagauge/decide/admit.h"
 #include "zinniagauge/decide/assign.h"
 #include "zinniagauge/decide/schedule.h"
+#include "zinniagauge/decide/share.h"
 #include "zinniagauge/fwd.h"
 #include "zinniagauge/time/timer_service.h"
 
--- /dev/null
+++ b/tests/unit/share_test.cpp
@@ -0,0 +1,179 @@
+#include "zinniagauge/board/invariant.h"
+#include "zinniagauge/decide/share.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <thread>
+#include <vector>
+
+using namespace zinniagauge;
+
+namespace {
+
+const PoolId Pool = PoolId::of("dossier");
+const VersionId Old = VersionId::of("dossier-6");
+const VersionId New = VersionId::of("dossier-7");
+const MoveId Move = MoveId::of("to-7");
+
+Bundle bundle() {
+  Bundle b;
+  MoveSpec m;
+  m.Id = Move;
+  m.Pool = Pool;
+  m.From = Old;
+  m.To = New;
+  b.Moves.push_back(m);
+  return b;
+}
+
+MoveList state(std::uint32_t share, MoveStage stage = MoveStage::Moving,
+               bool bad = false) {
+  MoveState st;
+  st.Id = Move;
+  st.SharePermille = share;
+  st.Stage = stage;
+  st.Bad = bad;
+  return {{st}};
+}
+
+/// Dispatches one request where a scheduler with room everywhere would.
+bool goesToNew(ShareGates &gates, const Bundle &b) {
+  const ShareChoice made = chooseVersion(gates, b, Pool);
+  const bool fresh = made.Choice == VersionChoice::PreferTo ||
+                     made.Choice == VersionChoice::To;
+  return startDispatch(gates, made, fresh ? New : Old) && fresh;
+}
+
+std::uint32_t newOf(ShareGates &gates, const Bundle &b, std::uint32_t total) {
+  std::uint32_t n = 0;
+  for (std::uint32_t k = 0; k < total; ++k)
+    n += goesToNew(gates, b) ? 1 : 0;
+  return n;
+}
+
+/// What one randomised run keeps: open choices and what was dispatched since
+/// the share was set.
+struct Run {
+  ShareGates Gates;
+  Bundle InForce = bundle();
+  std::vector<ShareChoice> Open;
+  std::uint64_t All = 0;
+  std::uint64_t ToNew = 0;
+  std::uint32_t Share = 0;
+  bool Bad = false;
+};
+
+void finish(Run &r, std::size_t at, int how) {
+  const ShareChoice made = r.Open[at % r.Open.size()];
+  r.Open.erase(r.Open.begin() +
+               static_cast<std::ptrdiff_t>(at % r.Open.size()));
+  const bool canbenew = made.Choice == VersionChoice::PreferTo ||
+                        made.Choice == VersionChoice::To;
+  if (how == 0)
+    return dropChoice(r.Gates, made);
+  const bool fresh = canbenew && how != 1;
+  if (!startDispatch(r.Gates, made, fresh ? New : Old))
+    return;
+  ++r.All;
+  r.ToNew += fresh ? 1 : 0;
+}
+
+void setShareOf(Run &r, std::uint32_t share, bool bad) {
+  r.Bad = r.Bad || bad;
+  if (r.Share != share || bad)
+    r.All = r.ToNew = 0;
+  r.Share = share;
+  applyShares(r.Gates, r.InForce, state(share, MoveStage::Moving, r.Bad));
+}
+
+} // namespace
+
+TEST_CASE("a share is met and never passed", "[share]") {
+  ShareGates gates;
+  const Bundle b = bundle();
+  CHECK(newOf(gates, b, 100) == 0); // No share is known yet.
+  applyShares(gates, b, state(10));
+  CHECK(newOf(gates, b, 99) == 0);
+  CHECK(newOf(gates, b, 901) == 10);
+  applyShares(gates, b, state(500));
+  CHECK(newOf(gates, b, 1000) == 500);
+  applyShares(gates, b, state(1000));
+  CHECK(newOf(gates, b, 100) == 100);
+}
+
+TEST_CASE("a version that was stopped stays stopped", "[share]") {
+  ShareGates gates;
+  const Bundle b = bundle();
+  applyShares(gates, b, state(1000));
+  const ShareChoice open = chooseVersion(gates, b, Pool);
+  stopShare(gates, Move);
+  CHECK_FALSE(startDispatch(gates, open, New));
+  applyShares(gates, b, state(1000));
+  CHECK(newOf(gates, b, 100) == 0);
+  applyShares(gates, b, state(1000, MoveStage::Completed));
+  CHECK(newOf(gates, b, 100) == 100);
+}
+
+TEST_CASE("a bad or taken-back version gets nothing", "[share]") {
+  ShareGates gates;
+  const Bundle b = bundle();
+  applyShares(gates, b, state(1000, MoveStage::Moving, true));
+  CHECK(newOf(gates, b, 100) == 0);
+  ShareGates other;
+  applyShares(other, b, state(1000, MoveStage::TakenBack));
+  CHECK(newOf(other, b, 100) == 0);
+}
+
+TEST_CASE("a pool without a move may use any version", "[share]") {
+  ShareGates gates;
+  CHECK(chooseVersion(gates, Bundle{}, Pool).Choice == VersionChoice::Any);
+  CHECK(startDispatch(gates, {}, New));
+}
+
+TEST_CASE("a choice outlived by its share is paid for anew", "[share]") {
+  ShareGates gates;
+  const Bundle b = bundle();
+  applyShares(gates, b, state(500));
+  CHECK_FALSE(goesToNew(gates, b));
+  const ShareChoice open = chooseVersion(gates, b, Pool);
+  REQUIRE(open.Choice == VersionChoice::PreferTo);
+  applyShares(gates, b, state(100));
+  CHECK_FALSE(startDispatch(gates, open, New));
+}
+
+TEST_CASE("the share bound holds in every order of events", "[share]") {
+  CHECK(rc::check([] {
+    Run r;
+    const auto events = *rc::gen::container<std::vector<std::uint32_t>>(
+        rc::gen::arbitrary<std::uint32_t>());
+    for (const std::uint32_t ev : events) {
+      const std::uint32_t kind = ev % 100;
+      if (kind < 2)
+        setShareOf(r, (ev / 100) % 4 * 250, kind == 1 && ev % 700 < 100);
+      else if (kind < 50 || r.Open.empty())
+        r.Open.push_back(chooseVersion(r.Gates, r.InForce, Pool));
+      else
+        finish(r, ev / 100, static_cast<int>(ev / 7 % 4));
+      RC_ASSERT(r.ToNew * FullShare <= r.Share * r.All);
+      RC_ASSERT(!r.Bad || r.ToNew == 0);
+    }
+  }));
+}
+
+TEST_CASE("the share bound holds over several threads", "[share]") {
+  constexpr int Threads = 4;
+  constexpr std::uint32_t EachDispatches = 20000;
+  ShareGates gates;
+  const Bundle b = bundle();
+  applyShares(gates, b, state(100));
+  std::atomic<std::uint32_t> fresh{0};
+  std::vector<std::thread> workers;
+  for (int n = 0; n < Threads; ++n)
+    workers.emplace_back([&] { fresh += newOf(gates, b, EachDispatches); });
+  for (std::thread &t : workers)
+    t.join();
+  constexpr std::uint32_t Bound = Threads * EachDispatches / 10;
+  CHECK(fresh <= Bound);
+  CHECK(fresh + 10 >= Bound);
+}
