--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -29,6 +29,8 @@
 struct ScheduleChanges;
 struct Scheduler;
 struct ScheduleView;
+struct ShareChoice;
+struct ShareGates;
 struct Ticket;
 struct TierSpec;
 struct WorkspaceSpec;
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -14,6 +14,7 @@
 #include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
 #include "zinniagauge/decide/schedule.h"
+#include "zinniagauge/decide/share.h"
 #include "zinniagauge/fwd.h"
 #include "zinniagauge/time/timer_service.h"
 
