--- a/include/zinniagauge/adapt/messages.h
+++ b/include/zinniagauge/adapt/messages.h
@@ -81,8 +81,8 @@
   ZoneId Zone;
 };
 
-/// Tell the schedulers which grants are in use: they keep those slots taken, and
-/// one that has restarted learns of them.
+/// Tell the schedulers which grants are in use: they keep those slots taken,
+/// and one that has restarted learns of them.
 struct HoldGrants {
   std::vector<HeldGrant> Held;
 };
@@ -94,9 +94,8 @@
 struct StopRpc {};
 
 /// To the RPC thread.
-using RpcMessage =
-    std::variant<SubmitTicket, ReturnGrant, DropTicket, HoldGrants,
-                                SchedulerTick, StopRpc>;
+using RpcMessage = std::variant<SubmitTicket, ReturnGrant, DropTicket,
+                                HoldGrants, SchedulerTick, StopRpc>;
 using RpcBox = Mailbox<RpcMessage>;
 
 } // namespace zinniagauge
--- a/include/zinniagauge/adapt/rpc_thread.h
+++ b/include/zinniagauge/adapt/rpc_thread.h
@@ -16,7 +16,7 @@
 
 /// What the RPC thread works with.
 struct RpcOptions {
-  Board *Shared = nullptr; // Outlives the thread.
+  Board *Shared = nullptr;      // Outlives the thread.
   ShareGates *Shares = nullptr; // Likewise.
   std::string VmName;
   std::string ZoneName;
--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -129,8 +129,7 @@
     e.Workers.push_back(WorkerThread::start(workerOptions(e)));
   BOOST_LEAF_AUTO(rpc, RpcThread::start(rpcOptions(e)));
   e.Rpc.emplace(std::move(rpc));
-  e.Timers.every(SchedulerPeriod,
-                 [&e](Time) { e.Rpc->post(SchedulerTick{}); });
+  e.Timers.every(SchedulerPeriod, [&e](Time) { e.Rpc->post(SchedulerTick{}); });
   BOOST_LEAF_AUTO(http, startFront(frontOptions(e)));
   e.Http.emplace(std::move(http));
   return {};
@@ -159,21 +158,21 @@
   std::signal(SIGPIPE, SIG_IGN);
   Entry e;
   e.Settings = std::move(settings);
-  e.Incarnation = static_cast<std::uint64_t>(
-      wallNow().time_since_epoch().count());
+  e.Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
   e.IdHigh = randomWord();
-  return handle(
-      [&] { return startParts(e); },
-      [&] {
-        int sig = 0;
-        sigwait(&stop, &sig);
-        stopParts(e);
-        return ExitOk;
-      },
-      [](const Error &err) {
-        std::fprintf(stderr, "zinnia-entry: %s\n", describe(err).c_str());
-        return ExitUnavailable;
-      });
+  return handle([&] { return startParts(e); },
+                [&] {
+                  int sig = 0;
+                  sigwait(&stop, &sig);
+                  stopParts(e);
+                  return ExitOk;
+                },
+                [](const Error &err) {
+                  std::fprintf(stderr, "zinnia-entry: %s\n",
+                               describe(err).c_str());
+                  return ExitUnavailable;
+                });
 }
 
 } // namespace
--- a/src/adapt/front.cpp
+++ b/src/adapt/front.cpp
@@ -51,8 +51,7 @@
 
 /// The text of all messages, in order: what an engine caches a prefix of.
 std::string promptText(const nlohmann::json &body) {
-  if (const auto it = body.find("prompt");
-      it != body.end() && it->is_string())
+  if (const auto it = body.find("prompt"); it != body.end() && it->is_string())
     return it->get<std::string>();
   std::string text;
   const auto it = body.find("messages");
@@ -133,7 +132,9 @@
   const ReadGuard guard;
   const Bundle &bundle = b.InForce.read(guard);
   if (bundle.Version == 0)
-    return fail({ErrorCode::Unavailable, Step::Bundle, {},
+    return fail({ErrorCode::Unavailable,
+                 Step::Bundle,
+                 {},
                  "no bundle is in force here yet"});
   return admit(bundle, head, digest, now);
 }
--- a/src/adapt/peer_links.cpp
+++ b/src/adapt/peer_links.cpp
@@ -68,18 +68,18 @@
   Link &link = *owned;
   link.Address = address;
   Links[vm] = std::move(owned);
-  auto connected =
-      Io.provider->getNetwork()
-          .parseAddress(address)
-          .then([](kj::Own<kj::NetworkAddress> &&addr) {
-            auto conn = addr->connect();
-            return conn.attach(kj::mv(addr));
-          })
-          .then([&link](kj::Own<kj::AsyncIoStream> &&stream) {
-            link.Stream = kj::mv(stream);
-            link.Rpc = kj::heap<capnp::TwoPartyClient>(*link.Stream);
-            return link.Rpc->bootstrap().castAs<wire::Entry>();
-          });
+  auto connected = Io.provider->getNetwork()
+                       .parseAddress(address)
+                       .then([](kj::Own<kj::NetworkAddress> &&addr) {
+                         auto conn = addr->connect();
+                         return conn.attach(kj::mv(addr));
+                       })
+                       .then([&link](kj::Own<kj::AsyncIoStream> &&stream) {
+                         link.Stream = kj::mv(stream);
+                         link.Rpc =
+                             kj::heap<capnp::TwoPartyClient>(*link.Stream);
+                         return link.Rpc->bootstrap().castAs<wire::Entry>();
+                       });
   auto &timer = Io.provider->getTimer();
   auto sched = timer.timeoutAfter(ConnectTimeout, kj::mv(connected))
                    .then([](wire::Entry::Client &&entry) {
--- a/src/adapt/rpc_thread.cpp
+++ b/src/adapt/rpc_thread.cpp
@@ -176,9 +176,8 @@
 }
 
 void Core::listen() {
-  auto addr = Io.provider->getNetwork()
-                  .parseAddress(Opt.Address)
-                  .wait(Io.waitScope);
+  auto addr =
+      Io.provider->getNetwork().parseAddress(Opt.Address).wait(Io.waitScope);
   Receiver = addr->listen();
   Server = kj::heap<capnp::TwoPartyServer>(kj::heap<EntryServer>(*this));
   Tasks.add(Server->listen(*Receiver));
@@ -255,9 +254,8 @@
           Opt.ToWorker(id.Request,
                        Granted{read(ans.getGrant()), Links.clockOf(vm)});
         else
-          Opt.ToWorker(id.Request,
-                       Refused{id, static_cast<RefusalReason>(
-                                       ans.getRefusal())});
+          Opt.ToWorker(id.Request, Refused{id, static_cast<RefusalReason>(
+                                                   ans.getRefusal())});
       },
       [this, id](kj::Exception && /*ex*/) {
         Opt.ToWorker(id.Request, SchedulerLost{id});
@@ -305,8 +303,7 @@
 
 void Core::holdAtPeer(const HeldGrant &held) {
   const Member holder = holderOf({held.Zone, held.Pool});
-  auto req =
-      Links.scheduler(holder.Id, holder.EntryAddress).announceRequest();
+  auto req = Links.scheduler(holder.Id, holder.EntryAddress).announceRequest();
   write(req.initGrants(1)[0], held.Held);
   req.setEntry(Self.Value);
   req.setPool(held.Pool.Value);
--- a/src/adapt/transfer.cpp
+++ b/src/adapt/transfer.cpp
@@ -185,7 +185,8 @@
   }
 }
 
-TransferPool::TransferPool(TransferHandlers fns) : St(std::make_unique<State>()) {
+TransferPool::TransferPool(TransferHandlers fns)
+    : St(std::make_unique<State>()) {
   St->Fns = std::move(fns);
   curl_multi_setopt(St->Multi, CURLMOPT_SOCKETFUNCTION, State::onSocket);
   curl_multi_setopt(St->Multi, CURLMOPT_SOCKETDATA, St.get());
--- a/src/adapt/usage.cpp
+++ b/src/adapt/usage.cpp
@@ -8,9 +8,8 @@
 
 std::uint32_t countAt(const nlohmann::json &obj, const char *name) {
   const auto it = obj.find(name);
-  return it != obj.end() && it->is_number_unsigned()
-             ? it->get<std::uint32_t>()
-             : 0;
+  return it != obj.end() && it->is_number_unsigned() ? it->get<std::uint32_t>()
+                                                     : 0;
 }
 
 } // namespace
