--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -24,7 +24,7 @@
 
 /// How often schedulers are stepped though nothing arrives: grants lapse and
 /// tickets grow late.
-constexpr Duration SchedulerPeriod = std::chrono::milliseconds(50);
+constexpr Duration SchedulerPeriod = std::chrono::milliseconds(20);
 
 /// How long a stopping entry stays up, not ready, before it refuses requests:
 /// the balancer needs that time to notice.
