--- /dev/null
+++ b/include/zinniagauge/decide/end_mark.h
@@ -0,0 +1,28 @@
+// The end mark of a stream of server-sent events, found in parts of any size.
+#ifndef ZINNIAGAUGE_DECIDE_END_MARK_H
+#define ZINNIAGAUGE_DECIDE_END_MARK_H
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace zinniagauge {
+
+/// What a scan of a stream has seen so far of the event "data: [DONE]".
+struct EndMark {
+  std::array<char, 16> Line{}; // The start of the current line.
+  std::size_t LineSize = 0;    // Of the whole current line.
+  bool Marked = false;         // The line "data: [DONE]" has ended.
+  bool Whole = false;          // So has its event, by an empty line.
+};
+
+/// Scans the next part of the stream.
+void scan(EndMark &em, std::string_view part) noexcept;
+
+/// Whether the stream may end here: the mark was seen, be it without the line
+/// ends that should follow it.
+[[nodiscard]] bool mayEnd(const EndMark &em) noexcept;
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_END_MARK_H
--- /dev/null
+++ b/include/zinniagauge/decide/retry.h
@@ -0,0 +1,44 @@
+// Retries: how many a worker may add to its load, and how long each waits.
+#ifndef ZINNIAGAUGE_DECIDE_RETRY_H
+#define ZINNIAGAUGE_DECIDE_RETRY_H
+
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+
+namespace zinniagauge {
+
+/// What one retry costs a RetryBudget, in thousandths of a retry.
+inline constexpr std::uint32_t RetryCostMilli = 1000;
+
+/// A token bucket over completed requests: retries stay a small share of the
+/// work that succeeds, so that they can't multiply an overload.
+struct RetryBudget {
+  std::uint32_t Milli = 10000;            // What is left.
+  std::uint32_t MostMilli = 100000;       // The bucket's size.
+  std::uint32_t PerCompletionMilli = 100; // Earned by a completed request.
+};
+
+/// Adds what one completed request earns.
+void earnRetry(RetryBudget &rb) noexcept;
+
+/// Takes one retry out of the budget, or returns false.
+[[nodiscard]] bool spendRetry(RetryBudget &rb) noexcept;
+
+/// Bounds of the wait before a retry.
+struct Backoff {
+  Duration First = std::chrono::milliseconds(10);
+  Duration Most = std::chrono::seconds(1);
+};
+
+/// The wait before retry \p n (from 1): uniform between half and all of a span
+/// that doubles with each retry. \p random is any random number.
+[[nodiscard]] Duration backoffWait(const Backoff &bo, std::uint32_t n,
+                                   std::uint64_t random) noexcept;
+
+/// The next number of a SplitMix64 sequence, whose state is \p seed.
+[[nodiscard]] std::uint64_t nextRandom(std::uint64_t &seed) noexcept;
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_RETRY_H
--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -5,10 +5,16 @@
 namespace zinniagauge {
 
 struct Admission;
+struct AnswerHead;
 struct AttemptId;
 struct Board;
+struct BreakerList;
 struct Bundle;
+struct ClockBound;
 struct Counters;
+struct Dispatch;
+struct DispatchWork;
+struct Dispatcher;
 struct EndpointList;
 struct EndpointSpec;
 struct EndpointState;
@@ -22,12 +28,14 @@
 struct MoveState;
 struct RequestHead;
 struct RequestId;
+struct RetryBudget;
 struct RouteSpec;
 struct ScheduleChanges;
-struct Scheduler;
 struct ScheduleView;
+struct Scheduler;
 struct Ticket;
 struct TierSpec;
+struct TransferId;
 struct WorkspaceSpec;
 
 class ReadGuard;
--- /dev/null
+++ b/src/decide/retry.cpp
@@ -0,0 +1,37 @@
+#include "zinniagauge/decide/retry.h"
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+void earnRetry(RetryBudget &rb) noexcept {
+  rb.Milli = std::min(rb.MostMilli, rb.Milli + rb.PerCompletionMilli);
+}
+
+bool spendRetry(RetryBudget &rb) noexcept {
+  if (rb.Milli < RetryCostMilli)
+    return false;
+  rb.Milli -= RetryCostMilli;
+  return true;
+}
+
+Duration backoffWait(const Backoff &bo, std::uint32_t n,
+                     std::uint64_t random) noexcept {
+  constexpr std::uint32_t MostDoublings = 20;
+  const std::uint32_t doublings = std::min(n > 0 ? n - 1 : 0, MostDoublings);
+  const Duration span =
+      std::min(bo.Most, bo.First * (std::int64_t{1} << doublings));
+  const std::int64_t half = span.count() / 2;
+  return Duration(half + static_cast<std::int64_t>(
+                             random % static_cast<std::uint64_t>(half + 1)));
+}
+
+std::uint64_t nextRandom(std::uint64_t &seed) noexcept {
+  seed += 0x9E3779B97F4A7C15U;
+  std::uint64_t x = seed;
+  x = (x ^ (x >> 30U)) * 0xBF58476D1CE4E5B9U;
+  x = (x ^ (x >> 27U)) * 0x94D049BB133111EBU;
+  return x ^ (x >> 31U);
+}
+
+} // namespace zinniagauge
