--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -12,11 +12,13 @@
 #include "zinniagauge/decide/admit.h"
 #include "zinniagauge/decide/assign.h"
 #include "zinniagauge/decide/breaker.h"
+#include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
 #include "zinniagauge/decide/dispatch.h"
 #include "zinniagauge/decide/end_mark.h"
 #include "zinniagauge/decide/retry.h"
 #include "zinniagauge/decide/schedule.h"
+#include "zinniagauge/decide/share.h"
 #include "zinniagauge/fwd.h"
 #include "zinniagauge/time/timer_service.h"
 
