Read command lines with popt from one table

One table of options gives parsing and help; an enumeration gives the exit codes. Ruled out: popt's own help, which shows neither exit codes nor the defaults of options that the program converts itself.

--- /dev/null
+++ b/src/adapt/command_line.cpp
@@ -0,0 +1,180 @@
+#include "zinniagauge/adapt/command_line.h"
+
+#include "zinniagauge/config.h"
+
+#include <popt.h>
+
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <sstream>
+#include <string_view>
+
+namespace zinniagauge {
+
+namespace {
+
+constexpr int HelpValue = 1;
+constexpr int VersionValue = 2;
+constexpr int FirstValue = 3;
+
+struct ContextDeleter {
+  void operator()(poptContext ctx) const noexcept { poptFreeContext(ctx); }
+};
+using Context = std::unique_ptr<poptContext_s, ContextDeleter>;
+
+struct FreeDeleter {
+  void operator()(char *text) const noexcept { std::free(text); }
+};
+using Text = std::unique_ptr<char, FreeDeleter>;
+
+std::string_view meaningOf(ExitCode code) noexcept {
+  switch (code) {
+  case ExitCode::Ok:
+    return "done";
+  case ExitCode::Failed:
+    return "tried, and failed; the error is on standard error";
+  case ExitCode::Usage:
+    return "wrong command line, settings or bundle; nothing was done";
+  case ExitCode::Refused:
+    return "refused: another change came first, or the key has no right";
+  case ExitCode::Unreachable:
+    break;
+  }
+  return "not all nodes, or not the agent, could be reached";
+}
+
+bool isFlag(const CommandOption &opt) noexcept {
+  return std::holds_alternative<bool *>(opt.Target);
+}
+
+std::string defaultOf(const OptionTarget &target) {
+  if (const auto *text = std::get_if<std::string *>(&target))
+    return **text;
+  if (const auto *num = std::get_if<std::uint64_t *>(&target))
+    return std::to_string(**num);
+  if (const auto *num = std::get_if<double *>(&target)) {
+    std::ostringstream out;
+    out << **num;
+    return out.str();
+  }
+  return {};
+}
+
+std::vector<poptOption> tableOf(const CommandLine &line) {
+  std::vector<poptOption> table = {
+      {"help", 'h', POPT_ARG_NONE, nullptr, HelpValue, nullptr, nullptr},
+      {"version", 0, POPT_ARG_NONE, nullptr, VersionValue, nullptr, nullptr}};
+  int val = FirstValue;
+  for (const CommandOption &opt : line.Options)
+    table.push_back(
+        {opt.Name.c_str(), 0,
+         isFlag(opt) ? unsigned{POPT_ARG_NONE} : unsigned{POPT_ARG_STRING},
+         nullptr, val++, nullptr, nullptr});
+  table.push_back(poptOption{nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
+  return table;
+}
+
+template <typename N> bool readNumber(std::string_view text, N &out) {
+  const char *end = text.data() + text.size();
+  const auto res = std::from_chars(text.data(), end, out);
+  return !text.empty() && res.ec == std::errc() && res.ptr == end;
+}
+
+/// Whether \p text was a value that \p target takes.
+bool assign(const OptionTarget &target, std::string_view text) {
+  if (const auto *flag = std::get_if<bool *>(&target))
+    **flag = true;
+  else if (const auto *word = std::get_if<std::string *>(&target))
+    **word = text;
+  else if (const auto *list = std::get_if<std::vector<std::string> *>(&target))
+    (*list)->emplace_back(text);
+  else if (const auto *num = std::get_if<std::uint64_t *>(&target))
+    return readNumber(text, **num);
+  else
+    return readNumber(text, *std::get<double *>(target));
+  return true;
+}
+
+ExitCode usageError(const CommandLine &line, std::string_view what) {
+  std::fprintf(stderr, "%s: %.*s; try --help\n", line.Program.c_str(),
+               static_cast<int>(what.size()), what.data());
+  return ExitCode::Usage;
+}
+
+/// Takes one option; a value if the program is to end.
+std::optional<ExitCode> take(const CommandLine &line, int val,
+                             const char *text) {
+  if (val == HelpValue) {
+    std::fputs(helpText(line).c_str(), stdout);
+    return ExitCode::Ok;
+  }
+  if (val == VersionValue) {
+    std::printf("%s %s\n", line.Program.c_str(), ZINNIAGAUGE_VERSION);
+    return ExitCode::Ok;
+  }
+  const CommandOption &opt =
+      line.Options[static_cast<std::size_t>(val - FirstValue)];
+  if (assign(opt.Target, text ? text : ""))
+    return std::nullopt;
+  return usageError(line, "--" + opt.Name + ": \"" + (text ? text : "") +
+                              "\" is no number for " + opt.Value);
+}
+
+} // namespace
+
+ParsedCommand parseCommandLine(const CommandLine &line, int argc,
+                               const char *const *argv) {
+  ParsedCommand out;
+  const auto table = tableOf(line);
+  // popt takes a non-const argv but changes nothing in it.
+  const Context ctx(poptGetContext(line.Program.c_str(), argc,
+                                   const_cast<const char **>(argv),
+                                   table.data(), 0));
+  int val = 0;
+  while ((val = poptGetNextOpt(ctx.get())) > 0) {
+    const Text text(poptGetOptArg(ctx.get()));
+    out.Exit = take(line, val, text.get());
+    if (out.Exit)
+      return out;
+  }
+  if (val < -1) {
+    const char *bad = poptBadOption(ctx.get(), POPT_BADOPTION_NOALIAS);
+    out.Exit = usageError(line, std::string(bad) + ": " + poptStrerror(val));
+    return out;
+  }
+  while (const char *arg = poptGetArg(ctx.get()))
+    out.Arguments.emplace_back(arg);
+  if (!out.Arguments.empty() && line.Arguments.empty())
+    out.Exit =
+        usageError(line, "unexpected argument \"" + out.Arguments[0] + "\"");
+  return out;
+}
+
+std::string helpText(const CommandLine &line) {
+  std::string text = "Usage: " + line.Program + " [OPTION...]";
+  if (!line.Arguments.empty())
+    text += " " + line.Arguments;
+  text += "\n" + line.Summary + "\n\nOptions:\n";
+  for (const CommandOption &opt : line.Options) {
+    text += "  --" + opt.Name;
+    if (!isFlag(opt))
+      text += " " + opt.Value;
+    text += "\n      " + opt.Help;
+    const std::string usual = defaultOf(opt.Target);
+    if (!usual.empty())
+      text += " (default: " + usual + ")";
+    text += "\n";
+  }
+  text += "  --help\n      Print this text\n"
+          "  --version\n      Print the version\n\nExit codes:\n";
+  for (const ExitCode code : line.Ends)
+    text.append("  ")
+        .append(std::to_string(toInt(code)))
+        .append("  ")
+        .append(std::string(meaningOf(code)) + "\n");
+  return text;
+}
+
+} // namespace zinniagauge
--- a/src/adapt/settings_table.cpp
+++ b/src/adapt/settings_table.cpp
@@ -141,7 +141,7 @@
 /// Parses \p text; adds repeated keys, which JSON lets pass, to \p faults.
 json parseUnique(std::string_view text, std::vector<SettingsFault> &faults) {
   std::vector<std::set<std::string>> keys;
-  const auto onEvent = [&](int, json::parse_event_t event, json &val) {
+  const auto watch = [&](int, json::parse_event_t event, json &val) {
     if (event == json::parse_event_t::object_start)
       keys.emplace_back();
     else if (event == json::parse_event_t::object_end)
@@ -151,7 +151,7 @@
       faults.push_back({"/" + val.get<std::string>(), "stated twice"});
     return true;
   };
-  return json::parse(text, onEvent);
+  return json::parse(text, watch);
 }
 
 std::string defaultText(const SettingSpec &spec) {
