Tell the analyzer who owns a posted message

Cause: the linter takes the raw pointer in the lock-free queue for a leak. Ruled out: a queue of values (Boost.Lockfree takes trivially copyable ones only). Conclusion: the finding is silenced at that line with the reason.

--- a/include/zinniagauge/adapt/mailbox.h
+++ b/include/zinniagauge/adapt/mailbox.h
@@ -28,7 +28,9 @@
 
   /// Hands over \p msg and wakes the taker unless it is being woken already.
   void post(std::unique_ptr<T> msg) {
-    Queue.push(msg.release());
+    // The queue owns it now; the analyzer can not see that.
+    Queue.push(
+        msg.release()); // NOLINT(clang-analyzer-cplusplus.NewDeleteLeaks)
     if (Signalled.exchange(true, std::memory_order_acq_rel))
       return;
     const std::uint64_t one = 1;
