Mend four faults at the seam between worker and dispatch

Cause, each found by reading both sides together: 1. An answer that ends when its connection closes was taken for whole: libcurl reports success for it. Now it needs a length or chunked encoding (or a status without a body). 2. A move's share refused at the moment of sending came after maySend had counted the send, so a request of which no byte left ended as unknown. Now isReady is asked, then the share, then maySend. 3. Evidence of versions was never noted: the grant has been let go when the worker reads its version from it. GiveBack carries the version. 4. A stream ended at its end mark while its transfer still ran: the request's body could be freed under libcurl, and usage was read too late. Now the end of the transfer is awaited for EndGrace, then it is cancelled.

Ruled out: keeping the request alive after its end (two owners of one body).

--- a/include/zinniagauge/decide/dispatch.h
+++ b/include/zinniagauge/decide/dispatch.h
@@ -24,12 +24,13 @@
 
 /// Bounds of a request's life, alike for all requests of a process.
 struct DispatchLimits {
-  Duration FirstByte = std::chrono::seconds(20);   // Of a stream's answer.
-  Duration WholeAnswer = std::chrono::seconds(90); // Head of a plain answer.
-  Duration Idle = std::chrono::seconds(15);        // Between two parts.
-  Backoff Pause;                                   // Before a retry.
-  std::uint32_t MostRetries = 3;                   // At endpoints.
-  std::uint32_t MostResumes = 3;                   // Of one stream.
+  Duration FirstByte = std::chrono::seconds(20);      // Of a stream's answer.
+  Duration WholeAnswer = std::chrono::seconds(90);    // Head of a plain answer.
+  Duration Idle = std::chrono::seconds(15);           // Between two parts.
+  Duration EndGrace = std::chrono::milliseconds(200); // After the end mark.
+  Backoff Pause;                                      // Before a retry.
+  std::uint32_t MostRetries = 3;                      // At endpoints.
+  std::uint32_t MostResumes = 3;                      // Of one stream.
   std::size_t MostAnswerBytes = std::size_t{64} << 20U; // Of a plain answer.
 };
 
@@ -126,6 +127,7 @@
 /// Action: return a grant to the scheduler that gave it.
 struct GiveBack {
   GrantReturn Return;
+  VersionId Version; // That the grant was for.
 };
 
 /// Action: start a streamed answer to the caller.
@@ -236,6 +238,13 @@
 void onClaim(Dispatch &d, Dispatcher &w, const ClaimResult &res, Time now,
              DispatchActions &out);
 
+/// Whether maySend would return true now.
+[[nodiscard]] bool isReady(const Dispatch &d, TransferId id, Time now) noexcept;
+
+/// The current transfer must not be sent for a reason of the owner's own: the
+/// grant goes back and another is asked for. From now on maySend is false.
+void refuseSend(Dispatch &d) noexcept;
+
 /// Whether the first byte of \p id may leave now. After true, it counts as
 /// sent. After false the transfer must be stopped without a byte leaving, and
 /// onBroken be called.
--- a/src/adapt/transfer.cpp
+++ b/src/adapt/transfer.cpp
@@ -67,6 +67,30 @@
   return line.size();
 }
 
+bool sameName(std::string_view a, std::string_view b) noexcept {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return std::tolower(static_cast<unsigned char>(x)) ==
+                  std::tolower(static_cast<unsigned char>(y));
+         });
+}
+
+/// Whether the answer tells where it ends. One that ends when its connection
+/// closes can't be told from one that was cut short.
+bool isDelimited(const Transfer &tr) noexcept {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  if (tr.Status == NoContent || tr.Status == NotModified ||
+      tr.Spec.Method == "HEAD")
+    return true;
+  return std::any_of(tr.Headers.begin(), tr.Headers.end(),
+                     [](const HttpHeader &h) {
+                       return sameName(h.Name, "Content-Length") ||
+                              (sameName(h.Name, "Transfer-Encoding") &&
+                               h.Value.find("chunked") != std::string::npos);
+                     });
+}
+
 void readStatus(Transfer &tr) {
   long status = 0;
   curl_easy_getinfo(tr.Easy, CURLINFO_RESPONSE_CODE, &status);
@@ -176,8 +200,10 @@
     ev.Id = tr->Spec.Id;
     ev.Stage = TransferStage::End;
     ev.Status = tr->Status;
-    ev.Whole = rc == CURLE_OK;
-    ev.Detail = rc == CURLE_OK ? "" : curl_easy_strerror(rc);
+    ev.Whole = rc == CURLE_OK && isDelimited(*tr);
+    if (!ev.Whole)
+      ev.Detail = rc == CURLE_OK ? "the answer has no length or end mark"
+                                 : curl_easy_strerror(rc);
     if (rc == CURLE_OK)
       tellHead(*tr);
     drop(*tr);
@@ -185,7 +211,8 @@
   }
 }
 
-TransferPool::TransferPool(TransferHandlers fns) : St(std::make_unique<State>()) {
+TransferPool::TransferPool(TransferHandlers fns)
+    : St(std::make_unique<State>()) {
   St->Fns = std::move(fns);
   curl_multi_setopt(St->Multi, CURLMOPT_SOCKETFUNCTION, State::onSocket);
   curl_multi_setopt(St->Multi, CURLMOPT_SOCKETDATA, St.get());
@@ -223,6 +250,8 @@
   curl_easy_setopt(h, CURLOPT_URL, spec.Url.c_str());
   curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, spec.Method.c_str());
   curl_easy_setopt(h, CURLOPT_HTTPHEADER, tr.Sent);
+  if (spec.Method == "HEAD")
+    curl_easy_setopt(h, CURLOPT_NOBODY, 1L);
   if (spec.Body.empty())
     return;
   curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/src/adapt/worker.cpp
+++ b/src/adapt/worker.cpp
@@ -127,7 +127,7 @@
   void sendAnswer(Call &c, const FinishRequest &a);
   void endStream(Call &c, const FinishRequest &a);
   void count(const Call &c, Outcome oc) const;
-  void note(const Call &c, const GrantReturn &ret);
+  void note(const Call &c, const GiveBack &a);
   void expire(Time now);
   void housekeep(Time now);
   [[nodiscard]] Duration sleepFor(Time now) const;
@@ -255,7 +255,7 @@
 
 void Worker::onTransfer(const TransferEvent &ev) {
   Call *c = find(ev.Id.Attempt.Request);
-  if (!c)
+  if (!c || ev.Id != c->Life.Current)
     return;
   const Time now = monotonicNow();
   switch (ev.Stage) {
@@ -286,7 +286,7 @@
     onBroken(c.Life, Rules, ev.Id, err, now, Actions);
     return;
   }
-  if (c.Life.Work.Engine && ev.Id == c.Life.Current) {
+  if (c.Life.Work.Engine) {
     const Usage u = c.Asked.Admitted.Stream ? readStreamUsage(c.Tail)
                                             : readUsage(c.Life.Body);
     c.Life.OutputTokens = u.OutputTokens;
@@ -297,12 +297,15 @@
 
 bool Worker::maySendNow(TransferId id) {
   Call *c = find(id.Attempt.Request);
-  if (!c || !maySend(c->Life, Rules, id, monotonicNow()))
+  if (!c)
     return false;
-  if (id.Resume != 0 || !c->Share)
-    return true;
-  const ShareChoice made = *std::exchange(c->Share, std::nullopt);
-  return startDispatch(*Opt.Shares, made, c->Life.Held->Version);
+  const Time now = monotonicNow();
+  if (id.Resume == 0 && c->Share && isReady(c->Life, id, now)) {
+    const ShareChoice made = *std::exchange(c->Share, std::nullopt);
+    if (!startDispatch(*Opt.Shares, made, c->Life.Held->Version))
+      refuseSend(c->Life);
+  }
+  return maySend(c->Life, Rules, id, now);
 }
 
 void Worker::settle(Call &c) {
@@ -422,7 +425,7 @@
 }
 
 void Worker::act(Call &c, const GiveBack &a) {
-  note(c, a.Return);
+  note(c, a);
   Opt.ToRpc(ReturnGrant{a.Return});
 }
 
@@ -510,7 +513,8 @@
       tier.Good.add();
 }
 
-void Worker::note(const Call &c, const GrantReturn &ret) {
+void Worker::note(const Call &c, const GiveBack &a) {
+  const GrantReturn &ret = a.Return;
   if (!ret.Dispatched)
     return;
   Counters &all = Opt.Shared->Counts;
@@ -519,10 +523,9 @@
   const ReadGuard guard;
   const EndpointSpec *ep =
       findEndpoint(Opt.Shared->InForce.read(guard), ret.Endpoint);
-  if (!ep || !c.Life.Held)
+  if (!ep)
     return;
-  const EvidenceKey key{ep->Pool, c.Life.Held->Version, ep->Id,
-                        c.Asked.Admitted.Route,
+  const EvidenceKey key{ep->Pool, a.Version, ep->Id, c.Asked.Admitted.Route,
                         loadOf(*ep, Opt.Shared->Endpoints.read(guard))};
   EvidenceCounts &row = Rows[key];
   ++row.Requests;
--- a/src/decide/dispatch.cpp
+++ b/src/decide/dispatch.cpp
@@ -109,7 +109,7 @@
     return;
   const GrantReturn ret = returnOf(d, end, now);
   noteBreaker(d, w, ret, end, now);
-  out.emplace_back(GiveBack{ret});
+  out.emplace_back(GiveBack{ret, d.Held->Version});
   d.Refusals += end == AttemptEnd::Refused ? 1 : 0;
   if (ret.Broken || ret.Refused)
     d.Avoid = ret.Endpoint;
@@ -173,7 +173,7 @@
 void decline(Dispatch &d, DispatchActions &out) {
   d.Declined = true;
   d.Avoid = d.Held->Endpoint;
-  out.emplace_back(GiveBack{unused(*d.Held)});
+  out.emplace_back(GiveBack{unused(*d.Held), d.Held->Version});
   d.Held.reset();
   ask(d, out);
 }
@@ -373,7 +373,7 @@
           now, out);
 }
 
-void passOn(Dispatch &d, Dispatcher &w, std::string_view part, Time now,
+void passOn(Dispatch &d, const Dispatcher &w, std::string_view part, Time now,
             DispatchActions &out) {
   if (!std::exchange(d.Begun, true) && !d.CallerGone)
     out.emplace_back(BeginAnswer{d.Head->Status});
@@ -382,7 +382,7 @@
   d.PassedOn += part.size();
   scan(d.Mark, part);
   if (d.Mark.Whole)
-    complete(d, w, now, out);
+    d.AnswerDue = std::min(d.AnswerDue, now + w.Limits.EndGrace);
 }
 
 void onDeadline(Dispatch &d, Dispatcher &w, Time now, DispatchActions &out) {
@@ -421,7 +421,7 @@
   if (d.Held && d.Held->Id == g.Id)
     return;
   if (d.Phase != DispatchPhase::Asking || g.Attempt != d.Current.Attempt) {
-    out.emplace_back(GiveBack{unused(g)});
+    out.emplace_back(GiveBack{unused(g), g.Version});
     return;
   }
   d.Held = g;
@@ -478,15 +478,24 @@
   finish(d, std::move(fin), out);
 }
 
+bool isReady(const Dispatch &d, TransferId id, Time now) noexcept {
+  if (d.Phase != DispatchPhase::Connecting || id != d.Current || d.Lapsed)
+    return false;
+  return id.Resume > 0 || mayUse(d.Bound, *d.Held, now);
+}
+
+void refuseSend(Dispatch &d) noexcept {
+  d.Lapsed = d.Phase == DispatchPhase::Connecting && d.Current.Resume == 0;
+}
+
 bool maySend(Dispatch &d, const Dispatcher &w, TransferId id,
              Time now) noexcept {
-  if (d.Phase != DispatchPhase::Connecting || id != d.Current)
-    return false;
-  const bool first = id.Resume == 0;
-  if (first && !mayUse(d.Bound, *d.Held, now)) {
-    d.Lapsed = true;
+  if (!isReady(d, id, now)) {
+    if (id == d.Current)
+      refuseSend(d);
     return false;
   }
+  const bool first = id.Resume == 0;
   if (first &&
       !check(Invariant::OneDispatchPerAttempt, id.Attempt.Number > d.LastSent))
     return false;
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -181,6 +181,17 @@
   CHECK(b.leave());
 }
 
+TEST_CASE("a transfer that its owner refuses is asked for anew", "[dispatch]") {
+  Bench b(false);
+  b.grant();
+  REQUIRE(isReady(b.One, b.One.Current, b.Now));
+  refuseSend(b.One);
+  CHECK_FALSE(b.leave());
+  b.breakOff();
+  CHECK(b.last<AskGrant>().Attempt.Number == 2);
+  CHECK(b.One.Sends == 0);
+}
+
 TEST_CASE("a keyed request waits for its claim", "[dispatch]") {
   Bench b(false, true);
   b.grant();
@@ -231,6 +242,7 @@
     onHead(b.One, b.Worker, b.One.Current, {206, false, true, 11}, b.Now,
            b.Out);
     b.part("data: [DONE]\n\n");
+    b.end(true);
     CHECK(b.One.Result == Outcome::Completed);
     CHECK(b.last<FinishRequest>().Whole);
   }
@@ -254,6 +266,11 @@
   }
   SECTION("the mark in two parts") {
     b.part("NE]\n\n");
+    const bool ends = GENERATE(true, false);
+    if (ends)
+      b.end(true);
+    else
+      b.pass(1s);
     CHECK(b.last<FinishRequest>().Whole);
   }
 }
