Add the endpoint stand-in; let answers carry headers and keep connections

Cause: tests, benches and the demo need an engine that batches, streams, caches and reports late, and a service that counts its runs. On its way two faults of the server wrapper showed: no header of ours reached a caller (Pistache 0.0.5 writes typed headers only, not raw ones), and every answer said "Connection: Close" to callers that hadn't asked to keep the connection, so clients opened one for each request. Ruled out: addRaw with another case of the name; the writer never reads the raw list. Conclusion: a header class of our own carries any name and value, and HTTP/1.1 connections stay open unless the caller says otherwise.

--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -37,10 +37,35 @@
   return out;
 }
 
+/// Any header of an answer. Pistache 0.0.5 leaves raw headers out of answers
+/// and writes only typed ones.
+class PlainHeader final : public http::Header::Header {
+public:
+  explicit PlainHeader(const HttpHeader &from) : Pair(from) {}
+
+  [[nodiscard]] const char *name() const override { return Pair.Name.c_str(); }
+  void write(std::ostream &out) const override { out << Pair.Value; }
+  [[nodiscard]] std::uint64_t hash() const override { return 0; }
+
+private:
+  HttpHeader Pair;
+};
+
 void addHeaders(http::Header::Collection &to,
                 std::span<const HttpHeader> headers) {
   for (const HttpHeader &h : headers)
-    to.addRaw(http::Header::Raw(h.Name, h.Value));
+    to.add(std::make_shared<PlainHeader>(h));
+}
+
+/// Pistache 0.0.5 answers "Connection: Close" unless the caller asked to keep
+/// the connection, though HTTP/1.1 keeps it unless the caller asks to close.
+void keepOpen(const http::Request &req, http::Header::Collection &to) {
+  if (req.version() != http::Version::Http11)
+    return;
+  if (req.headers().has<http::Header::Connection>())
+    return;
+  to.remove<http::Header::Connection>();
+  to.add<http::Header::Connection>(http::ConnectionControl::KeepAlive);
 }
 
 } // namespace
@@ -124,6 +149,7 @@
 
   void onRequest(const http::Request &req,
                  http::ResponseWriter writer) override {
+    keepOpen(req, writer.headers());
     const auto peer = writer.getPeer();
     auto st = std::make_unique<HttpReply::State>(std::move(writer));
     st->Peer = peer;
--- /dev/null
+++ b/tests/standins/standin-engine.cpp
@@ -0,0 +1,851 @@
+// A stand-in for both kinds of endpoint, for tests, benches and the demo: an
+// engine that batches, streams, caches prompt prefixes and reports its load
+// late, or a plain service that counts its runs. Faults are set over HTTP.
+#include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/http_server.h"
+#include "zinniagauge/adapt/settings.h"
+#include "zinniagauge/board/ids.h"
+#include "zinniagauge/time/timer_service.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <deque>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+using namespace zinniagauge;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t BytesPerToken = 4;
+constexpr std::size_t BlockTokens = 32; // Of the prefix cache.
+constexpr std::size_t MostLabelBytes = 24;
+constexpr std::uint32_t UsualOutputTokens = 16;
+constexpr std::uint32_t MostOutputTokens = 100'000;
+constexpr std::size_t MostCountedIds = 1'000'000;
+constexpr std::size_t MostResumable = 4096;
+constexpr Duration Tick = std::chrono::milliseconds(2);
+constexpr Duration LoadGrain = std::chrono::milliseconds(5);
+
+/// What the command line says.
+struct Options {
+  std::string Listen = "127.0.0.1:0";
+  std::string Kind = "engine";
+  std::string Version = "v1";
+  std::uint64_t Slots = 8;
+  std::uint64_t TokensPerSecond = 0;
+  std::uint64_t PrefillPerSecond = 0;
+  std::uint64_t CacheTokens = 100'000;
+  std::uint64_t LoadLagMs = 500;
+  std::uint64_t ServiceMs = 0;
+  std::uint64_t SwitchMs = 0;
+  std::uint64_t Threads = 2;
+  bool ChecksFencing = false;
+};
+
+/// What goes wrong, as POST /faults sets it. Each POST replaces all.
+struct Faults {
+  std::uint64_t FailEvery = 0; // Every nth request; 1: all; 0: none.
+  int FailStatus = 500;
+  double SlowFactor = 1;
+  std::uint64_t FirstTokenDelayMs = 0;
+  std::uint64_t CutAfterBytes = 0; // Of the answer's body; 0: not cut.
+  bool Silent = false;             // Takes requests and never answers.
+  bool SilentControl = false;      // Likewise for status and load.
+  bool SilentOpen = false;         // On connections that are open already.
+  bool Refuse = false;             // Refuses before running.
+  bool Leaving = false;
+  std::string Path;                // Only on paths with this prefix.
+  std::string Version;             // Only while this version runs.
+  std::uint64_t AboveRunning = 0;  // Only with more than this running.
+  std::uint64_t AfterRequests = 0; // Only after this many more requests.
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Faults, FailEvery, FailStatus,
+                                                SlowFactor, FirstTokenDelayMs,
+                                                CutAfterBytes, Silent,
+                                                SilentControl, SilentOpen,
+                                                Refuse, Leaving, Path, Version,
+                                                AboveRunning, AfterRequests)
+
+/// One request that runs.
+struct Job {
+  HttpRequest Request;
+  HttpReply Reply;
+  std::string Id = {};
+  std::string Model = {};
+  std::string Label =
+      {}; // Starts each token, so that answers can be told apart.
+  bool Chat = false;
+  bool Stream = false;
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t CachedTokens = 0;
+  std::uint32_t OutputTokens = 0;
+  std::uint32_t Sent = 0; // Tokens written, or skipped by a resume.
+  double PrefillLeft = 0; // Tokens.
+  double Generated = 0;   // Tokens.
+  Time Begins = {};       // Not before.
+  double Slowness = 1;
+  std::uint64_t CutAfter = 0; // Bytes of the answer; 0: not cut.
+  std::uint64_t Written = 0;  // Bytes.
+  bool Started = false;       // The head of the answer is sent.
+};
+
+/// One moment's load.
+struct LoadSample {
+  Time At;
+  std::size_t Running = 0;
+  std::uint64_t Tokens = 0;
+};
+
+/// How often each name was seen.
+using RunCounts = std::unordered_map<std::string, std::uint64_t>;
+
+/// Remembers which blocks of prompt tokens were prefilled, the latest ones.
+class PrefixCache {
+public:
+  explicit PrefixCache(std::size_t tokens) : MostBlocks(tokens / BlockTokens) {}
+
+  /// How many tokens at the start of \p text are cached; then caches all.
+  std::uint32_t use(std::string_view text) {
+    constexpr std::size_t BlockBytes = BlockTokens * BytesPerToken;
+    std::uint32_t hit = 0;
+    bool missed = false;
+    std::uint64_t chain = 0;
+    for (std::size_t at = 0; at + BlockBytes <= text.size(); at += BlockBytes) {
+      chain = chain * 31 + nameHash(text.substr(at, BlockBytes));
+      missed = !touch(chain) || missed;
+      hit += missed ? 0 : BlockTokens;
+    }
+    return hit;
+  }
+
+private:
+  /// Whether \p block was cached; makes it the latest.
+  bool touch(std::uint64_t block) {
+    const auto it = Where.find(block);
+    const bool found = it != Where.end();
+    if (found)
+      Order.erase(it->second);
+    Order.push_front(block);
+    Where[block] = Order.begin();
+    if (Order.size() > MostBlocks) {
+      Where.erase(Order.back());
+      Order.pop_back();
+    }
+    return found;
+  }
+
+  std::size_t MostBlocks;
+  std::list<std::uint64_t> Order; // Latest first.
+  std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> Where;
+};
+
+/// The whole state; its mutex guards all of it.
+struct Engine {
+  explicit Engine(Options opt)
+      : Opt(std::move(opt)), Version(Opt.Version), Cache(Opt.CacheTokens) {}
+
+  const Options Opt;
+  const bool IsEngine = Opt.Kind == "engine";
+  const std::int64_t Incarnation = wallNow().time_since_epoch().count();
+  std::mutex Mutex;
+  std::string Version;
+  std::uint64_t Fence = 0; // The highest seen.
+  Faults Faulty;
+  std::uint64_t SinceFaults = 0;    // Requests since the faults were set.
+  std::uint64_t NextConnection = 0; // Above all that were seen.
+  std::uint64_t SilentBefore = 0;   // Connections that are silent for good.
+  std::map<std::uint64_t, Job> Jobs;
+  std::uint64_t NextJob = 1;
+  std::vector<Job> Unanswered; // Of silent connections: never answered.
+  std::deque<LoadSample> Loads;
+  PrefixCache Cache;
+  std::unordered_map<std::string, std::uint32_t> Resumable; // Output tokens.
+  std::uint64_t Runs = 0;
+  std::uint64_t Resumes = 0;
+  std::uint64_t Cancelled = 0;
+  RunCounts ByRequest;
+  RunCounts ByKey;
+  bool Ticking = false;
+  Time LastTick;
+  TimerId TickTimer;
+  TimerService Timers;
+};
+
+const std::vector<HttpHeader> JsonType = {{"Content-Type", "application/json"}};
+
+void sendJson(HttpReply &reply, int status, const json &body) {
+  reply.send(status, JsonType, body.dump());
+}
+
+void sendNotRun(HttpReply &reply, int status, std::string_view why) {
+  const std::vector<HttpHeader> headers = {{"Content-Type", "application/json"},
+                                           {"Zinnia-Not-Run", "1"}};
+  reply.send(status, headers, json{{"error", why}}.dump());
+}
+
+void noteLoad(Engine &eng, Time now) {
+  LoadSample load{now, eng.Jobs.size(), 0};
+  for (const auto &[id, job] : eng.Jobs)
+    load.Tokens += job.PromptTokens + job.OutputTokens;
+  if (!eng.Loads.empty() && now - eng.Loads.back().At < LoadGrain)
+    eng.Loads.pop_back();
+  eng.Loads.push_back(load);
+  const Duration lag = std::chrono::milliseconds(eng.Opt.LoadLagMs);
+  while (eng.Loads.size() > 1 && eng.Loads[1].At <= now - lag)
+    eng.Loads.pop_front();
+}
+
+std::string tokenAt(const Job &job, std::uint32_t n) {
+  return job.Label + ":" + std::to_string(n) + " ";
+}
+
+json usageOf(const Job &job) {
+  return {{"prompt_tokens", job.PromptTokens},
+          {"completion_tokens", job.OutputTokens},
+          {"total_tokens", job.PromptTokens + job.OutputTokens},
+          {"prompt_tokens_details", {{"cached_tokens", job.CachedTokens}}}};
+}
+
+json answerHead(const Engine &eng, const Job &job, std::string_view object) {
+  return {{"id", job.Id},
+          {"object", object},
+          {"model", job.Model},
+          {"system_fingerprint", eng.Version}};
+}
+
+std::string wholeAnswer(const Engine &eng, const Job &job) {
+  std::string text;
+  for (std::uint32_t n = 0; n < job.OutputTokens; ++n)
+    text += tokenAt(job, n);
+  json choice = {{"index", 0}, {"finish_reason", "stop"}};
+  if (job.Chat)
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  else
+    choice["text"] = text;
+  json body =
+      answerHead(eng, job, job.Chat ? "chat.completion" : "text_completion");
+  body["choices"] = json::array({choice});
+  body["usage"] = usageOf(job);
+  return body.dump();
+}
+
+std::string serviceAnswer(Engine &eng, const Job &job) {
+  return json{{"path", job.Request.Path},
+              {"request_id", job.Id},
+              {"version", eng.Version},
+              {"body_bytes", job.Request.Body.size()},
+              {"label", job.Label}}
+      .dump();
+}
+
+std::string event(const json &body) { return "data: " + body.dump() + "\n\n"; }
+
+std::string tokenEvent(const Engine &eng, const Job &job, std::uint32_t n) {
+  json choice = {{"index", 0}, {"finish_reason", nullptr}};
+  if (job.Chat)
+    choice["delta"] = {{"content", tokenAt(job, n)}};
+  else
+    choice["text"] = tokenAt(job, n);
+  json body = answerHead(
+      eng, job, job.Chat ? "chat.completion.chunk" : "text_completion");
+  body["choices"] = json::array({choice});
+  return event(body);
+}
+
+std::string lastEvents(const Engine &eng, const Job &job) {
+  json choice = {{"index", 0}, {"finish_reason", "stop"}};
+  if (job.Chat)
+    choice["delta"] = json::object();
+  else
+    choice["text"] = "";
+  json body = answerHead(
+      eng, job, job.Chat ? "chat.completion.chunk" : "text_completion");
+  body["choices"] = json::array({choice});
+  body["usage"] = usageOf(job);
+  return event(body) + "data: [DONE]\n\n";
+}
+
+std::vector<HttpHeader> answerHeaders(const Engine &eng, const Job &job) {
+  return {
+      {"Content-Type", job.Stream ? "text/event-stream" : "application/json"},
+      {"Zinnia-Version", eng.Version},
+      {"Zinnia-Request-Id", job.Id}};
+}
+
+/// Writes a part of a streamed answer, or cuts it there; false if the answer
+/// has ended by that.
+bool writePart(Job &job, std::string_view part) {
+  const bool cut = job.CutAfter && job.Written + part.size() >= job.CutAfter;
+  if (cut)
+    part = part.substr(0, job.CutAfter - job.Written);
+  job.Written += part.size();
+  const bool there = part.empty() || bool(job.Reply.write(part));
+  if (cut)
+    job.Reply.abort();
+  return there && !cut;
+}
+
+/// Starts the stream if need be; false if the caller has left.
+bool startStream(const Engine &eng, Job &job) {
+  if (job.Started)
+    return true;
+  job.Started = true;
+  return bool(job.Reply.start(200, answerHeaders(eng, job)));
+}
+
+/// Sends the tokens that were generated; true if the job has ended.
+bool streamTokens(const Engine &eng, Job &job) {
+  const auto made =
+      std::min(static_cast<std::uint32_t>(job.Generated), job.OutputTokens);
+  std::string part;
+  for (; job.Sent < made; ++job.Sent)
+    part += tokenEvent(eng, job, job.Sent);
+  const bool whole = made == job.OutputTokens;
+  if (whole)
+    part += lastEvents(eng, job);
+  if (part.empty())
+    return false;
+  if (!startStream(eng, job) || !writePart(job, part))
+    return true;
+  if (whole)
+    job.Reply.end();
+  return whole;
+}
+
+/// Sends an answer that isn't a stream.
+void sendWhole(Engine &eng, Job &job) {
+  const std::string body =
+      eng.IsEngine ? wholeAnswer(eng, job) : serviceAnswer(eng, job);
+  if (!job.CutAfter) {
+    job.Reply.send(200, answerHeaders(eng, job), body);
+    return;
+  }
+  if (startStream(eng, job) && writePart(job, body))
+    job.Reply.end();
+}
+
+/// Sends what is ready of \p job; true if it has ended.
+bool answer(Engine &eng, Job &job) {
+  if (job.Stream)
+    return streamTokens(eng, job);
+  if (job.Generated < job.OutputTokens)
+    return false;
+  sendWhole(eng, job);
+  return true;
+}
+
+/// Tokens a second that one job generates while \p running jobs share the
+/// engine: full speed up to the slots, less and less beyond.
+double speedOf(const Engine &eng, std::size_t running) {
+  const auto slots =
+      static_cast<double>(std::max<std::uint64_t>(eng.Opt.Slots, 1));
+  const double share = std::min(1.0, slots / static_cast<double>(running));
+  return static_cast<double>(eng.Opt.TokensPerSecond) * share;
+}
+
+/// Advances \p job by \p secs seconds.
+void advance(const Engine &eng, Job &job, double secs, double prefill,
+             double speed) {
+  secs /= job.Slowness;
+  if (job.PrefillLeft > 0 && eng.Opt.PrefillPerSecond) {
+    const double used = std::min(secs, job.PrefillLeft / prefill);
+    job.PrefillLeft -= prefill * secs;
+    secs -= used;
+  }
+  job.Generated = eng.Opt.TokensPerSecond ? job.Generated + speed * secs
+                                          : double(job.OutputTokens);
+}
+
+/// Drops the jobs for which \p ended, called once for each, is true; gives
+/// their number.
+template <typename Fn> std::size_t eraseJobs(Engine &eng, Fn ended) {
+  const std::size_t before = eng.Jobs.size();
+  for (auto it = eng.Jobs.begin(); it != eng.Jobs.end();)
+    it = ended(it->second) ? eng.Jobs.erase(it) : std::next(it);
+  return before - eng.Jobs.size();
+}
+
+void stopTickingIfIdle(Engine &eng) {
+  if (!eng.Jobs.empty())
+    return;
+  eng.Ticking = false;
+  eng.Timers.cancel(eng.TickTimer);
+}
+
+/// Advances all jobs to \p now; on the timer's thread.
+void tick(Engine &eng, Time now) {
+  const std::lock_guard lk(eng.Mutex);
+  if (!eng.Ticking)
+    return;
+  const double secs = std::chrono::duration<double>(now - eng.LastTick).count();
+  eng.LastTick = now;
+  const double speed = speedOf(eng, eng.Jobs.size());
+  const auto prefilling =
+      std::count_if(eng.Jobs.begin(), eng.Jobs.end(),
+                    [](const auto &it) { return it.second.PrefillLeft > 0; });
+  const double prefill = static_cast<double>(eng.Opt.PrefillPerSecond) /
+                         static_cast<double>(std::max<long>(prefilling, 1));
+  eraseJobs(eng, [&](Job &job) {
+    if (job.Begins > now)
+      return false;
+    advance(eng, job, secs, prefill, speed);
+    return job.PrefillLeft <= 0 && answer(eng, job);
+  });
+  noteLoad(eng, now);
+  stopTickingIfIdle(eng);
+}
+
+void startTicking(Engine &eng, Time now) {
+  if (eng.Ticking)
+    return;
+  eng.Ticking = true;
+  eng.LastTick = now;
+  eng.TickTimer = eng.Timers.every(Tick, [&eng](Time at) { tick(eng, at); });
+}
+
+bool faultsApply(const Engine &eng, std::string_view path) {
+  const Faults &f = eng.Faulty;
+  return path.starts_with(f.Path) &&
+         (f.Version.empty() || f.Version == eng.Version) &&
+         eng.SinceFaults > f.AfterRequests && eng.Jobs.size() >= f.AboveRunning;
+}
+
+void countRun(Engine &eng, const Job &job) {
+  ++eng.Runs;
+  if (eng.ByRequest.size() < MostCountedIds)
+    ++eng.ByRequest[job.Id];
+  const std::string_view key = job.Request.header("Idempotency-Key");
+  if (!key.empty() && eng.ByKey.size() < MostCountedIds)
+    ++eng.ByKey[std::string(key)];
+}
+
+/// The prompt of \p body: of a chat, the contents of its messages.
+std::string promptOf(const json &body) {
+  if (body.contains("prompt"))
+    return body.at("prompt").get<std::string>();
+  std::string text;
+  for (const json &it : body.at("messages"))
+    text += it.at("content").get<std::string>() + "\n";
+  return text;
+}
+
+/// The last word of \p prompt, at most MostLabelBytes long.
+std::string labelOf(std::string_view prompt) {
+  while (!prompt.empty() && (prompt.back() == '\n' || prompt.back() == ' '))
+    prompt.remove_suffix(1);
+  const auto from = prompt.find_last_of(" \n");
+  if (from != std::string_view::npos)
+    prompt.remove_prefix(from + 1);
+  if (prompt.size() > MostLabelBytes)
+    prompt.remove_prefix(prompt.size() - MostLabelBytes);
+  return std::string(prompt);
+}
+
+std::uint32_t outputLimit(const json &body) {
+  const auto from = body.contains("max_completion_tokens")
+                        ? "max_completion_tokens"
+                        : "max_tokens";
+  const auto n = body.value(from, std::int64_t{UsualOutputTokens});
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(n, 1, MostOutputTokens));
+}
+
+/// Reads a model request into \p job; false, with an answer, if it is wrong.
+bool readModelRequest(Engine &eng, Job &job) {
+  const json body = json::parse(job.Request.Body, nullptr, false);
+  if (!body.is_object()) {
+    sendNotRun(job.Reply, 400, "the body is no JSON object");
+    return false;
+  }
+  try {
+    const std::string prompt = promptOf(body);
+    job.Model = body.value("model", "");
+    job.Stream = body.value("stream", false);
+    job.OutputTokens = outputLimit(body);
+    job.PromptTokens =
+        static_cast<std::uint32_t>(prompt.size() / BytesPerToken + 1);
+    job.CachedTokens = eng.Cache.use(prompt);
+    job.PrefillLeft = eng.Opt.PrefillPerSecond
+                          ? double(job.PromptTokens) - job.CachedTokens
+                          : 0;
+    job.Label = labelOf(prompt);
+  } catch (const json::exception &ex) {
+    sendNotRun(job.Reply, 400, ex.what());
+    return false;
+  }
+  return true;
+}
+
+void readServiceRequest(const Engine &eng, Job &job) {
+  job.OutputTokens = 1;
+  job.Label = labelOf(job.Request.Body.substr(0, MostLabelBytes));
+  job.Begins += std::chrono::milliseconds(eng.Opt.ServiceMs);
+}
+
+/// Makes \p job a resumed one if it asks for that; false, with an answer, if
+/// it can't be.
+bool readResume(Engine &eng, Job &job) {
+  const std::string_view text = job.Request.header("Zinnia-Resume-Offset");
+  if (text.empty())
+    return true;
+  const auto it = eng.Resumable.find(job.Id);
+  const auto offset =
+      static_cast<std::uint32_t>(std::strtoul(text.data(), nullptr, 10));
+  if (it == eng.Resumable.end() || offset > it->second) {
+    sendNotRun(job.Reply, 404, "no such stream to resume");
+    return false;
+  }
+  job.Sent = offset;
+  job.Generated = offset;
+  job.PrefillLeft = 0;
+  ++eng.Resumes;
+  return true;
+}
+
+/// Applies the faults to \p job; false if it has been answered, or never will.
+bool applyFaults(Engine &eng, Job &job) {
+  const Faults &f = eng.Faulty;
+  if (!faultsApply(eng, job.Request.Path))
+    return true;
+  job.Slowness = std::max(f.SlowFactor, 0.001);
+  job.CutAfter = f.CutAfterBytes;
+  job.Begins += std::chrono::milliseconds(f.FirstTokenDelayMs);
+  if (!eng.IsEngine)
+    job.Begins += std::chrono::duration_cast<Duration>(
+        std::chrono::milliseconds(eng.Opt.ServiceMs) * (job.Slowness - 1));
+  if (f.FailEvery && (eng.SinceFaults - f.AfterRequests) % f.FailEvery == 0) {
+    sendJson(job.Reply, f.FailStatus, {{"error", "fault: fails"}});
+    return false;
+  }
+  return true;
+}
+
+bool isSilent(const Engine &eng, const Job &job) {
+  return job.Request.Connection < eng.SilentBefore ||
+         (eng.Faulty.Silent && faultsApply(eng, job.Request.Path));
+}
+
+/// Runs \p job, at once or by the timer.
+void run(Engine &eng, Job job, Time now) {
+  const bool resumed = !job.Request.header("Zinnia-Resume-Offset").empty();
+  if (!resumed)
+    countRun(eng, job);
+  if (isSilent(eng, job)) {
+    eng.Unanswered.push_back(std::move(job));
+    return;
+  }
+  if (!applyFaults(eng, job))
+    return;
+  if (job.Stream && eng.Resumable.size() < MostResumable)
+    eng.Resumable[job.Id] = job.OutputTokens;
+  const bool atOnce = job.PrefillLeft <= 0 && job.Begins <= now &&
+                      (!eng.IsEngine || eng.Opt.TokensPerSecond == 0);
+  if (atOnce) {
+    job.Generated = job.OutputTokens;
+    answer(eng, job);
+    return;
+  }
+  eng.Jobs.emplace(eng.NextJob++, std::move(job));
+  startTicking(eng, now);
+  noteLoad(eng, now);
+}
+
+void onWork(Engine &eng, HttpRequest req, HttpReply reply) {
+  const Time now = monotonicNow();
+  const std::lock_guard lk(eng.Mutex);
+  ++eng.SinceFaults;
+  Job job{.Request = std::move(req), .Reply = std::move(reply)};
+  job.Begins = now;
+  job.Id = job.Request.header("Zinnia-Request-Id");
+  if (job.Id.empty())
+    job.Id = "anonymous-" + std::to_string(eng.Runs + 1);
+  job.Chat = job.Request.Path.ends_with("/chat/completions");
+  if (eng.Faulty.Refuse && faultsApply(eng, job.Request.Path)) {
+    sendNotRun(job.Reply, 503, "fault: refuses before running");
+    return;
+  }
+  if (!eng.IsEngine)
+    readServiceRequest(eng, job);
+  else if (!readModelRequest(eng, job) || !readResume(eng, job))
+    return;
+  run(eng, std::move(job), now);
+}
+
+void onRuns(Engine &eng, const HttpRequest &req, HttpReply reply) {
+  const std::lock_guard lk(eng.Mutex);
+  const auto most = [](const RunCounts &counts) {
+    std::uint64_t n = 0;
+    for (const auto &it : counts)
+      n = std::max(n, it.second);
+    return n;
+  };
+  json body = {{"total", eng.Runs},
+               {"resumes", eng.Resumes},
+               {"cancelled", eng.Cancelled},
+               {"running", eng.Jobs.size()},
+               {"most_by_request", most(eng.ByRequest)},
+               {"most_by_key", most(eng.ByKey)}};
+  if (!req.Query.starts_with("summary")) {
+    body["by_request"] = eng.ByRequest;
+    body["by_key"] = eng.ByKey;
+  }
+  sendJson(reply, 200, body);
+}
+
+void onStatus(Engine &eng, HttpReply reply) {
+  const std::lock_guard lk(eng.Mutex);
+  sendJson(reply, 200,
+           {{"kind", eng.Opt.Kind},
+            {"version", eng.Version},
+            {"incarnation", eng.Incarnation},
+            {"leaving", eng.Faulty.Leaving}});
+}
+
+void onLoad(Engine &eng, HttpReply reply) {
+  const Time now = monotonicNow();
+  const std::lock_guard lk(eng.Mutex);
+  noteLoad(eng, now);
+  const LoadSample &load = eng.Loads.front();
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - load.At);
+  const auto lag = static_cast<std::int64_t>(eng.Opt.LoadLagMs);
+  sendJson(reply, 200,
+           {{"running", load.Running},
+            {"waiting", 0},
+            {"tokens_in_flight", load.Tokens},
+            {"age_ms", std::min<std::int64_t>(age.count(), lag)}});
+}
+
+void switchVersion(Engine &eng, std::string version) {
+  if (eng.Opt.SwitchMs == 0) {
+    eng.Version = std::move(version);
+    return;
+  }
+  eng.Timers.after(std::chrono::milliseconds(eng.Opt.SwitchMs),
+                   [&eng, version = std::move(version)](Time) {
+                     const std::lock_guard lk(eng.Mutex);
+                     eng.Version = version;
+                   });
+}
+
+void onOrder(Engine &eng, const HttpRequest &req, HttpReply reply) {
+  const json body = json::parse(req.Body, nullptr, false);
+  const std::lock_guard lk(eng.Mutex);
+  if (!body.is_object() || !body.contains("version") ||
+      !body["version"].is_string() ||
+      !body.value("fence", json(0)).is_number_unsigned()) {
+    sendJson(reply, 400, {{"error", "expected {\"version\", \"fence\"}"}});
+    return;
+  }
+  const std::uint64_t fence = body.value("fence", std::uint64_t{0});
+  if (eng.Opt.ChecksFencing && fence < eng.Fence) {
+    sendJson(reply, 409,
+             {{"error", "old fencing number"}, {"fence", eng.Fence}});
+    return;
+  }
+  eng.Fence = std::max(eng.Fence, fence);
+  switchVersion(eng, body["version"]);
+  sendJson(reply, 200, {{"version", body["version"]}, {"fence", eng.Fence}});
+}
+
+void onCancel(Engine &eng, std::string_view id, HttpReply reply) {
+  const std::lock_guard lk(eng.Mutex);
+  const auto n = eraseJobs(eng, [&](Job &job) {
+    if (job.Id != id)
+      return false;
+    job.Reply.abort();
+    return true;
+  });
+  eng.Cancelled += n;
+  noteLoad(eng, monotonicNow());
+  sendJson(reply, 200, {{"cancelled", n > 0}});
+}
+
+/// The JSON key of \p member: "fail_every" of "FailEvery".
+std::string keyOf(std::string_view member) {
+  std::string key;
+  for (const char c : member) {
+    if (c >= 'A' && c <= 'Z' && !key.empty())
+      key += '_';
+    key += static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
+  }
+  return key;
+}
+
+/// Reads faults; throws json::exception, or std::invalid_argument for an
+/// unknown key.
+Faults readFaults(const json &body) {
+  const json known = Faults{};
+  json named = json::object();
+  std::map<std::string, std::string> members;
+  for (const auto &it : known.items())
+    members[keyOf(it.key())] = it.key();
+  for (const auto &it : body.items()) {
+    const auto member = members.find(it.key());
+    if (member == members.end())
+      throw std::invalid_argument("unknown fault \"" + it.key() + "\"");
+    named[member->second] = it.value();
+  }
+  return named.get<Faults>();
+}
+
+void onFaults(Engine &eng, const HttpRequest &req, HttpReply reply) {
+  const std::lock_guard lk(eng.Mutex);
+  try {
+    eng.Faulty = readFaults(json::parse(req.Body.empty() ? "{}" : req.Body));
+  } catch (const std::exception &ex) {
+    sendJson(reply, 400, {{"error", ex.what()}});
+    return;
+  }
+  eng.SinceFaults = 0;
+  eng.SilentBefore = eng.Faulty.SilentOpen ? eng.NextConnection : 0;
+  sendJson(reply, 200, {{"set", true}});
+}
+
+/// Answers a control request; false if \p req is none.
+bool onControl(Engine &eng, const HttpRequest &req, HttpReply &reply) {
+  constexpr std::string_view Cancel = "/cancel/";
+  const std::string_view path = req.Path;
+  if (path == "/status")
+    onStatus(eng, std::move(reply));
+  else if (path == "/load")
+    onLoad(eng, std::move(reply));
+  else if (path == "/runs")
+    onRuns(eng, req, std::move(reply));
+  else if (path == "/order")
+    onOrder(eng, req, std::move(reply));
+  else if (path == "/faults")
+    onFaults(eng, req, std::move(reply));
+  else if (path.starts_with(Cancel))
+    onCancel(eng, path.substr(Cancel.size()), std::move(reply));
+  else
+    return false;
+  return true;
+}
+
+/// Keeps the replies of control requests that are never answered.
+bool holdSilentControl(Engine &eng, HttpRequest &req, HttpReply &reply) {
+  const std::lock_guard lk(eng.Mutex);
+  const bool fault = req.Path == "/faults" || req.Path == "/runs";
+  if (!fault)
+    eng.NextConnection = std::max(eng.NextConnection, req.Connection + 1);
+  const bool silent =
+      req.Path == "/status" || req.Path == "/load"
+          ? eng.Faulty.SilentControl || req.Connection < eng.SilentBefore
+          : false;
+  if (silent)
+    eng.Unanswered.push_back(
+        Job{.Request = std::move(req), .Reply = std::move(reply)});
+  return silent;
+}
+
+void onRequest(Engine &eng, HttpRequest req, HttpReply reply) {
+  if (holdSilentControl(eng, req, reply))
+    return;
+  if (onControl(eng, req, reply))
+    return;
+  const bool model =
+      req.Path == "/v1/chat/completions" || req.Path == "/v1/completions";
+  if (eng.IsEngine && !model) {
+    sendNotRun(reply, 404, "no such path");
+    return;
+  }
+  onWork(eng, std::move(req), std::move(reply));
+}
+
+/// Cancels what a caller that has left was waiting for.
+void onGone(Engine &eng, std::uint64_t connection) {
+  const std::lock_guard lk(eng.Mutex);
+  const auto isOf = [&](const Job &job) {
+    return job.Request.Connection == connection;
+  };
+  std::erase_if(eng.Unanswered, isOf);
+  if (!eng.IsEngine)
+    return; // A plain service runs what it took to its end.
+  eng.Cancelled += eraseJobs(eng, isOf);
+}
+
+CommandLine commandLine(Options &opt) {
+  return {
+      "standin-engine",
+      "",
+      "Stands in for an endpoint: an engine or a plain service. Faults are\n"
+      "set by POST /faults; GET /runs tells how often each request ran.",
+      {{"listen", "IP:PORT", "Where to serve; port 0: any", &opt.Listen},
+       {"kind", "engine|service", "What to be", &opt.Kind},
+       {"version", "LABEL", "The version that runs at first", &opt.Version},
+       {"slots", "COUNT", "Requests that run at full speed together",
+        &opt.Slots},
+       {"tokens-per-second", "TOKENS/S",
+        "Generated for each request; 0: answers at once", &opt.TokensPerSecond},
+       {"prefill-tokens-per-second", "TOKENS/S",
+        "Prefilled for all requests together; 0: at once",
+        &opt.PrefillPerSecond},
+       {"cache-tokens", "TOKENS", "Size of the prefix cache", &opt.CacheTokens},
+       {"load-lag-ms", "MS", "Age of the load that GET /load tells",
+        &opt.LoadLagMs},
+       {"service-ms", "MS", "Time that a service takes for a request",
+        &opt.ServiceMs},
+       {"switch-ms", "MS", "Time that an ordered version takes to run",
+        &opt.SwitchMs},
+       {"threads", "COUNT", "Threads that serve", &opt.Threads},
+       {"checks-fencing", "", "Refuse orders with an old fencing number",
+        &opt.ChecksFencing}},
+      {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage}};
+}
+
+/// Serves until SIGTERM or SIGINT.
+Result<void> serve(Engine &eng, const sigset_t &stops) {
+  const IpPort at = splitAddress(eng.Opt.Listen);
+  HttpServerOptions http;
+  http.Host = at.Host;
+  http.Port = at.Port;
+  http.Threads = static_cast<int>(eng.Opt.Threads);
+  BOOST_LEAF_AUTO(
+      server, HttpServer::start(
+                  http, {[&eng](HttpRequest req, HttpReply reply) {
+                           onRequest(eng, std::move(req), std::move(reply));
+                         },
+                         [&eng](std::uint64_t conn) { onGone(eng, conn); }}));
+  std::printf("listening on %s:%d\n", at.Host.c_str(), server.port());
+  std::fflush(stdout);
+  int sig = 0;
+  sigwait(&stops, &sig);
+  return {};
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  Options opt;
+  const ParsedCommand cmd = parseCommandLine(commandLine(opt), argc, argv);
+  if (cmd.Exit)
+    return toInt(*cmd.Exit);
+  if (opt.Kind != "engine" && opt.Kind != "service") {
+    std::fputs("standin-engine: --kind: expected engine or service\n", stderr);
+    return toInt(ExitCode::Usage);
+  }
+  sigset_t stops;
+  sigemptyset(&stops);
+  sigaddset(&stops, SIGINT);
+  sigaddset(&stops, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &stops, nullptr);
+  Engine eng(std::move(opt));
+  return handle(
+      [&] { return serve(eng, stops); }, [] { return toInt(ExitCode::Ok); },
+      [](const Error &err) {
+        std::fprintf(stderr, "standin-engine: %s\n", describe(err).c_str());
+        return toInt(ExitCode::Failed);
+      });
+}
