--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -5,10 +5,17 @@
 namespace zinniagauge {
 
 struct Admission;
+struct AnswerHead;
 struct AttemptId;
 struct Board;
+struct BreakerList;
 struct Bundle;
+struct BundleFault;
+struct ClockBound;
 struct Counters;
+struct Dispatch;
+struct DispatchWork;
+struct Dispatcher;
 struct EndpointList;
 struct EndpointSpec;
 struct EndpointState;
@@ -20,14 +27,19 @@
 struct MemberList;
 struct MoveList;
 struct MoveState;
+struct ReadBundle;
 struct RequestHead;
 struct RequestId;
+struct RetryBudget;
 struct RouteSpec;
 struct ScheduleChanges;
-struct Scheduler;
 struct ScheduleView;
+struct Scheduler;
+struct ShareChoice;
+struct ShareGates;
 struct Ticket;
 struct TierSpec;
+struct TransferId;
 struct WorkspaceSpec;
 
 class ReadGuard;
