Speak to the platform through a struct of functions, with a stand-in

Cause: agents agree only through the platform's table, so its protocol and its faults (outage, slowness, effect with a lost answer) come first. A transaction is all or nothing (moving a head with its history row) or row by row (claims that wait together must not fail each other). Ruled out: a fake inside the tests alone, since programs need a platform on loopback; its table model is shared with the randomised runs.

--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -22,6 +22,7 @@
 struct MemberList;
 struct MoveList;
 struct MoveState;
+struct Platform;
 struct ReadBundle;
 struct RequestHead;
 struct RequestId;
@@ -30,7 +31,10 @@
 struct Scheduler;
 struct ScheduleView;
 struct Ticket;
+struct TableResult;
+struct TableTransaction;
 struct TierSpec;
+struct VmEntry;
 struct WorkspaceSpec;
 
 class ReadGuard;
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/board/error.h"
 #include "zinniagauge/board/invariant.h"
 #include "zinniagauge/board/request.h"
+#include "zinniagauge/board/table.h"
 #include "zinniagauge/board/ticket.h"
 #include "zinniagauge/config.h"
 #include "zinniagauge/decide/admit.h"
