Decide approvals and the spread of bundles without agreement of our own

Cause: agents must agree on one head by a transaction of the table alone, whose answers may be lost and whose effects may come late. Ruled out: a plain call with a retry, which can tell a conflict for what was its own success. Conclusion: it builds; proofs are to come.

--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -12,6 +12,8 @@
 #include "zinniagauge/config.h"
 #include "zinniagauge/decide/admit.h"
 #include "zinniagauge/decide/assign.h"
+#include "zinniagauge/decide/bundle_head.h"
+#include "zinniagauge/decide/bundle_spread.h"
 #include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
 #include "zinniagauge/decide/schedule.h"
--- /dev/null
+++ b/src/decide/bundle_spread.cpp
@@ -0,0 +1,59 @@
+#include "zinniagauge/decide/bundle_spread.h"
+
+#include "zinniagauge/board/invariant.h"
+#include "zinniagauge/decide/assign.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace zinniagauge {
+
+BundleOrder orderOf(const BundleVersion &mine,
+                    const BundleVersion &other) noexcept {
+  if (other.Version != mine.Version)
+    return other.Version < mine.Version ? BundleOrder::Older
+                                        : BundleOrder::Newer;
+  return other.Digest == mine.Digest ? BundleOrder::Same : BundleOrder::Clash;
+}
+
+BundleVersion versionOf(const Bundle &b) { return {b.Version, b.Digest}; }
+
+BundleOrder putInForce(Cell<Bundle> &in_force, Bundle next) {
+  const std::uint64_t version = next.Version;
+  const BundleOrder order = [&] {
+    const ReadGuard guard;
+    return orderOf(versionOf(in_force.read(guard)), versionOf(next));
+  }();
+  if (order == BundleOrder::Newer)
+    in_force.publish(std::move(next));
+  const ReadGuard guard;
+  check(Invariant::VersionRises, in_force.read(guard).Version >= version);
+  return order;
+}
+
+bool readsTable(std::span<const Member> members, VmId self) noexcept {
+  const auto me = std::find_if(members.begin(), members.end(),
+                               [&](const Member &m) { return m.Id == self; });
+  if (me == members.end())
+    return true;
+  const auto before =
+      std::count_if(members.begin(), members.end(), [&](const Member &m) {
+        return m.Zone == me->Zone && m.State == MemberState::Alive &&
+               m.Id < self;
+      });
+  return static_cast<std::size_t>(before) < PollersPerZone;
+}
+
+bool isRecovered(const RecoveryView &view) noexcept {
+  const std::uint64_t highest =
+      std::max(view.TableHead.value_or(0), view.HighestPeer);
+  if (view.InForce == 0 || view.InForce < highest)
+    return false;
+  if (view.TableHead)
+    return true;
+  if (view.PeersHeard == 0)
+    return false;
+  return view.PeersHeard >= view.Peers || view.Since >= PeerWait;
+}
+
+} // namespace zinniagauge
