--- a/include/zinniagauge/decide/schedule.h
+++ b/include/zinniagauge/decide/schedule.h
@@ -47,6 +47,7 @@
 struct OpenGrant {
   Grant Given;
   VmId Entry;
+  Time Opened; // On this scheduler's clock.
   Time Lapses;
   SizeClass Class = SizeClass::Small;
   std::uint32_t Account = 0; // Index into Scheduler::Accounts.
@@ -121,6 +122,7 @@
   PrefixTable Prefixes;
   BoardReading Board;
   DrainRate Drain;
+  Time Latest;    // The latest time that any call was told.
   Time SmallSeen; // When the last small ticket came.
   std::uint64_t Steps = 0;
   std::uint32_t ScanFrom = 0; // Where the next look over WithRoom starts.
@@ -131,7 +133,8 @@
 /// repeated message does no harm.
 void enqueue(Scheduler &s, const Ticket &t, Time now);
 
-/// Forgets the ticket or open grant of \p id: its caller has left.
+/// Forgets the ticket or open grant of \p id: its caller has left. If a grant
+/// was open for longer than it should take, the endpoint is taken for slower.
 void cancel(Scheduler &s, AttemptId id);
 
 /// Takes a grant back and learns from what the entry saw. A return of another
--- a/include/zinniagauge/decide/speed.h
+++ b/include/zinniagauge/decide/speed.h
@@ -24,6 +24,11 @@
 /// services that report none.
 void learn(Speed &sp, const GrantReturn &ret, std::uint32_t asked) noexcept;
 
+/// Learns that \p output tokens and the prompt weren't done after \p elapsed.
+/// Says nothing unless that is longer than expected.
+void learnUnfinished(Speed &sp, Duration elapsed, std::uint32_t prompt,
+                     std::uint32_t output) noexcept;
+
 /// How long an endpoint of this speed takes for \p prefill tokens of prompt
 /// that it has to compute and \p output tokens.
 [[nodiscard]] Duration serviceTime(const Speed &sp, std::uint32_t prefill,
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -222,6 +222,7 @@
   OpenGrant og;
   og.Given = makeGrant(s, t, acc, now);
   og.Entry = t.Entry;
+  og.Opened = now;
   og.Lapses = now + s.Policy.GrantTtl + s.Policy.LapseMargin;
   og.Class = sizeClass(s.Policy, og.Given.Tokens);
   og.Account = account;
@@ -315,6 +316,7 @@
 } // namespace
 
 void enqueue(Scheduler &s, const Ticket &t, Time now) {
+  s.Latest = std::max(s.Latest, now);
   if (find(s.Queue, t.Attempt) || s.Open.contains(t.Attempt))
     return;
   const TicketIndex idx = push(s.Queue, s.Policy, t, now);
@@ -326,10 +328,17 @@
 void cancel(Scheduler &s, AttemptId id) {
   if (const auto idx = find(s.Queue, id))
     remove(s.Queue, s.Policy, *idx, false);
-  (void)closeGrant(s, id, s.Board.At);
+  const auto og = closeGrant(s, id, s.Latest);
+  if (!og || og->OutputTokens == 0)
+    return;
+  const std::uint32_t prompt =
+      og->Given.Tokens - std::min(og->Given.Tokens, og->OutputTokens);
+  learnUnfinished(s.Accounts[og->Account].Learnt, s.Latest - og->Opened, prompt,
+                  og->OutputTokens);
 }
 
 void giveBack(Scheduler &s, const GrantReturn &ret, Time now) {
+  s.Latest = std::max(s.Latest, now);
   const auto it = s.Open.find(ret.Attempt);
   if (it == s.Open.end() || it->second.Given.Id != ret.Id)
     return;
@@ -343,12 +352,15 @@
 }
 
 void announce(Scheduler &s, const Grant &g, VmId entry, Time now) {
+  s.Latest = std::max(s.Latest, now);
   if (const auto idx = find(s.Queue, g.Attempt))
     remove(s.Queue, s.Policy, *idx, false);
   const auto before = closeGrant(s, g.Attempt, now);
   OpenGrant og;
   if (before && before->Given.Id == g.Id)
     og = *before;
+  else
+    og.Opened = now;
   og.Given = g;
   og.Entry = entry;
   og.Lapses = now + s.Policy.AnnouncedHold;
@@ -361,6 +373,7 @@
 void step(Scheduler &s, const ScheduleView &view, Time now,
           ScheduleChanges &out) {
   ++s.Steps;
+  s.Latest = std::max(s.Latest, now);
   lapse(s, now);
   readBoard(s, view, now);
   refuseUnservable(s, out);
--- a/src/decide/speed.cpp
+++ b/src/decide/speed.cpp
@@ -60,6 +60,15 @@
   ++sp.Samples;
 }
 
+void learnUnfinished(Speed &sp, Duration elapsed, std::uint32_t prompt,
+                     std::uint32_t output) noexcept {
+  if (elapsed <= serviceTime(sp, prompt, output))
+    return;
+  const double decode = nanos(elapsed) - sp.PrefillNanos * prompt;
+  blend(sp.TokenNanos, decode / std::max(output, 1U), sp.Samples == 0);
+  ++sp.Samples;
+}
+
 Duration serviceTime(const Speed &sp, std::uint32_t prefill,
                      std::uint32_t output) noexcept {
   return Duration(static_cast<std::int64_t>(sp.PrefillNanos * prefill +
