Keep the reserve within a tier, and learn from overdue grants

Cause: the reserve let small work of a lower tier past large work of a higher one, idled while small tickets were refused early, the wait estimate divided higher tiers' queues by what those tiers leave, slow generations were probed with tickets that could not bear it, and a slowed engine was noticed only when its callers gave up. Wasted prefill is not better yet.

--- a/include/zinniagauge/decide/fit.h
+++ b/include/zinniagauge/decide/fit.h
@@ -60,16 +60,22 @@
   std::uint32_t RoomIndex = 0;      // In the scheduler's list, plus one.
   std::uint64_t ClaimedBySmall = 0; // The step in which a ticket that
   std::uint64_t ClaimedByLarge = 0; // didn't fit has claimed its room.
+  Tier LargeClaimant;               // The tier of the latter.
 };
 
 /// All own grants at \p acc.
 [[nodiscard]] Usage ownUsage(const EndpointAccount &acc) noexcept;
 
-/// Whether a ticket of \p tokens fits. Large ones leave the reserve of small
-/// ones free; a small one takes \p reserveOnly room if a larger one is waiting
-/// for the rest.
-[[nodiscard]] bool fits(const EndpointAccount &acc, SizeClass cls,
-                        std::uint32_t tokens, bool reserveonly) noexcept;
+/// What a ticket may do with the reserve of small ones.
+enum class ReserveUse : std::uint8_t {
+  Free, ///< Takes any room.
+  Keep, ///< Leaves what small tickets don't use of the reserve now.
+  Only, ///< Takes nothing else: a large ticket waits for the rest.
+};
+
+/// Whether a ticket of \p tokens fits.
+[[nodiscard]] bool fits(const EndpointAccount &acc, std::uint32_t tokens,
+                        ReserveUse use) noexcept;
 
 /// Counts a grant of \p tokens as in flight.
 void take(EndpointAccount &acc, SizeClass cls, std::uint32_t tokens) noexcept;
--- a/include/zinniagauge/decide/queue.h
+++ b/include/zinniagauge/decide/queue.h
@@ -133,11 +133,16 @@
 /// most waiting for its weight, the one with the latest deadline.
 [[nodiscard]] std::optional<TicketIndex> leastWanted(const TicketQueue &q);
 
-/// The tokens that are likely to be served before \p t, which was queued just
-/// now.
-[[nodiscard]] std::uint64_t tokensAhead(const TicketQueue &q,
-                                        const SchedulePolicy &policy,
-                                        const Ticket &t) noexcept;
+/// The tokens that are likely to be served before a ticket.
+struct Ahead {
+  std::uint64_t Higher = 0; // Of higher tiers.
+  std::uint64_t Same = 0;   // Of its own tier.
+};
+
+/// What is ahead of \p t, which was queued just now.
+[[nodiscard]] Ahead tokensAhead(const TicketQueue &q,
+                                const SchedulePolicy &policy,
+                                const Ticket &t) noexcept;
 
 } // namespace zinniagauge
 
--- a/include/zinniagauge/decide/schedule.h
+++ b/include/zinniagauge/decide/schedule.h
@@ -49,6 +49,7 @@
   VmId Entry;
   Time Opened; // On this scheduler's clock.
   Time Lapses;
+  Time Overdue; // When it takes longer than it should.
   SizeClass Class = SizeClass::Small;
   std::uint32_t Account = 0; // Index into Scheduler::Accounts.
   std::uint64_t PrefixHash = 0;
@@ -90,7 +91,9 @@
   UsableCount Usable;
   bool UsableChanged = false; // And the queue wasn't looked through since.
   Speed Fastest;              // Of the usable endpoints, part by part.
-  bool ProbeDue = false;      // Some endpoint had nothing for a while.
+  std::uint32_t Slots = 0;    // Of the usable endpoints.
+  std::uint32_t SlotsTaken = 0;
+  bool ProbeDue = false; // Some endpoint had nothing for a while.
 };
 
 /// How fast a pool serves while tickets wait, in granted tokens a second.
@@ -115,6 +118,7 @@
   std::vector<std::pair<TicketIndex, std::uint32_t>> Fresh; // With serials.
   std::unordered_map<AttemptId, OpenGrant, AttemptHash> Open;
   std::set<std::pair<Time, AttemptId>> ByLapse;
+  std::set<std::pair<Time, AttemptId>> ByOverdue; // Should be done by then.
   std::vector<EndpointAccount> Accounts;
   std::vector<std::uint32_t> UnusedAccounts;
   std::unordered_map<EndpointId, std::uint32_t> ByEndpoint;
@@ -122,8 +126,8 @@
   PrefixTable Prefixes;
   BoardReading Board;
   DrainRate Drain;
-  Time Latest;    // The latest time that any call was told.
-  Time SmallSeen; // When the last small ticket came.
+  Time Latest; // The latest time that any call was told.
+  std::array<Time, MaxTiers> SmallSeen; // The last small ticket let in.
   std::uint64_t Steps = 0;
   std::uint32_t ScanFrom = 0; // Where the next look over WithRoom starts.
   ScheduleCounts Counts;
--- a/src/decide/fit.cpp
+++ b/src/decide/fit.cpp
@@ -29,6 +29,12 @@
   return most;
 }
 
+bool isReserveFull(const EndpointAccount &acc) noexcept {
+  const Usage &small = acc.Own[indexOf(SizeClass::Small)];
+  return small.Slots >= acc.Reserved.Slots ||
+         (acc.TokenLimit > 0 && small.Tokens >= acc.Reserved.Tokens);
+}
+
 } // namespace
 
 Usage ownUsage(const EndpointAccount &acc) noexcept {
@@ -36,16 +42,15 @@
           acc.Own[0].Tokens + acc.Own[1].Tokens};
 }
 
-bool fits(const EndpointAccount &acc, SizeClass cls, std::uint32_t tokens,
-          bool reserveonly) noexcept {
+bool fits(const EndpointAccount &acc, std::uint32_t tokens,
+          ReserveUse use) noexcept {
   const Usage &small = acc.Own[indexOf(SizeClass::Small)];
   const Usage own = ownUsage(acc);
   Usage keep; // Of the reserve, what small tickets don't use now.
-  if (cls == SizeClass::Large) {
+  if (use == ReserveUse::Keep) {
     keep.Slots = lessOr0(acc.Reserved.Slots, small.Slots);
     keep.Tokens = lessOr0(acc.Reserved.Tokens, small.Tokens);
-  } else if (reserveonly && (small.Slots >= acc.Reserved.Slots ||
-                             small.Tokens >= acc.Reserved.Tokens)) {
+  } else if (use == ReserveUse::Only && isReserveFull(acc)) {
     return false;
   }
   if (own.Slots + acc.Foreign.Slots + keep.Slots >= acc.Slots)
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -14,22 +14,29 @@
 constexpr std::size_t ScanLimit = 64;
 
 /// An endpoint that is full costs this much more than an empty one, beyond
-/// what its learnt speed says.
-constexpr double FullPenalty = 0.25;
+/// what its learnt speed says: enough to spread equal ones.
+constexpr double FullPenalty = 0.05;
+
+/// The least weight of decoding, see decodeWeight.
+constexpr double LeastDecodeWeight = 0.01;
+
+/// While small tickets have come within this time, room is kept for them.
+constexpr Duration SmallWindow = std::chrono::seconds(10);
 
 /// An endpoint that refused the last attempt is taken only if no other fits.
 constexpr double AvoidPenalty = 1e3;
 
 /// An endpoint this much slower than the fastest one is probed when its turn
 /// comes, since its cost alone would never let it be chosen.
-constexpr double SlowFactor = 2.0;
+constexpr double SlowFactor = 4.0;
 
 /// A probe must leave a ticket so many times the fastest service time.
 constexpr int ProbeSlack = 4;
 
-/// The top tier is used for probes only if the others haven't come by in this
-/// many times SchedulePolicy::ProbeAfter.
-constexpr int TopTierProbe = 3;
+/// In times of SchedulePolicy::ProbeAfter: how long a probe waits for a ticket
+/// that can bear it, and for one that is not of the top tier.
+constexpr int Patience = 3;
+constexpr int TopTierPatience = 10;
 
 /// What is looked up once for a ticket.
 struct Request {
@@ -37,6 +44,7 @@
   const Prefix *Known = nullptr;
   std::uint32_t Tokens = 0;
   SizeClass Class = SizeClass::Small;
+  ReserveUse Reserve = ReserveUse::Free;
   Duration Least = Duration::zero(); // At the fastest endpoint.
 };
 
@@ -50,22 +58,49 @@
   return s.Policy.Affinity ? findPrefix(s.Prefixes, t.PrefixHash) : nullptr;
 }
 
-Request requestOf(const Scheduler &s, const QueuedTicket &q) noexcept {
+/// Large tickets keep room for small ones of their tier or a higher one, while
+/// such come.
+ReserveUse reserveUse(const Scheduler &s, SizeClass cls, Tier rank,
+                      Time now) noexcept {
+  if (cls == SizeClass::Small)
+    return ReserveUse::Free;
+  const std::size_t n = std::min<std::size_t>(rank.Rank + 1U, MaxTiers);
+  const auto seen = std::span(s.SmallSeen).first(n);
+  const bool any = std::any_of(seen.begin(), seen.end(), [&](Time at) {
+    return at != Time{} && now - at < SmallWindow;
+  });
+  return any ? ReserveUse::Keep : ReserveUse::Free;
+}
+
+Request requestOf(const Scheduler &s, const QueuedTicket &q,
+                  Time now) noexcept {
   Request r{q};
   r.Known = prefixOf(s, q.Asked);
   r.Tokens = tokensOf(q.Asked);
   r.Class = sizeClass(s.Policy, r.Tokens);
+  r.Reserve = reserveUse(s, r.Class, q.Asked.Rank, now);
   r.Least = leastService(s, q.Asked);
   return r;
 }
 
-Duration serviceAt(const Scheduler &s, const EndpointAccount &acc,
-                   const Request &r, Time now) noexcept {
+/// What a request takes at one endpoint.
+struct Service {
+  Duration Prefill = Duration::zero();
+  Duration Decode = Duration::zero();
+};
+
+Service serviceAt(const Scheduler &s, const EndpointAccount &acc,
+                  const Request &r, Time now) noexcept {
   const Ticket &t = r.Queued.Asked;
   std::uint32_t prefill = t.PromptTokens;
   if (r.Known && holds(*r.Known, acc.Id, now - s.Policy.PrefixMaxAge))
     prefill -= savedTokens(*r.Known, prefill);
-  return serviceTime(acc.Learnt, prefill, t.OutputTokens);
+  return {serviceTime(acc.Learnt, prefill, 0),
+          serviceTime(acc.Learnt, 0, t.OutputTokens)};
+}
+
+bool inTime(const Service &service, const Request &r, Time now) noexcept {
+  return now + service.Prefill + service.Decode <= r.Queued.Deadline;
 }
 
 bool isAllowed(const Ticket &t, VersionId version) noexcept {
@@ -74,26 +109,29 @@
   return t.Choice != VersionChoice::To || version == t.MoveTo;
 }
 
+/// Whether \p r should find out whether \p acc is still slow: one that can bear
+/// it at the learnt speed, or, if none such comes by, one with ample time. The
+/// top tier comes last.
 bool isProbe(const Scheduler &s, const EndpointAccount &acc, const Request &r,
-             Time now) noexcept {
+             const Service &service, Time now) noexcept {
   const double fastest = s.Board.Fastest.TokenNanos;
   if (!isProbeDue(s.Policy, acc, now) ||
       acc.Learnt.TokenNanos < fastest * SlowFactor)
     return false;
-  if (r.Queued.Asked.Rank == Tier{} &&
-      now - acc.LastGrant < s.Policy.ProbeAfter * TopTierProbe)
-    return false;
-  return now + r.Least * ProbeSlack < r.Queued.Deadline;
+  if (inTime(service, r, now))
+    return true;
+  const bool top = r.Queued.Asked.Rank == Tier{};
+  const Duration idle = now - acc.LastGrant;
+  return idle >= s.Policy.ProbeAfter * (top ? TopTierPatience : Patience) &&
+         now + r.Least * ProbeSlack < r.Queued.Deadline;
 }
 
 /// Whether \p r may use \p acc at all, with room or without.
 bool suits(const Scheduler &s, const EndpointAccount &acc, const Request &r,
-           Duration service, Time now) noexcept {
-  if (!isAllowed(r.Queued.Asked, acc.Version))
-    return false;
-  if (!s.Policy.EarlyRefusal || now + service <= r.Queued.Deadline)
-    return true;
-  return isProbeDue(s.Policy, acc, now);
+           const Service &service, Time now) noexcept {
+  return isAllowed(r.Queued.Asked, acc.Version) &&
+         (!s.Policy.EarlyRefusal || inTime(service, r, now) ||
+          isProbe(s, acc, r, service, now));
 }
 
 bool hasRoom(const Scheduler &s, const EndpointAccount &acc,
@@ -101,20 +139,32 @@
   if (acc.ClaimedBySmall == s.Steps)
     return false;
   const bool claimed = acc.ClaimedByLarge == s.Steps;
-  if (claimed && r.Class == SizeClass::Large)
+  const bool behind = isHigher(acc.LargeClaimant, r.Queued.Asked.Rank);
+  if (claimed && (r.Class == SizeClass::Large || behind))
     return false;
-  return acc.RoomIndex != 0 && fits(acc, r.Class, r.Tokens, claimed);
+  const ReserveUse use = claimed ? ReserveUse::Only : r.Reserve;
+  return acc.RoomIndex != 0 && fits(acc, r.Tokens, use);
+}
+
+/// How much it matters that an endpoint decodes faster: the busier the pool,
+/// the less, since all its slots will be taken anyway and only the prefill
+/// that is saved makes room for more.
+double decodeWeight(const Scheduler &s) noexcept {
+  const double idle =
+      1 - static_cast<double>(s.Board.SlotsTaken) / std::max(s.Board.Slots, 1U);
+  return std::max(idle * idle, LeastDecodeWeight);
 }
 
-double costAt(const EndpointAccount &acc, const Request &r,
-              Duration service) noexcept {
+double costAt(const Scheduler &s, const EndpointAccount &acc, const Request &r,
+              const Service &service) noexcept {
   const Usage own = ownUsage(acc);
   const double used =
       static_cast<double>(own.Slots + acc.Foreign.Slots) / acc.Slots;
-  double cost = static_cast<double>(service.count()) + 1;
-  cost *= 1 + FullPenalty * used;
+  double cost = 1 + static_cast<double>(service.Decode.count());
+  cost *= decodeWeight(s) * (1 + FullPenalty * used);
+  cost += static_cast<double>(service.Prefill.count());
   if (acc.Id == r.Queued.Asked.Avoid)
-    cost *= AvoidPenalty;
+    cost = (cost + 1) * AvoidPenalty;
   return cost;
 }
 
@@ -122,12 +172,13 @@
 bool weigh(const Scheduler &s, std::uint32_t idx, const Request &r, Time now,
            Best &best) {
   const EndpointAccount &acc = s.Accounts[idx];
-  const Duration service = serviceAt(s, acc, r, now);
+  const Service service = serviceAt(s, acc, r, now);
   if (!suits(s, acc, r, service, now))
     return false;
   if (!hasRoom(s, acc, r))
     return true;
-  const double cost = isProbe(s, acc, r, now) ? 0 : costAt(acc, r, service);
+  const double cost =
+      isProbe(s, acc, r, service, now) ? 0 : costAt(s, acc, r, service);
   if (!best.Account || cost < best.Cost)
     best = {idx, cost};
   return false;
@@ -148,8 +199,12 @@
            std::span<const std::uint32_t> full) noexcept {
   for (const std::uint32_t idx : full) {
     EndpointAccount &acc = s.Accounts[idx];
-    (r.Class == SizeClass::Small ? acc.ClaimedBySmall : acc.ClaimedByLarge) =
-        s.Steps;
+    if (r.Class == SizeClass::Small) {
+      acc.ClaimedBySmall = s.Steps;
+      continue;
+    }
+    acc.ClaimedByLarge = s.Steps;
+    acc.LargeClaimant = r.Queued.Asked.Rank;
   }
 }
 
@@ -194,7 +249,7 @@
 
 std::optional<std::uint32_t> place(Scheduler &s, const QueuedTicket &q,
                                    Time now) {
-  const Request r = requestOf(s, q);
+  const Request r = requestOf(s, q, now);
   if (q.Asked.Choice == VersionChoice::PreferTo ||
       q.Asked.Choice == VersionChoice::To) {
     const Best best = weighMovedTo(s, r, now);
@@ -212,7 +267,7 @@
   if (q.Asked.Choice == VersionChoice::PreferTo)
     return std::nullopt;
   Best best;
-  weighHolders(s, requestOf(s, q), now, best);
+  weighHolders(s, requestOf(s, q, now), now, best);
   return best.Account;
 }
 
--- a/src/decide/queue.cpp
+++ b/src/decide/queue.cpp
@@ -213,12 +213,12 @@
   return last->second;
 }
 
-std::uint64_t tokensAhead(const TicketQueue &q, const SchedulePolicy &policy,
-                          const Ticket &t) noexcept {
+Ahead tokensAhead(const TicketQueue &q, const SchedulePolicy &policy,
+                  const Ticket &t) noexcept {
   const std::size_t rank = tierOf(t);
-  std::uint64_t ahead = 0;
+  Ahead ahead;
   for (std::size_t i = 0; i < rank; ++i)
-    ahead += q.Tiers[i].Tokens;
+    ahead.Higher += q.Tiers[i].Tokens;
   const TierQueue &tier = q.Tiers[rank];
   // The lanes of a tier share equally: this one waits for as much again.
   std::uint64_t own = 2 * tier.Lanes[laneOf(policy, t)].Tokens;
@@ -227,7 +227,8 @@
     own = std::min(own,
                    it->second.Tokens * tier.ActiveWeight / it->second.Weight);
   own = std::min(own, tier.Tokens);
-  return ahead + own - std::min<std::uint64_t>(own, tokensOf(t));
+  ahead.Same = own - std::min<std::uint64_t>(own, tokensOf(t));
+  return ahead;
 }
 
 } // namespace zinniagauge
--- a/src/decide/reading.cpp
+++ b/src/decide/reading.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// While small tickets have come within this time, room is kept for them.
-constexpr Duration SmallWindow = std::chrono::seconds(10);
-
 constexpr std::uint32_t PerMille = 1000;
 
 bool isMine(const Scheduler &s, const EndpointSpec &ep) noexcept {
@@ -63,9 +60,8 @@
       s.Board.Barred.push_back(mv.To);
 }
 
-Usage reserveOf(const Scheduler &s, const EndpointAccount &acc,
-                Time now) noexcept {
-  if (!s.Policy.Reserves || now - s.SmallSeen > SmallWindow)
+Usage reserveOf(const Scheduler &s, const EndpointAccount &acc) noexcept {
+  if (!s.Policy.Reserves)
     return {};
   const std::uint32_t share = s.Policy.ReservePermille;
   return {(acc.Slots * share + PerMille / 2) / PerMille,
@@ -93,7 +89,7 @@
   acc.Usable =
       (!st || (!st->Leaving && !st->Draining)) &&
       std::find(barred.begin(), barred.end(), acc.Version) == barred.end();
-  acc.Reserved = reserveOf(s, acc, now);
+  acc.Reserved = reserveOf(s, acc);
   sampleUsage(acc, now);
   acc.Foreign = {};
   if (st && st->Load)
@@ -106,6 +102,8 @@
   Speed &best = s.Board.Fastest;
   countUsable(s.Board.Usable, acc.Version);
   s.Board.ProbeDue = s.Board.ProbeDue || isProbeDue(s.Policy, acc, now);
+  s.Board.Slots += acc.Slots;
+  s.Board.SlotsTaken += std::min(ownUsage(acc).Slots, acc.Slots);
   if (first) {
     best = acc.Learnt;
     return;
@@ -167,6 +165,8 @@
   takeBarred(s, view);
   s.Board.Usable = {};
   s.Board.Fastest = {};
+  s.Board.Slots = 0;
+  s.Board.SlotsTaken = 0;
   s.Board.ProbeDue = false;
   for (const auto &[spec, idx] : s.Board.Mine) {
     takeEndpoint(s, view, view.InForce.Endpoints[spec], idx, now);
@@ -196,7 +196,7 @@
   // After a failure, one grant at a time until one goes well.
   const bool troubled = acc.Failures > 0 && ownUsage(acc).Slots > 0;
   const bool room = acc.Usable && !troubled && now >= acc.NotBefore &&
-                    fits(acc, SizeClass::Small, 1, false);
+                    fits(acc, 1, ReserveUse::Free);
   if (room == (acc.RoomIndex != 0))
     return;
   auto &list = s.WithRoom;
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -19,6 +19,10 @@
 /// What a lower tier is thought to get of a pool at the least.
 constexpr double LeastShare = 0.02;
 
+/// A grant is overdue after so many times the service time that is expected.
+constexpr int OverdueFactor = 2;
+constexpr Duration LeastOverdue = std::chrono::milliseconds(500);
+
 /// How many tickets are looked at for one whose prefix an endpoint holds.
 constexpr std::size_t LookAhead = 32;
 
@@ -30,11 +34,23 @@
   return std::min<std::size_t>(t.Rank, MaxTiers - 1);
 }
 
+std::uint32_t promptOf(const OpenGrant &og) noexcept {
+  return og.Given.Tokens - std::min(og.Given.Tokens, og.OutputTokens);
+}
+
+/// An unfinished grant may show that its endpoint is slower than was thought.
+void learnSlow(Scheduler &s, const OpenGrant &og, Time now) noexcept {
+  if (og.OutputTokens > 0)
+    learnUnfinished(s.Accounts[og.Account].Learnt, now - og.Opened,
+                    promptOf(og), og.OutputTokens);
+}
+
 void openGrant(Scheduler &s, const OpenGrant &og, Time now) {
   EndpointAccount &acc = s.Accounts[og.Account];
   take(acc, og.Class, og.Given.Tokens);
   s.Open.emplace(og.Given.Attempt, og);
   s.ByLapse.insert({og.Lapses, og.Given.Attempt});
+  s.ByOverdue.insert({og.Overdue, og.Given.Attempt});
   updateRoom(s, og.Account, now);
 }
 
@@ -46,6 +62,7 @@
   const OpenGrant og = it->second;
   s.Open.erase(it);
   s.ByLapse.erase({og.Lapses, id});
+  s.ByOverdue.erase({og.Overdue, id});
   release(s.Accounts[og.Account], og.Class, og.Given.Tokens);
   updateRoom(s, og.Account, now);
   return og;
@@ -59,6 +76,25 @@
   }
 }
 
+/// Until when \p og should be done, with a margin that lets ordinary ones pass.
+Time overdueAt(const Scheduler &s, const OpenGrant &og, Time now) noexcept {
+  const Duration expected =
+      serviceTime(s.Accounts[og.Account].Learnt, promptOf(og), og.OutputTokens);
+  return now + std::max(expected * OverdueFactor, LeastOverdue);
+}
+
+/// Learns from grants that take too long before their answers come.
+void noteOverdue(Scheduler &s, Time now) {
+  while (!s.ByOverdue.empty() && s.ByOverdue.begin()->first <= now) {
+    const AttemptId id = s.ByOverdue.begin()->second;
+    s.ByOverdue.erase(s.ByOverdue.begin());
+    OpenGrant &og = s.Open.at(id);
+    learnSlow(s, og, now);
+    og.Overdue = overdueAt(s, og, now);
+    s.ByOverdue.insert({og.Overdue, id});
+  }
+}
+
 /// The endpoint failed or refused: it gets nothing for a while.
 void backOff(Scheduler &s, EndpointAccount &acc, Time now) {
   constexpr std::uint32_t MostDoublings = 10;
@@ -109,12 +145,20 @@
   const DrainRate &d = s.Drain;
   if (d.Rate <= 0)
     return Duration::zero();
-  double rate = d.Rate;
+  double left = d.Rate;
   for (std::size_t i = 0; i < indexOf(t.Rank); ++i)
-    rate -= d.ByTier[i];
-  rate = std::max(rate, d.Rate * LeastShare);
-  const auto ahead = static_cast<double>(tokensAhead(s.Queue, s.Policy, t));
-  return Duration(static_cast<std::int64_t>(1e9 * ahead / rate));
+    left -= d.ByTier[i];
+  left = std::max(left, d.Rate * LeastShare);
+  const Ahead ahead = tokensAhead(s.Queue, s.Policy, t);
+  const double seconds = static_cast<double>(ahead.Higher) / d.Rate +
+                         static_cast<double>(ahead.Same) / left;
+  return Duration(static_cast<std::int64_t>(1e9 * seconds));
+}
+
+/// From now on, large tickets leave room for small ones of this tier.
+void noteSmall(Scheduler &s, const Ticket &t, Time now) noexcept {
+  if (sizeClass(s.Policy, tokensOf(t)) == SizeClass::Small)
+    s.SmallSeen[indexOf(t.Rank)] = now;
 }
 
 void admitOne(Scheduler &s, TicketIndex idx, Time now, ScheduleChanges &out) {
@@ -123,13 +167,16 @@
     refuse(s, idx, RefusalReason::NoEndpoint, out);
     return;
   }
-  if (!s.Policy.EarlyRefusal)
+  if (!s.Policy.EarlyRefusal) {
+    noteSmall(s, q.Asked, now);
     return;
+  }
   const Duration least = leastService(s, q.Asked);
   const Duration wait = expectedWait(s, q.Asked);
   if (isTooLate(s, q, now) || now + wait + least > q.Deadline)
-    refuse(s, idx, RefusalReason::TooLate, out);
-  else if (!s.Board.ProbeDue)
+    return refuse(s, idx, RefusalReason::TooLate, out);
+  noteSmall(s, q.Asked, now);
+  if (!s.Board.ProbeDue)
     setLatestStart(s.Queue, idx, q.Deadline - least);
 }
 
@@ -228,6 +275,7 @@
   og.Account = account;
   og.PrefixHash = t.PrefixHash;
   og.OutputTokens = t.OutputTokens;
+  og.Overdue = overdueAt(s, og, now);
   notePlaced(s, t, acc, now);
   openGrant(s, og, now);
   out.Grants.push_back(og.Given);
@@ -321,20 +369,14 @@
     return;
   const TicketIndex idx = push(s.Queue, s.Policy, t, now);
   s.Fresh.emplace_back(idx, s.Queue.Tickets[idx].Serial);
-  if (sizeClass(s.Policy, tokensOf(t)) == SizeClass::Small)
-    s.SmallSeen = now;
 }
 
 void cancel(Scheduler &s, AttemptId id) {
   if (const auto idx = find(s.Queue, id))
     remove(s.Queue, s.Policy, *idx, false);
   const auto og = closeGrant(s, id, s.Latest);
-  if (!og || og->OutputTokens == 0)
-    return;
-  const std::uint32_t prompt =
-      og->Given.Tokens - std::min(og->Given.Tokens, og->OutputTokens);
-  learnUnfinished(s.Accounts[og->Account].Learnt, s.Latest - og->Opened, prompt,
-                  og->OutputTokens);
+  if (og)
+    learnSlow(s, *og, s.Latest);
 }
 
 void giveBack(Scheduler &s, const GrantReturn &ret, Time now) {
@@ -366,6 +408,8 @@
   og.Lapses = now + s.Policy.AnnouncedHold;
   og.Class = sizeClass(s.Policy, g.Tokens);
   og.Account = accountOf(s, g.Endpoint);
+  if (og.Overdue == Time{})
+    og.Overdue = overdueAt(s, og, now);
   openGrant(s, og, now);
   ++s.Counts.Announced;
 }
@@ -375,6 +419,7 @@
   ++s.Steps;
   s.Latest = std::max(s.Latest, now);
   lapse(s, now);
+  noteOverdue(s, now);
   readBoard(s, view, now);
   refuseUnservable(s, out);
   admitFresh(s, now, out);
