--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,16 @@
 format:
 	tools/format
 
+bench: build
+	tools/bench $(BUILD)
+
+policy: build
+	$(BUILD)/policy
+
+SEED ?= 1
+STEPS ?= 1000000
+soak: build
+	for part in $(BUILD)/soak-*; do $$part --seed $(SEED) --steps $(STEPS) || exit 1; done
+
+demo: build
+	tools/demo $(BUILD)
