Write answers on the thread that serves the connection

Cause: a caller who left in mid-stream ended the whole process: Pistache 0.0.5 throws 'could not find write data' out of its own thread. Reproduced with one stream that was cut after half a second, each time. Found beside it: an answer queued by file descriptor from another thread can reach the next caller, who got the same number; and the header time-out counted callers who wait for an answer.

Ruled out: catching around writes (the throw is on Pistache's thread); holding the peer (the descriptor is closed all the same).

Change: our own transport under Pistache's listener takes answers through a mailbox on its thread, hands events on one by one, and looks through connections once a second.

--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -1,16 +1,21 @@
 #include "zinniagauge/adapt/http_server.h"
+#include "zinniagauge/adapt/mailbox.h"
 
-#include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/http_headers.h>
+#include <pistache/listener.h>
 #include <pistache/peer.h>
+#include <pistache/transport.h>
 
 #include <strings.h>
 #include <sys/socket.h>
+#include <sys/timerfd.h>
 
 #include <atomic>
 #include <optional>
+#include <unordered_map>
 #include <utility>
+#include <variant>
 
 namespace zinniagauge {
 
@@ -78,65 +83,330 @@
   return {};
 }
 
+namespace {
+
+struct ReplyMessage;
+using ReplyBox = Mailbox<ReplyMessage>;
+
+/// One caller's connection. Its transport's thread and the replies to it share
+/// it, since either may end first.
+struct Connection {
+  std::atomic<bool> Open{true};
+  std::atomic<bool> Answering{false}; // A request has no whole answer yet.
+  // The rest belongs to the transport's thread.
+  Time Since = monotonicNow(); // When it was last known to be active.
+  bool Served = false;         // It has sent a whole request.
+};
+
+} // namespace
+
 struct HttpReply::State {
-  explicit State(http::ResponseWriter w) : Writer(std::move(w)) {}
+  State(http::ResponseWriter w, std::shared_ptr<Connection> conn,
+        std::shared_ptr<ReplyBox> box)
+      : Writer(std::move(w)), Conn(std::move(conn)), Box(std::move(box)) {}
 
+  // Used on the transport's thread only.
   http::ResponseWriter Writer;
   std::optional<http::ResponseStream> Stream;
-  std::weak_ptr<Pistache::Tcp::Peer> Peer;
+  // Used on any thread.
+  std::shared_ptr<Connection> Conn;
+  std::shared_ptr<ReplyBox> Box;
 };
 
-HttpReply::HttpReply(std::unique_ptr<State> st) noexcept : St(std::move(st)) {}
-HttpReply::HttpReply(HttpReply &&) noexcept = default;
-HttpReply &HttpReply::operator=(HttpReply &&) noexcept = default;
-HttpReply::~HttpReply() = default;
+namespace {
 
-void HttpReply::send(int status, std::span<const HttpHeader> headers,
-                     std::string_view body) {
+/// Send a whole answer.
+struct SendWhole {
+  std::unique_ptr<HttpReply::State> St;
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+};
+
+/// Start a streamed answer. \p St lives until EndStream takes it over.
+struct StartStream {
+  HttpReply::State *St = nullptr;
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+};
+
+/// Send a part of a streamed answer.
+struct SendPart {
+  HttpReply::State *St = nullptr;
+  std::string Part;
+};
+
+/// End a streamed answer, or one that was never given.
+struct EndStream {
+  std::unique_ptr<HttpReply::State> St;
+  bool Whole = false;
+};
+
+/// What replies tell the transport that serves their connection.
+struct ReplyMessage {
+  std::variant<SendWhole, StartStream, SendPart, EndStream> What;
+};
+
+void close(http::ResponseWriter &writer) {
+  if (const auto peer = writer.getPeer())
+    ::shutdown(peer->fd(), SHUT_RDWR);
+}
+
+void carryOut(SendWhole &msg) {
+  http::ResponseWriter &writer = msg.St->Writer;
+  addHeaders(writer.headers(), msg.Headers);
+  writer.send(static_cast<http::Code>(msg.Status), msg.Body.data(),
+              msg.Body.size());
+  msg.St->Conn->Answering = false;
+}
+
+void carryOut(StartStream &msg) {
+  http::ResponseWriter &writer = msg.St->Writer;
+  addHeaders(writer.headers(), msg.Headers);
+  msg.St->Stream.emplace(
+      writer.stream(static_cast<http::Code>(msg.Status), StreamBytes));
+  msg.St->Stream->flush();
+}
+
+void carryOut(SendPart &msg) {
+  if (!msg.St->Stream)
+    return;
+  msg.St->Stream->write(msg.Part.data(),
+                        static_cast<std::streamsize>(msg.Part.size()));
+  msg.St->Stream->flush();
+}
+
+void carryOut(EndStream &msg) {
+  if (msg.Whole && msg.St->Stream)
+    msg.St->Stream->ends();
+  else
+    close(msg.St->Writer);
+  msg.St->Conn->Answering = false;
+}
+
+/// Bounds on what a caller may keep waiting.
+struct CallerLimits {
+  Duration Header = Duration::zero();
+  Duration Body = Duration::zero();
+  Duration KeepAlive = Duration::zero();
+};
+
+/// How often connections are looked through for silent callers, in seconds.
+constexpr long SweepSeconds = 1;
+
+/// Pistache's transport, mended in three points. Answers are written on the
+/// transport's own thread: from another one, an answer could be queued by file
+/// descriptor for a caller who has left and reach the next one, who got the
+/// same number. Each event is handled by itself, since Pistache 0.0.5 throws
+/// out of its thread when a caller leaves in mid-answer. And a caller who waits
+/// for an answer is never taken for an idle one.
+class Transport final : public Pistache::Tcp::Transport {
+public:
+  Transport(const std::shared_ptr<Pistache::Tcp::Handler> &handler,
+            CallerLimits limits)
+      : Pistache::Tcp::Transport(handler), Handler(handler), Limits(limits),
+        Box(std::make_shared<ReplyBox>()),
+        Timer(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+    const itimerspec every{{SweepSeconds, 0}, {SweepSeconds, 0}};
+    ::timerfd_settime(Timer, 0, &every, nullptr);
+  }
+  Transport(const Transport &) = delete;
+  Transport &operator=(const Transport &) = delete;
+  ~Transport() override { ::close(Timer); }
+
+  [[nodiscard]] std::shared_ptr<Pistache::Aio::Handler> clone() const override {
+    return std::make_shared<Transport>(Handler->clone(), Limits);
+  }
+
+  void registerPoller(Pistache::Polling::Epoll &poller) override {
+    Pistache::Tcp::Transport::registerPoller(poller);
+    watch(poller, Box->fd());
+    watch(poller, Timer);
+  }
+
+  void onReady(const Pistache::Aio::FdSet &fds) override;
+
+  /// The connection of \p peer, which has just sent a whole request.
+  std::shared_ptr<Connection> onWholeRequest(Pistache::Tcp::Peer &peer);
+
+  /// The peer's connection has closed.
+  void onClosed(Pistache::Tcp::Peer &peer);
+
+  [[nodiscard]] const std::shared_ptr<ReplyBox> &box() const noexcept {
+    return Box;
+  }
+
+private:
+  static void watch(Pistache::Polling::Epoll &poller, int fd) {
+    using Pistache::Polling::NotifyOn;
+    poller.addFd(fd, Pistache::Flags<NotifyOn>(NotifyOn::Read),
+                 Pistache::Polling::Tag(static_cast<std::uint64_t>(fd)));
+  }
+  static void carryOutAll(ReplyMessage &msg);
+  void handOn(const Pistache::Aio::FdSet::Entry &entry);
+  std::shared_ptr<Connection> &connectionOf(int fd);
+  void sweep();
+  [[nodiscard]] bool overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                             Connection &conn, Time now) const;
+
+  std::shared_ptr<Pistache::Tcp::Handler> Handler; // As Pistache shares it.
+  CallerLimits Limits;
+  std::shared_ptr<ReplyBox> Box;
+  int Timer;
+  std::unordered_map<int, std::shared_ptr<Connection>> Connections;
+};
+
+void Transport::onReady(const Pistache::Aio::FdSet &fds) {
+  for (const auto &entry : fds) {
+    const auto fd = static_cast<int>(entry.getTag().value());
+    if (fd == Box->fd()) {
+      Box->takeAll(
+          [](std::unique_ptr<ReplyMessage> msg) { carryOutAll(*msg); });
+      flush();
+    } else if (fd == Timer) {
+      sweep();
+    } else {
+      handOn(entry);
+    }
+  }
+}
+
+void Transport::handOn(const Pistache::Aio::FdSet::Entry &entry) {
+  using Pistache::Polling::NotifyOn;
+  Pistache::Polling::Event ev(entry.getTag());
+  if (entry.isReadable())
+    ev.flags.setFlag(NotifyOn::Read);
+  if (entry.isWritable())
+    ev.flags.setFlag(NotifyOn::Write);
+  if (entry.isHangup())
+    ev.flags.setFlag(NotifyOn::Hangup);
+  std::vector<Pistache::Polling::Event> one;
+  one.push_back(ev);
   try {
-    addHeaders(St->Writer.headers(), headers);
-    St->Writer.send(static_cast<http::Code>(status), body.data(), body.size());
+    Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(std::move(one)));
   } catch (const std::exception &) {
-    // The caller has left: there is nobody to tell.
+    // A caller left in mid-answer; nothing is left to be done for it.
   }
 }
 
-Result<void> HttpReply::start(int status, std::span<const HttpHeader> headers) {
+void Transport::carryOutAll(ReplyMessage &msg) {
   try {
-    addHeaders(St->Writer.headers(), headers);
-    St->Stream.emplace(
-        St->Writer.stream(static_cast<http::Code>(status), StreamBytes));
-    St->Stream->flush();
-  } catch (const std::exception &ex) {
-    return fail({ErrorCode::Gone, Step::Reply, {}, ex.what()});
+    std::visit([](auto &m) { carryOut(m); }, msg.What);
+  } catch (const std::exception &) {
+    // The caller has left: there is nobody to tell.
   }
+}
+
+std::shared_ptr<Connection> &Transport::connectionOf(int fd) {
+  std::shared_ptr<Connection> &conn = Connections[fd];
+  if (!conn)
+    conn = std::make_shared<Connection>();
+  return conn;
+}
+
+std::shared_ptr<Connection>
+Transport::onWholeRequest(Pistache::Tcp::Peer &peer) {
+  std::shared_ptr<Connection> &conn = connectionOf(peer.fd());
+  conn->Answering = true;
+  conn->Served = true;
+  conn->Since = monotonicNow();
+  return conn;
+}
+
+void Transport::onClosed(Pistache::Tcp::Peer &peer) {
+  const auto it = Connections.find(peer.fd());
+  if (it == Connections.end())
+    return;
+  it->second->Open = false;
+  Connections.erase(it);
+}
+
+bool Transport::overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                        Connection &conn, Time now) const {
+  namespace impl = http::Private;
+  const auto id = http::Handler::getParser(peer)->step()->id();
+  const Duration waited = now - conn.Since;
+  if (id == impl::BodyStep::Id)
+    return waited > Limits.Header + Limits.Body;
+  if (id == impl::HeadersStep::Id || !conn.Served)
+    return waited > Limits.Header;
+  return waited > Limits.KeepAlive;
+}
+
+void Transport::sweep() {
+  std::uint64_t times = 0;
+  [[maybe_unused]] const auto n = ::read(Timer, &times, sizeof(times));
+  const Time now = monotonicNow();
+  for (const auto &it : peers) {
+    Connection &conn = *connectionOf(it.first);
+    if (conn.Answering)
+      conn.Since = now;
+    else if (overdue(it.second, conn, now))
+      ::shutdown(it.first, SHUT_RDWR);
+  }
+}
+
+} // namespace
+
+HttpReply::HttpReply(std::unique_ptr<State> st) noexcept : St(std::move(st)) {}
+HttpReply::HttpReply(HttpReply &&) noexcept = default;
+
+HttpReply &HttpReply::operator=(HttpReply &&from) noexcept {
+  std::swap(St, from.St);
+  return *this;
+}
+
+HttpReply::~HttpReply() {
+  if (St)
+    abort();
+}
+
+namespace {
+
+template <typename T> void post(ReplyBox &box, T msg) {
+  auto owned = std::make_unique<ReplyMessage>();
+  owned->What = std::move(msg);
+  box.post(std::move(owned));
+}
+
+boost::leaf::error_id gone() {
+  return fail({ErrorCode::Gone, Step::Reply, {}, "the caller has left"});
+}
+
+} // namespace
+
+void HttpReply::send(int status, std::span<const HttpHeader> headers,
+                     std::string_view body) {
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, SendWhole{std::move(St),
+                       status,
+                       {headers.begin(), headers.end()},
+                       std::string(body)});
+}
+
+Result<void> HttpReply::start(int status, std::span<const HttpHeader> headers) {
+  if (!St->Conn->Open)
+    return gone();
+  post(*St->Box,
+       StartStream{St.get(), status, {headers.begin(), headers.end()}});
   return {};
 }
 
 Result<void> HttpReply::write(std::string_view part) {
-  if (St->Peer.expired())
-    return fail({ErrorCode::Gone, Step::Reply, {}, "the caller has left"});
-  try {
-    St->Stream->write(part.data(), static_cast<std::streamsize>(part.size()));
-    St->Stream->flush();
-  } catch (const std::exception &ex) {
-    return fail({ErrorCode::Gone, Step::Reply, {}, ex.what()});
-  }
+  if (!St->Conn->Open)
+    return gone();
+  post(*St->Box, SendPart{St.get(), std::string(part)});
   return {};
 }
 
 void HttpReply::end() {
-  try {
-    St->Stream->ends();
-  } catch (const std::exception &) {
-    // The caller has left: there is nobody to tell.
-  }
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, EndStream{std::move(St), true});
 }
 
 void HttpReply::abort() {
-  const auto peer = St->Peer.lock();
-  if (peer)
-    ::shutdown(peer->fd(), SHUT_RDWR);
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, EndStream{std::move(St), false});
 }
 
 namespace {
@@ -151,44 +421,49 @@
                  http::ResponseWriter writer) override {
     keepOpen(req, writer.headers());
     const auto peer = writer.getPeer();
-    auto st = std::make_unique<HttpReply::State>(std::move(writer));
-    st->Peer = peer;
-    Handlers.OnRequest(readRequest(req, peer ? peer->getID() : 0),
+    if (!peer)
+      return;
+    Transport &own = served();
+    auto st = std::make_unique<HttpReply::State>(
+        std::move(writer), own.onWholeRequest(*peer), own.box());
+    Handlers.OnRequest(readRequest(req, peer->getID()),
                        HttpReply(std::move(st)));
   }
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override {
+    served().onClosed(*peer);
     if (Handlers.OnGone)
       Handlers.OnGone(peer->getID());
   }
 
 private:
+  Transport &served() { return *static_cast<Transport *>(transport()); }
+
   HttpHandlers Handlers;
 };
 
-http::Endpoint::Options endpointOptions(const HttpServerOptions &opt) {
-  return http::Endpoint::options()
-      .threads(opt.Threads)
-      .flags(Pistache::Tcp::Options::ReuseAddr |
-             Pistache::Tcp::Options::NoDelay)
-      .backlog(1024)
-      .maxRequestSize(opt.MaxBodyBytes)
-      .maxResponseSize(std::size_t{1} << 30U)
-      .headerTimeout(opt.HeaderTimeout)
-      .bodyTimeout(opt.BodyTimeout)
-      .keepaliveTimeout(opt.KeepAlive);
+CallerLimits limitsOf(const HttpServerOptions &opt) noexcept {
+  return {opt.HeaderTimeout, opt.BodyTimeout, opt.KeepAlive};
 }
 
+/// Connections that wait to be accepted.
+constexpr int Backlog = 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{1} << 30U;
+
 } // namespace
 
 struct HttpServer::State {
-  explicit State(const Pistache::Address &addr) : Endpoint(addr) {}
+  State() = default;
   State(const State &) = delete;
   State &operator=(const State &) = delete;
-  ~State() { Endpoint.shutdown(); }
+  ~State() {
+    if (Listening)
+      Listener.shutdown();
+  }
 
-  http::Endpoint Endpoint;
+  Pistache::Tcp::Listener Listener;
+  bool Listening = false;
 };
 
 HttpServer::HttpServer(std::unique_ptr<State> st) noexcept
@@ -199,13 +474,24 @@
 
 Result<HttpServer> HttpServer::start(const HttpServerOptions &opt,
                                      HttpHandlers handlers) {
+  using Pistache::Tcp::Options;
   const std::string name = opt.Host + ":" + std::to_string(opt.Port);
   try {
-    const Pistache::Address addr(opt.Host, Pistache::Port(opt.Port));
-    auto st = std::make_unique<State>(addr);
-    st->Endpoint.init(endpointOptions(opt));
-    st->Endpoint.setHandler(std::make_shared<Bridge>(std::move(handlers)));
-    st->Endpoint.serveThreaded();
+    auto bridge = std::make_shared<Bridge>(std::move(handlers));
+    bridge->setMaxRequestSize(opt.MaxBodyBytes);
+    bridge->setMaxResponseSize(MaxAnswerBytes);
+    auto st = std::make_unique<State>();
+    st->Listener.init(static_cast<std::size_t>(opt.Threads),
+                      Pistache::Flags<Options>(Options::ReuseAddr) |
+                          Options::NoDelay,
+                      "", Backlog);
+    st->Listener.setHandler(bridge);
+    st->Listener.setTransportFactory([bridge, limits = limitsOf(opt)] {
+      return std::make_shared<Transport>(bridge, limits);
+    });
+    st->Listener.bind(Pistache::Address(opt.Host, Pistache::Port(opt.Port)));
+    st->Listener.runThreaded();
+    st->Listening = true;
     return HttpServer(std::move(st));
   } catch (const std::exception &ex) {
     return fail({ErrorCode::Unavailable, Step::Connect, name, ex.what()});
@@ -213,7 +499,7 @@
 }
 
 std::uint16_t HttpServer::port() const noexcept {
-  return static_cast<std::uint16_t>(St->Endpoint.getPort());
+  return static_cast<std::uint16_t>(St->Listener.getPort());
 }
 
 } // namespace zinniagauge
