Let a ticket hold out for the endpoint that has its prefix

Now a ticket waits for a holder while that costs less than the prefill it saves, which counts for more in a busy pool.

--- a/include/zinniagauge/decide/place.h
+++ b/include/zinniagauge/decide/place.h
@@ -25,6 +25,13 @@
 [[nodiscard]] std::optional<std::uint32_t>
 placeAtHolder(const Scheduler &s, const QueuedTicket &q, Time now);
 
+/// Whether \p q should wait a little longer for an endpoint that holds its
+/// prefix, though others have room: as long as the wait costs less than the
+/// prefill that it saves. In a busy pool the prefill is worth more, since it
+/// makes room for others.
+[[nodiscard]] bool holdsOut(const Scheduler &s, const QueuedTicket &q,
+                            Time now);
+
 /// How long \p q takes at the fastest of the usable endpoints.
 [[nodiscard]] Duration leastService(const Scheduler &s,
                                     const Ticket &t) noexcept;
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -20,6 +20,12 @@
 /// The least weight of decoding, see decodeWeight.
 constexpr double LeastDecodeWeight = 0.01;
 
+/// A ticket holds out for its prefix at most this share of its spare time.
+constexpr double HoldShare = 0.1;
+
+/// In the busiest pool a second of prefill is worth so many of waiting.
+constexpr double MostHold = 16;
+
 /// While small tickets have come within this time, room is kept for them.
 constexpr Duration SmallWindow = std::chrono::seconds(10);
 
@@ -271,6 +277,29 @@
   return best.Account;
 }
 
+bool holdsOut(const Scheduler &s, const QueuedTicket &q, Time now) {
+  const Prefix *p = prefixOf(s, q.Asked);
+  if (!p)
+    return false;
+  const Duration saved =
+      serviceTime(s.Board.Fastest, savedTokens(*p, q.Asked.PromptTokens), 0);
+  const Duration spare = q.Deadline - q.Arrived - leastService(s, q.Asked);
+  const double worth = std::min(1 / decodeWeight(s), MostHold);
+  const double most = std::min(static_cast<double>(saved.count()) * worth,
+                               static_cast<double>(spare.count()) * HoldShare);
+  if (static_cast<double>((now - q.Arrived).count()) >= most)
+    return false;
+  const Request r = requestOf(s, q, now);
+  return std::any_of(p->Holders.begin(), p->Holders.end(), [&](const auto &h) {
+    const auto it = s.ByEndpoint.find(h.Endpoint);
+    if (it == s.ByEndpoint.end() || h.Used <= now - s.Policy.PrefixMaxAge)
+      return false;
+    const EndpointAccount &acc = s.Accounts[it->second];
+    return acc.Usable && acc.Failures == 0 &&
+           suits(s, acc, r, serviceAt(s, acc, r, now), now);
+  });
+}
+
 Duration leastService(const Scheduler &s, const Ticket &t) noexcept {
   std::uint32_t prefill = t.PromptTokens;
   if (const Prefix *p = prefixOf(s, t))
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -298,7 +298,10 @@
     if (account)
       return {idx, account};
   }
-  return {next.front(), place(s, first, now)};
+  for (const TicketIndex idx : mayPass ? next : next.first(1))
+    if (!holdsOut(s, s.Queue.Tickets[idx], now))
+      return {idx, place(s, s.Queue.Tickets[idx], now)};
+  return {};
 }
 
 /// Grants or refuses one ticket of \p lane; false if none of them finds room.
