--- /dev/null
+++ b/tests/support/claim_table.cpp
@@ -0,0 +1,35 @@
+#include "support/claim_table.h"
+
+namespace zinniagauge::testing {
+
+namespace {
+
+bool applies(const ClaimTable &t, const ClaimOp &op) {
+  const auto it = t.Rows.find(op.Key);
+  const bool absent = it == t.Rows.end();
+  if (op.Kind == ClaimOpKind::PutIfAbsent)
+    return absent;
+  return op.Kind == ClaimOpKind::Replace && !absent &&
+         it->second.Version == op.Expected;
+}
+
+} // namespace
+
+std::vector<ClaimOpResult> apply(ClaimTable &t, const ClaimBatch &batch) {
+  std::vector<ClaimOpResult> results;
+  for (const ClaimOp &op : batch.Ops) {
+    ClaimOpResult res;
+    res.Applied = applies(t, op);
+    if (res.Applied)
+      t.Rows[op.Key] = {op.Row, ++t.LastVersion};
+    const auto it = t.Rows.find(op.Key);
+    if (it != t.Rows.end()) {
+      res.Found = it->second.Row;
+      res.Version = it->second.Version;
+    }
+    results.push_back(res);
+  }
+  return results;
+}
+
+} // namespace zinniagauge::testing
--- a/tests/support/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Kept until the first support source lands; the library needs one file.
