--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -20,6 +20,8 @@
 #include "zinniagauge/decide/dispatch.h"
 #include "zinniagauge/decide/end_mark.h"
 #include "zinniagauge/decide/retry.h"
+#include "zinniagauge/decide/exchange.h"
+#include "zinniagauge/decide/member.h"
 #include "zinniagauge/decide/schedule.h"
 #include "zinniagauge/decide/share.h"
 #include "zinniagauge/fwd.h"
