--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -5,15 +5,20 @@
 namespace zinniagauge {
 
 struct Admission;
+struct AnswerHead;
 struct Approval;
 struct AttemptId;
 struct Board;
+struct BreakerList;
 struct Bundle;
 struct BundleFault;
 struct BundleHead;
 struct BundleVersion;
 struct ClockBound;
 struct Counters;
+struct Dispatch;
+struct DispatchWork;
+struct Dispatcher;
 struct EndpointList;
 struct EndpointSpec;
 struct EndpointState;
@@ -33,14 +38,18 @@
 struct RecoveryView;
 struct RequestHead;
 struct RequestId;
+struct RetryBudget;
 struct RouteSpec;
 struct ScheduleChanges;
-struct Scheduler;
 struct ScheduleView;
+struct Scheduler;
+struct ShareChoice;
+struct ShareGates;
 struct TableResult;
 struct TableTransaction;
 struct Ticket;
 struct TierSpec;
+struct TransferId;
 struct VmEntry;
 struct WorkspaceSpec;
 
