--- /dev/null
+++ b/include/zinniagauge/adapt/bundle_routes.h
@@ -0,0 +1,31 @@
+// What operators can do with bundles over HTTP.
+#ifndef ZINNIAGAUGE_ADAPT_BUNDLE_ROUTES_H
+#define ZINNIAGAUGE_ADAPT_BUNDLE_ROUTES_H
+
+#include "zinniagauge/adapt/operator_api.h"
+#include "zinniagauge/adapt/platform.h"
+#include "zinniagauge/board/bundle.h"
+
+#include <functional>
+#include <vector>
+
+namespace zinniagauge {
+
+/// What the routes need; \p Store outlives them.
+struct BundleRouteOptions {
+  const Platform *Store = nullptr;
+  std::function<void(Bundle)> Accepted; // Called with each approved bundle.
+};
+
+/// The routes:
+///
+///   POST /v1/proposals?parent=N   the body is the text; without a parent, the
+///                                 present head's version
+///   POST /v1/approvals/DIGEST
+///   GET /v1/bundles/NAME          "head", a version or a digest
+///   GET /v1/history?limit=N       newest first
+[[nodiscard]] std::vector<OperatorRoute> bundleRoutes(BundleRouteOptions opt);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_ADAPT_BUNDLE_ROUTES_H
--- /dev/null
+++ b/include/zinniagauge/board/entry_report.h
@@ -0,0 +1,25 @@
+// What the entry of a VM tells its agent.
+#ifndef ZINNIAGAUGE_BOARD_ENTRY_REPORT_H
+#define ZINNIAGAUGE_BOARD_ENTRY_REPORT_H
+
+#include "zinniagauge/board/move.h"
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+
+namespace zinniagauge {
+
+/// The entry's answer to the last update of its board.
+struct EntryReport {
+  bool Reached = false; // The last update was answered; all else is of then.
+  Time At;              // When it was.
+  std::uint64_t BundleVersion = 0;
+  EvidenceList Seen;
+  MoveList BadMoves; // Moves whose version the entry has seen to be bad.
+  bool Stopping = false;
+  std::uint64_t InProgress = 0; // Requests.
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_BOARD_ENTRY_REPORT_H
