--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -60,6 +60,7 @@
 struct TableTransaction;
 struct Ticket;
 struct TierSpec;
+struct TransferId;
 struct VmEntry;
 struct WorkspaceSpec;
 
--- a/src/adapt/command_line.cpp
+++ b/src/adapt/command_line.cpp
@@ -34,11 +34,11 @@
   case ExitCode::Ok:
     return "done";
   case ExitCode::Failed:
-    return "tried, and failed; the error is on standard error";
+    return "refused, or tried and failed; the error is on standard error";
   case ExitCode::Usage:
     return "wrong command line, settings or bundle; nothing was done";
-  case ExitCode::Refused:
-    return "refused: another change came first, or the key has no right";
+  case ExitCode::Conflict:
+    return "another change came first: look at the difference and try again";
   case ExitCode::Unreachable:
     break;
   }
