Compute service-level burn from a ring of minutes on the board

Cause: the report has to tell burn over several windows, and nodes keep nothing on disk. Two scrapes of counters are no history, so each process keeps 360 minutes of totals and good ones for each tier (23 KB) as a section of its board. Ruled out: a time series store, which nobody would run; rates computed by the report itself, which would have to run for six hours first. A restarted process starts empty, and the report says how much history it has.

--- a/include/zinniagauge/board/board.h
+++ b/include/zinniagauge/board/board.h
@@ -4,6 +4,7 @@
 #define ZINNIAGAUGE_BOARD_BOARD_H
 
 #include "zinniagauge/board/bundle.h"
+#include "zinniagauge/board/burn.h"
 #include "zinniagauge/board/cell.h"
 #include "zinniagauge/board/counters.h"
 #include "zinniagauge/board/endpoint.h"
@@ -19,6 +20,7 @@
   Cell<MemberList> Members;     // Written by the membership controller.
   Cell<EndpointList> Endpoints; // Written by the endpoint controller.
   Cell<MoveList> Moves;         // Written by the move controller.
+  Cell<BurnHistory> Burn;       // Written by the burn controller.
   Counters Counts;              // Added to by any thread.
 };
 
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -15,6 +15,7 @@
 #include "zinniagauge/decide/breaker.h"
 #include "zinniagauge/decide/bundle_head.h"
 #include "zinniagauge/decide/bundle_spread.h"
+#include "zinniagauge/decide/burn.h"
 #include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
 #include "zinniagauge/decide/dispatch.h"
--- /dev/null
+++ b/src/decide/burn.cpp
@@ -0,0 +1,103 @@
+#include "zinniagauge/decide/burn.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace zinniagauge {
+
+namespace {
+
+std::int64_t minuteOf(Time t) noexcept {
+  return std::chrono::floor<std::chrono::minutes>(t).time_since_epoch().count();
+}
+
+std::size_t slotOf(std::int64_t minute) noexcept {
+  return static_cast<std::size_t>(minute) % BurnMinutes;
+}
+
+/// Empties the minutes from the newest to \p minute.
+void advance(BurnHistory &hist, std::int64_t minute) noexcept {
+  const auto whole = static_cast<std::int64_t>(BurnMinutes);
+  std::int64_t at = std::max(hist.Newest + 1, minute - whole + 1);
+  for (; at <= minute; ++at)
+    hist.Minutes[slotOf(at)] = {};
+  hist.Newest = minute;
+}
+
+bool passes(const TierCount &longer, const TierCount &shorter, double objective,
+            double bound) noexcept {
+  return burnOf(longer, objective) >= bound &&
+         burnOf(shorter, objective) >= bound;
+}
+
+} // namespace
+
+TierCounts readTierCounts(const Counters &counts) noexcept {
+  TierCounts out{};
+  for (std::size_t rank = 0; rank < MaxTiers; ++rank) {
+    const TierCounters &tier = counts.ByTier[rank];
+    // Before the total: a request that ends between is not good beyond it.
+    out[rank].Good = tier.Good.get();
+    for (const Counter &it : tier.ByOutcome)
+      out[rank].Total += it.get();
+  }
+  return out;
+}
+
+void stepBurn(BurnHistory &hist, const TierCounts &counts, Time now) noexcept {
+  const std::int64_t minute = std::max(minuteOf(now), hist.Newest);
+  if (minute > hist.Newest)
+    advance(hist, minute);
+  for (std::size_t rank = 0; rank < MaxTiers; ++rank) {
+    BurnMinute &to = hist.Minutes[slotOf(minute)][rank];
+    const TierCount &seen = hist.Seen[rank];
+    to.Total += static_cast<std::uint32_t>(counts[rank].Total - seen.Total);
+    to.Good += static_cast<std::uint32_t>(counts[rank].Good - seen.Good);
+  }
+  hist.Seen = counts;
+}
+
+WindowCounts windowCounts(const BurnHistory &hist, Tier at) noexcept {
+  WindowCounts out{};
+  for (std::uint32_t back = 0; back < BurnMinutes; ++back) {
+    const std::int64_t minute = hist.Newest - back;
+    if (minute < 0)
+      break;
+    const BurnMinute &from = hist.Minutes[slotOf(minute)][at.Rank];
+    for (std::size_t i = 0; i < BurnWindows.size(); ++i) {
+      if (back >= BurnWindows[i])
+        continue;
+      out[i].Total += from.Total;
+      out[i].Good += from.Good;
+    }
+  }
+  return out;
+}
+
+void addWindows(WindowCounts &to, std::span<const TierCount> from) noexcept {
+  const std::size_t n = std::min(to.size(), from.size());
+  for (std::size_t i = 0; i < n; ++i) {
+    to[i].Total += from[i].Total;
+    to[i].Good += from[i].Good;
+  }
+}
+
+double burnOf(const TierCount &count, double objective) noexcept {
+  if (count.Good >= count.Total)
+    return 0;
+  if (objective >= 1)
+    return std::numeric_limits<double>::infinity();
+  const auto bad = static_cast<double>(count.Total - count.Good);
+  return bad / static_cast<double>(count.Total) / (1 - objective);
+}
+
+BurnVerdict verdictOf(const WindowCounts &counts, double objective) noexcept {
+  const auto &[five, thirty, hour, six] = counts;
+  if (passes(hour, five, objective, FastBurn))
+    return BurnVerdict::Fast;
+  if (passes(six, thirty, objective, SlowBurn))
+    return BurnVerdict::Slow;
+  return BurnVerdict::Ok;
+}
+
+} // namespace zinniagauge
