--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,140 @@
+#include "zinniagauge/adapt/metrics.h"
+
+#include "zinniagauge/decide/burn.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace zinniagauge;
+
+namespace {
+
+Bundle oneTier() {
+  Bundle b;
+  b.Version = 7;
+  TierSpec tier;
+  tier.Name = "dossier";
+  tier.Objective = 0.99;
+  b.Tiers.push_back(tier);
+  MoveSpec move;
+  move.Name = "to-8";
+  move.Id = MoveId::of("to-8");
+  move.FromLabel = "dossier-7";
+  move.ToLabel = "dossier-8";
+  b.Moves.push_back(move);
+  return b;
+}
+
+bool has(const std::string &text, std::string_view line) {
+  return text.find(line) != std::string::npos;
+}
+
+HttpAnswer get(std::uint16_t port, std::string_view path) {
+  const std::string url =
+      "http://127.0.0.1:" + std::to_string(port) + std::string(path);
+  HttpCall call;
+  call.Url = url;
+  auto ans = httpCall(call);
+  REQUIRE(ans);
+  return std::move(*ans);
+}
+
+} // namespace
+
+TEST_CASE("metrics tell tiers, moves and the bundle", "[metrics]") {
+  Board b;
+  b.InForce.publish(oneTier());
+  b.Counts.ByTier[0].ByOutcome[0].add(3);
+  b.Counts.ByTier[0].Good.add(2);
+  b.Counts.ByTier[0].Wait.observe(1500);
+  b.Counts.ByTier[0].Wait.observe(99'000'000);
+  b.Counts.WastedPrefillTokens.add(5);
+  MoveState move;
+  move.Id = MoveId::of("to-8");
+  move.SharePermille = 50;
+  move.Stage = MoveStage::TakenBack;
+  b.Moves.publish({{move}});
+  const std::string text = metricsText(b);
+  CHECK(has(text,
+            "zinnia_requests_total{tier=\"dossier\",outcome=\"completed\"} 3"));
+  CHECK(has(text, "zinnia_requests_good_total{tier=\"dossier\"} 2"));
+  CHECK(
+      has(text, "zinnia_wait_seconds_bucket{tier=\"dossier\",le=\"0.002\"} 1"));
+  CHECK(has(text, "zinnia_wait_seconds_count{tier=\"dossier\"} 2"));
+  CHECK(has(text, "zinnia_wasted_prefill_tokens_total 5"));
+  CHECK(has(text, "zinnia_bundle_version 7"));
+  CHECK(has(text, "zinnia_move_share{move=\"to-8\"} 0.05"));
+  CHECK(has(text, "zinnia_move_stage{move=\"to-8\",stage=\"taken_back\"} 1"));
+  CHECK(
+      has(text, "zinnia_invariant_failures_total{invariant=\"tier_order\"} 0"));
+}
+
+TEST_CASE("every metric has help and a type", "[metrics]") {
+  Board b;
+  b.InForce.publish(oneTier());
+  b.Moves.publish({{MoveState{}}});
+  const std::string text = metricsText(b);
+  std::size_t helps = 0;
+  for (std::size_t at = text.find("# HELP zinnia_"); at != std::string::npos;
+       at = text.find("# HELP zinnia_", at + 1)) {
+    ++helps;
+    const std::string line = text.substr(at, text.find('\n', at) - at);
+    CHECK(line.ends_with('.'));
+  }
+  std::size_t types = 0;
+  for (std::size_t at = text.find("# TYPE zinnia_"); at != std::string::npos;
+       at = text.find("# TYPE zinnia_", at + 1))
+    ++types;
+  CHECK(helps == types);
+  CHECK(helps >= 20);
+}
+
+TEST_CASE("probes tell ready only with a bundle and not stopping",
+          "[metrics]") {
+  Board b;
+  TimerService timers;
+  std::atomic<bool> stopping{false};
+  MetricsOptions opt;
+  opt.Address = "127.0.0.1:0";
+  opt.VmName = "vm-1";
+  opt.Shared = &b;
+  opt.Timers = &timers;
+  opt.Stopping = [&] { return stopping.load(); };
+  auto srv = serveMetrics(opt);
+  REQUIRE(srv);
+  CHECK(get(srv->port(), "/startupz").Status == 200);
+  CHECK(get(srv->port(), "/livez").Status == 200);
+  CHECK(get(srv->port(), "/readyz").Status == 503);
+  b.InForce.publish(oneTier());
+  CHECK(get(srv->port(), "/readyz").Status == 200);
+  CHECK(has(get(srv->port(), "/metrics").Body, "zinnia_bundle_version 7"));
+  stopping = true;
+  CHECK(get(srv->port(), "/readyz").Body == "stopping\n");
+  CHECK(get(srv->port(), "/nowhere").Status == 404);
+}
+
+TEST_CASE("burn counts are told by tier and window", "[metrics]") {
+  Board b;
+  b.InForce.publish(oneTier());
+  BurnHistory hist;
+  TierCounts counts{};
+  counts[0] = {10, 9};
+  stepBurn(hist, counts, Time(std::chrono::minutes(100)));
+  b.Burn.publish(hist);
+  MoveState move;
+  move.Id = MoveId::of("to-8");
+  move.Bad = true;
+  move.Evidence = "slow";
+  b.Moves.publish({{move}});
+  MetricsOptions opt;
+  opt.VmName = "vm-1";
+  opt.Shared = &b;
+  const auto doc = nlohmann::json::parse(burnJson(opt));
+  CHECK(doc["vm"] == "vm-1");
+  CHECK(doc["tiers"][0]["name"] == "dossier");
+  CHECK(doc["tiers"][0]["windows"][0]["minutes"] == 5);
+  CHECK(doc["tiers"][0]["windows"][3]["good"] == 9);
+  CHECK(doc["moves"][0]["to"] == "dossier-8");
+  CHECK(doc["moves"][0]["evidence"] == "slow");
+}
