Count a caller's leaving as nothing against the endpoint

Cause: the request after one whose caller had left waited 0.2 s for its grant. The cancelled attempt went back as broken, so the scheduler backed off from a sound endpoint, the breaker counted a failure, and a version move would have read it as evidence. Ruled out: the engine's batch (a call made straight after a cut answers in 22 ms). Change: an attempt that this side ends is returned as cancelled; schedulers, breakers and evidence learn nothing from it. A deadline that passes still counts against the endpoint.

--- a/include/zinniagauge/board/ticket.h
+++ b/include/zinniagauge/board/ticket.h
@@ -88,6 +88,7 @@
   bool Dispatched = false; // False: given back unused.
   bool Refused = false;    // The endpoint refused before running it.
   bool Broken = false;     // The endpoint failed, or cut the answer short.
+  bool Cancelled = false;  // This side ended it, so the times tell nothing.
 };
 
 } // namespace zinniagauge
--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -1,8 +1,11 @@
 // zinnia-entry: the request path. Takes callers' requests, asks schedulers for
 // grants, and dispatches to endpoints.
 
+#include "zinniagauge/adapt/command_line.h"
 #include "zinniagauge/adapt/front.h"
 #include "zinniagauge/adapt/http_client.h"
+#include "zinniagauge/adapt/log.h"
+#include "zinniagauge/adapt/metrics.h"
 #include "zinniagauge/adapt/rpc_thread.h"
 #include "zinniagauge/adapt/settings.h"
 #include "zinniagauge/adapt/worker.h"
@@ -18,10 +21,6 @@
 
 namespace {
 
-constexpr int ExitOk = 0;
-constexpr int ExitSettings = 2;
-constexpr int ExitUnavailable = 3;
-
 /// How often schedulers are stepped though nothing arrives: grants lapse and
 /// tickets grow late.
 constexpr Duration SchedulerPeriod = std::chrono::milliseconds(20);
@@ -44,6 +43,7 @@
   std::optional<RpcThread> Rpc;
   std::optional<HttpServer> Http;
   TimerService Timers;
+  std::optional<MetricsServer> Metrics;
 };
 
 std::uint64_t randomWord() {
@@ -124,6 +124,18 @@
   return opt;
 }
 
+MetricsOptions metricsOptions(Entry &e) {
+  MetricsOptions opt;
+  opt.Address = e.Settings.MetricsAddress;
+  opt.VmName = e.Settings.VmName;
+  opt.ZoneName = e.Settings.ZoneName;
+  opt.Program = "entry";
+  opt.Shared = &e.Shared;
+  opt.Timers = &e.Timers;
+  opt.Stopping = [&e] { return e.Stopping.load(); };
+  return opt;
+}
+
 Result<void> startParts(Entry &e) {
   for (std::uint32_t n = 0; n < e.Settings.WorkerThreads; ++n)
     e.Workers.push_back(WorkerThread::start(workerOptions(e)));
@@ -132,6 +144,8 @@
   e.Timers.every(SchedulerPeriod, [&e](Time) { e.Rpc->post(SchedulerTick{}); });
   BOOST_LEAF_AUTO(http, startFront(frontOptions(e)));
   e.Http.emplace(std::move(http));
+  BOOST_LEAF_AUTO(metrics, serveMetrics(metricsOptions(e)));
+  e.Metrics.emplace(std::move(metrics));
   return {};
 }
 
@@ -152,7 +166,7 @@
   return set;
 }
 
-int serve(EntrySettings settings) {
+ExitCode serve(EntrySettings settings) {
   const sigset_t stop = stopSignals();
   pthread_sigmask(SIG_BLOCK, &stop, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
@@ -161,33 +175,63 @@
   e.Incarnation =
       static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
   e.IdHigh = randomWord();
-  return handle([&] { return startParts(e); },
-                [&] {
-                  int sig = 0;
-                  sigwait(&stop, &sig);
-                  stopParts(e);
-                  return ExitOk;
-                },
-                [](const Error &err) {
-                  std::fprintf(stderr, "zinnia-entry: %s\n",
-                               describe(err).c_str());
-                  return ExitUnavailable;
-                });
+  return handle(
+      [&]() -> Result<void> {
+        BOOST_LEAF_CHECK(
+            startLog(e.Settings.Log, e.Settings.VmName, e.Settings.ZoneName));
+        return startParts(e);
+      },
+      [&] {
+        logChange({LogLevel::Info, Step::Settings, {}, "serving"});
+        int sig = 0;
+        sigwait(&stop, &sig);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopping"});
+        stopParts(e);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopped"});
+        stopLog();
+        return ExitCode::Ok;
+      },
+      [](const Error &err) {
+        std::fprintf(stderr, "zinnia-entry: %s\n", describe(err).c_str());
+        return ExitCode::Failed;
+      });
+}
+
+CommandLine commandLine(bool &checkonly) {
+  CommandLine line;
+  line.Program = "zinnia-entry";
+  line.Arguments = "SETTINGS.json";
+  line.Summary = "Takes callers' requests, asks schedulers for grants, and\n"
+                 "dispatches to endpoints.";
+  line.Options = {{"check-settings", "", "Check the settings and end",
+                   OptionTarget(&checkonly)}};
+  line.Ends = {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage};
+  return line;
 }
 
 } // namespace
 
 int main(int argc, char **argv) {
-  if (argc != 2) {
-    std::fputs("usage: zinnia-entry SETTINGS.json\n", stderr);
-    return ExitSettings;
+  bool checkonly = false;
+  const CommandLine line = commandLine(checkonly);
+  const ParsedCommand cmd = parseCommandLine(line, argc, argv);
+  if (cmd.Exit)
+    return toInt(*cmd.Exit);
+  if (cmd.Arguments.size() != 1) {
+    std::fputs(helpText(line).c_str(), stderr);
+    return toInt(ExitCode::Usage);
   }
   initHttpClient();
+  const std::string &file = cmd.Arguments[0];
   std::vector<SettingsFault> faults;
-  return handle([&] { return loadEntrySettings(argv[1], faults); },
-                [](EntrySettings s) { return serve(std::move(s)); },
-                [&](const Error &) {
-                  std::fputs(describe(argv[1], faults).c_str(), stderr);
-                  return ExitSettings;
-                });
+  const ExitCode end =
+      handle([&] { return loadEntrySettings(file, faults); },
+             [&](EntrySettings s) {
+               return checkonly ? ExitCode::Ok : serve(std::move(s));
+             },
+             [&](const Error &) {
+               std::fputs(describe(file, faults).c_str(), stderr);
+               return ExitCode::Usage;
+             });
+  return toInt(end);
 }
--- a/schema/zinnia.capnp
+++ b/schema/zinnia.capnp
@@ -64,6 +64,7 @@
   dispatched @8 :Bool;
   refused @9 :Bool;
   broken @10 :Bool;
+  cancelled @11 :Bool;
 }
 
 # Served by each entry to the other entries.
--- a/schema/zinnia.capnp.h
+++ b/schema/zinnia.capnp.h
@@ -1136,6 +1136,8 @@
 
   inline bool getBroken() const;
 
+  inline bool getCancelled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1205,6 +1207,9 @@
   inline bool getBroken();
   inline void setBroken(bool value);
 
+  inline bool getCancelled();
+  inline void setCancelled(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4244,6 +4249,20 @@
       ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantReturn::Reader::getCancelled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantReturn::Builder::getCancelled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS);
+}
+inline void GrantReturn::Builder::setCancelled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<163>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Scheduler::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/adapt/wire.cpp
+++ b/src/adapt/wire.cpp
@@ -113,6 +113,7 @@
   to.setDispatched(from.Dispatched);
   to.setRefused(from.Refused);
   to.setBroken(from.Broken);
+  to.setCancelled(from.Cancelled);
 }
 
 GrantReturn read(wire::GrantReturn::Reader from) {
@@ -128,6 +129,7 @@
   r.Dispatched = from.getDispatched();
   r.Refused = from.getRefused();
   r.Broken = from.getBroken();
+  r.Cancelled = from.getCancelled();
   return r;
 }
 
--- a/src/adapt/worker.cpp
+++ b/src/adapt/worker.cpp
@@ -523,7 +523,7 @@
   const ReadGuard guard;
   const EndpointSpec *ep =
       findEndpoint(Opt.Shared->InForce.read(guard), ret.Endpoint);
-  if (!ep)
+  if (!ep || ret.Cancelled)
     return;
   const EvidenceKey key{ep->Pool, a.Version, ep->Id, c.Asked.Admitted.Route,
                         loadOf(*ep, Opt.Shared->Endpoints.read(guard))};
--- a/src/decide/dispatch.cpp
+++ b/src/decide/dispatch.cpp
@@ -15,6 +15,7 @@
   NoConnect, ///< Likewise, since the endpoint could not be reached.
   Refused,   ///< The endpoint refused before running it.
   Broken,    ///< It may have run, and gave no whole answer.
+  Cancelled, ///< It may have run, and this side ended it.
   Answered,  ///< The answer is whole.
 };
 
@@ -74,6 +75,7 @@
   GrantReturn ret = unused(*d.Held);
   ret.Broken = failedAtEndpoint(d, end);
   ret.Refused = end == AttemptEnd::Refused;
+  ret.Cancelled = end == AttemptEnd::Cancelled;
   ret.Dispatched = end != AttemptEnd::Unsent && end != AttemptEnd::NoConnect;
   if (!ret.Dispatched)
     return ret;
@@ -90,7 +92,7 @@
 void noteBreaker(const Dispatch &d, Dispatcher &w, const GrantReturn &ret,
                  AttemptEnd end, Time now) {
   constexpr std::uint32_t FixedUnits = 64;
-  if (end == AttemptEnd::Unsent)
+  if (end == AttemptEnd::Unsent || end == AttemptEnd::Cancelled)
     return noteUnused(w.Breakers, ret.Endpoint);
   const Admission &adm = d.Work.Admitted;
   const bool first = isStream(d);
@@ -113,7 +115,8 @@
   d.Refusals += end == AttemptEnd::Refused ? 1 : 0;
   if (ret.Broken || ret.Refused)
     d.Avoid = ret.Endpoint;
-  d.MayHaveRun |= end == AttemptEnd::Broken || end == AttemptEnd::Answered;
+  d.MayHaveRun |= end == AttemptEnd::Broken || end == AttemptEnd::Answered ||
+                  end == AttemptEnd::Cancelled;
   d.Held.reset();
 }
 
@@ -277,8 +280,8 @@
                                     tell && d.Work.Engine && isSent(d)});
 }
 
-/// Ends the request wherever it is.
-void abandon(Dispatch &d, Dispatcher &w, Error err, Time now,
+/// Ends the request wherever it is; an attempt that was sent ends as \p end.
+void abandon(Dispatch &d, Dispatcher &w, AttemptEnd end, Error err, Time now,
              DispatchActions &out) {
   if (d.Phase == DispatchPhase::Asking)
     out.emplace_back(CancelTicket{d.Current.Attempt, d.Scheduler});
@@ -286,10 +289,7 @@
   if (d.Phase == DispatchPhase::Connecting ||
       d.Phase == DispatchPhase::Answering || sent)
     stopTransfer(d, true, out);
-  if (!sent)
-    endAttempt(d, w, AttemptEnd::Unsent, now, out);
-  else
-    endAttempt(d, w, AttemptEnd::Broken, now, out);
+  endAttempt(d, w, sent ? end : AttemptEnd::Unsent, now, out);
   giveUp(d, std::move(err), out);
 }
 
@@ -344,7 +344,7 @@
     d.Head->Status = Ok;
     return;
   }
-  abandon(d, w,
+  abandon(d, w, AttemptEnd::Broken,
           {ErrorCode::Broken, Step::Answer, {}, "the stream was not resumed"},
           now, out);
 }
@@ -368,7 +368,7 @@
     d.Body.append(part);
     return;
   }
-  abandon(d, w,
+  abandon(d, w, AttemptEnd::Cancelled,
           {ErrorCode::TooLarge, Step::Answer, {}, "the answer is too large"},
           now, out);
 }
@@ -387,7 +387,8 @@
 
 void onDeadline(Dispatch &d, Dispatcher &w, Time now, DispatchActions &out) {
   Error err{ErrorCode::TimedOut, stepOf(d), {}, "the deadline has passed"};
-  abandon(d, w, std::move(err), now, out);
+  // An endpoint that runs out the deadline is as bad as one that breaks.
+  abandon(d, w, AttemptEnd::Broken, std::move(err), now, out);
 }
 
 void onSilence(Dispatch &d, Dispatcher &w, Time now, DispatchActions &out) {
@@ -562,15 +563,15 @@
   const bool cancels = d.Work.Engine || d.Work.Admitted.Idempotent;
   if (d.Phase == DispatchPhase::Answering && !cancels)
     return; // It runs to its end, so that its claim tells how it ended.
-  abandon(d, w, {ErrorCode::Gone, Step::Reply, {}, "the caller has left"}, now,
-          out);
+  abandon(d, w, AttemptEnd::Cancelled,
+          {ErrorCode::Gone, Step::Reply, {}, "the caller has left"}, now, out);
 }
 
 void onStop(Dispatch &d, Dispatcher &w, Time now, DispatchActions &out) {
   if (d.Phase == DispatchPhase::Done || d.Phase == DispatchPhase::New)
     return;
-  abandon(d, w, {ErrorCode::Stopping, stepOf(d), {}, "this process stops"}, now,
-          out);
+  abandon(d, w, AttemptEnd::Cancelled,
+          {ErrorCode::Stopping, stepOf(d), {}, "this process stops"}, now, out);
 }
 
 void onTime(Dispatch &d, Dispatcher &w, Time now, DispatchActions &out) {
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -389,10 +389,10 @@
     return;
   const OpenGrant og = *closeGrant(s, ret.Attempt, now);
   ++s.Counts.Returned;
-  if (ret.Dispatched)
-    learnFrom(s, og, ret, now);
-  else
+  if (!ret.Dispatched)
     ++s.Counts.Unused;
+  else if (!ret.Cancelled)
+    learnFrom(s, og, ret, now);
   updateRoom(s, og.Account, now);
 }
 
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -380,3 +380,16 @@
     noteUse(list, {id, false, 30ms}, now);
   CHECK_FALSE(mayTry(list, id, now));
 }
+
+TEST_CASE("a caller who leaves says nothing against the endpoint",
+          "[dispatch]") {
+  Bench b(true, false, true);
+  b.grant();
+  REQUIRE(b.leave());
+  b.head(200, false, true);
+  b.part("data: {}\n\n");
+  onCallerGone(b.One, b.Worker, b.Now, b.Out);
+  CHECK_FALSE(b.last<GiveBack>().Return.Broken);
+  CHECK(b.last<GiveBack>().Return.Cancelled);
+  CHECK(b.last<FinishRequest>().Result == Outcome::Unknown);
+}
