--- a/include/zinniagauge/decide/schedule.h
+++ b/include/zinniagauge/decide/schedule.h
@@ -128,7 +128,6 @@
   DrainRate Drain;
   Time Latest; // The latest time that any call was told.
   std::array<Time, MaxTiers> SmallSeen; // The last small ticket let in.
-  std::array<Time, MaxTiers> LateSeen;  // The last ticket refused as too late.
   std::uint64_t Steps = 0;
   std::uint32_t ScanFrom = 0; // Where the next look over WithRoom starts.
   ScheduleCounts Counts;
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -21,15 +21,11 @@
 constexpr double LeastDecodeWeight = 0.01;
 
 /// A ticket holds out for its prefix at most this share of its spare time.
-constexpr double HoldShare = 0.1;
+constexpr double HoldShare = 0.15;
 
 /// In the busiest pool a second of prefill is worth so many of waiting.
 constexpr double MostHold = 32;
 
-/// A tier that has refused tickets as too late within this time doesn't hold
-/// out: what it passes up goes to lower tiers, and it has nothing to spare.
-constexpr Duration LateWindow = std::chrono::seconds(5);
-
 /// While small tickets have come within this time, room is kept for them.
 constexpr Duration SmallWindow = std::chrono::seconds(10);
 
@@ -285,9 +281,7 @@
 
 bool holdsOut(const Scheduler &s, const QueuedTicket &q, Time now) {
   const Prefix *p = prefixOf(s, q.Asked);
-  const Time late =
-      s.LateSeen[std::min<std::size_t>(q.Asked.Rank.Rank, MaxTiers - 1)];
-  if (!p || (late != Time{} && now - late < LateWindow))
+  if (!p)
     return false;
   const Duration saved =
       serviceTime(s.Board.Fastest, savedTokens(*p, q.Asked.PromptTokens), 0);
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -127,11 +127,6 @@
   learnPrefix(s, og, ret, now);
 }
 
-void noteLate(Scheduler &s, const Ticket &t) noexcept {
-  ++s.Counts.LateTickets;
-  s.LateSeen[indexOf(t.Rank)] = s.Latest;
-}
-
 void refuse(Scheduler &s, TicketIndex idx, RefusalReason reason,
             ScheduleChanges &out) {
   const Ticket t = s.Queue.Tickets[idx].Asked;
@@ -140,7 +135,7 @@
   if (reason == RefusalReason::Shed)
     ++s.Counts.ShedTickets;
   else if (reason == RefusalReason::TooLate)
-    noteLate(s, t);
+    ++s.Counts.LateTickets;
   else
     ++s.Counts.UnplacedTickets;
 }
