Turn the ring after each turn, and learn faster from probes

Cause, each shown by a test that failed first: the line in front got credit again before the others (workspaces of weight 2 and 3 got 0 of 120 grants); a drain rate of 0.3 tokens a second was taken from the quiet time before the first ticket, so queued tickets were refused; a recovered endpoint stayed four times too slow in the books (burst of 8: 4 granted).

--- a/include/zinniagauge/decide/fit.h
+++ b/include/zinniagauge/decide/fit.h
@@ -51,6 +51,7 @@
   std::array<Usage, SizeClassCount> Own; // By size class.
   Speed Learnt;
   Time LastGrant;
+  Time LastSample;            // Of its speed.
   Time NotBefore;             // After a failure it gets nothing until then.
   std::uint32_t Failures = 0; // In a row.
 
--- a/include/zinniagauge/decide/queue.h
+++ b/include/zinniagauge/decide/queue.h
@@ -45,7 +45,6 @@
 /// The tickets of one workspace in one lane.
 struct Line {
   WorkspaceId Workspace;
-  std::uint32_t Weight = 1;
   std::int64_t Deficit = 0; // In tokens; at zero and below it must wait.
   std::set<std::pair<Time, TicketIndex>> ByDeadline;
 };
@@ -127,7 +126,7 @@
 /// an endpoint better, with the latest deadline of each line. Gives lines their
 /// credit. Returns the part of \p buf that was written; empty only if the lane
 /// is.
-[[nodiscard]] std::span<TicketIndex> nextOf(Lane &lane,
+[[nodiscard]] std::span<TicketIndex> nextOf(const TicketQueue &q, Lane &lane,
                                             std::span<TicketIndex> buf);
 
 /// The ticket to shed: of the lowest tier that waits, of the workspace with
--- a/include/zinniagauge/decide/speed.h
+++ b/include/zinniagauge/decide/speed.h
@@ -21,8 +21,10 @@
 [[nodiscard]] Speed statedSpeed(const EndpointSpec &ep) noexcept;
 
 /// Learns from \p ret; \p asked are the output tokens that were estimated, for
-/// services that report none.
-void learn(Speed &sp, const GrantReturn &ret, std::uint32_t asked) noexcept;
+/// services that report none. If what is known is \p stale, the new sample
+/// counts for more.
+void learn(Speed &sp, const GrantReturn &ret, std::uint32_t asked,
+           bool stale) noexcept;
 
 /// Learns that \p output tokens and the prompt weren't done after \p elapsed.
 /// Says nothing unless that is longer than expected.
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -34,7 +34,7 @@
 
 /// An endpoint this much slower than the fastest one is probed when its turn
 /// comes, since its cost alone would never let it be chosen.
-constexpr double SlowFactor = 4.0;
+constexpr double SlowFactor = 1.5;
 
 /// A probe must leave a ticket so many times the fastest service time.
 constexpr int ProbeSlack = 4;
--- a/src/decide/queue.cpp
+++ b/src/decide/queue.cpp
@@ -63,7 +63,6 @@
   if (added) {
     Line line;
     line.Workspace = it.Asked.Workspace;
-    line.Weight = weightOf(q, line.Workspace);
     pos->second = lane.Ring.insert(lane.Ring.end(), std::move(line));
   }
   pos->second->ByDeadline.insert({it.Deadline, idx});
@@ -85,17 +84,20 @@
     lane.Served += tokens;
     line.Deficit -= tokens;
   }
-  if (!line.ByDeadline.empty())
+  if (!line.ByDeadline.empty()) {
+    if (granted && line.Deficit <= 0) // It has had its turn.
+      lane.Ring.splice(lane.Ring.end(), lane.Ring, pos->second);
     return;
+  }
   lane.Ring.erase(pos->second);
   lane.ByWorkspace.erase(pos);
 }
 
 /// Gives credit to lines in turn until the first one has some.
-void turnRing(Lane &lane) {
+void turnRing(const TicketQueue &q, Lane &lane) {
   while (lane.Ring.front().Deficit <= 0) {
     Line &line = lane.Ring.front();
-    line.Deficit += std::int64_t{lane.Largest} * line.Weight;
+    line.Deficit += std::int64_t{lane.Largest} * weightOf(q, line.Workspace);
     if (line.Deficit <= 0)
       lane.Ring.splice(lane.Ring.end(), lane.Ring, lane.Ring.begin());
   }
@@ -176,10 +178,11 @@
   return busy;
 }
 
-std::span<TicketIndex> nextOf(Lane &lane, std::span<TicketIndex> buf) {
+std::span<TicketIndex> nextOf(const TicketQueue &q, Lane &lane,
+                              std::span<TicketIndex> buf) {
   if (lane.Count == 0)
     return buf.first(0);
-  turnRing(lane);
+  turnRing(q, lane);
   std::size_t n = 0;
   std::size_t lines = 0;
   for (const Line &line : lane.Ring) {
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -15,6 +15,7 @@
 /// The time over which the drain rate is taken, and the weight of the newest.
 constexpr Duration DrainWindow = std::chrono::milliseconds(500);
 constexpr double DrainAlpha = 0.3;
+constexpr int MostWindows = 4;
 
 /// What a lower tier is thought to get of a pool at the least.
 constexpr double LeastShare = 0.02;
@@ -26,10 +27,6 @@
 /// How many tickets are looked at for one whose prefix an endpoint holds.
 constexpr std::size_t LookAhead = 32;
 
-/// The first in line lets others pass for their prefixes' sake only while it
-/// has so many times its service time left.
-constexpr int PassSlack = 3;
-
 std::size_t indexOf(Tier t) noexcept {
   return std::min<std::size_t>(t.Rank, MaxTiers - 1);
 }
@@ -123,7 +120,9 @@
   }
   acc.Failures = 0;
   acc.NotBefore = {};
-  learn(acc.Learnt, ret, og.OutputTokens);
+  const bool stale = now - acc.LastSample > s.Policy.ProbeAfter;
+  learn(acc.Learnt, ret, og.OutputTokens, stale);
+  acc.LastSample = now;
   learnPrefix(s, og, ret, now);
 }
 
@@ -297,14 +296,11 @@
 }
 
 /// The first in line goes where it is served soonest, unless one close behind
-/// it finds its prefix where there is room and the first has time to wait. If
-/// only endpoints have room that are too slow for the first, one with more time
-/// left goes there.
+/// it finds its prefix where there is room; the line pays for that with its
+/// credit. If only endpoints have room that are too slow for the first, one
+/// with more time left goes there.
 Match match(Scheduler &s, std::span<const TicketIndex> next, Time now) {
-  const QueuedTicket &first = s.Queue.Tickets[next.front()];
-  const Duration slack = first.Deadline - now;
-  const bool maypass = slack > leastService(s, first.Asked) * PassSlack;
-  const Match m = matchPrefix(s, maypass ? next : next.first(1), now);
+  const Match m = matchPrefix(s, next, now);
   if (m.Account)
     return m;
   for (const TicketIndex idx : next) {
@@ -321,7 +317,7 @@
 bool serveLane(Scheduler &s, const ScheduleView &view, Lane &lane, Time now,
                ScheduleChanges &out) {
   std::array<TicketIndex, LookAhead> buf{};
-  const auto next = nextOf(lane, buf);
+  const auto next = nextOf(s.Queue, lane, buf);
   if (isTooLate(s, s.Queue.Tickets[next.front()], now)) {
     refuse(s, next.front(), RefusalReason::TooLate, out);
     return true;
@@ -363,6 +359,9 @@
   const Duration span = now - d.WindowStart;
   if (span < DrainWindow)
     return;
+  // A long span was quiet, so it says nothing either.
+  if (span > DrainWindow * MostWindows)
+    d.Backlogged = false;
   const double seconds = std::chrono::duration<double>(span).count();
   double all = 0;
   for (std::size_t i = 0; i < MaxTiers; ++i) {
@@ -370,7 +369,7 @@
     d.ByTier[i] += DrainAlpha * (rate - d.ByTier[i]);
     all += rate;
   }
-  if (d.Backlogged || all > d.Rate)
+  if (d.Backlogged || (d.Rate > 0 && all > d.Rate))
     d.Rate = d.Rate <= 0 ? all : d.Rate + DrainAlpha * (all - d.Rate);
   d.Window = {};
   d.WindowStart = now;
--- a/src/decide/speed.cpp
+++ b/src/decide/speed.cpp
@@ -13,22 +13,22 @@
 /// The weight of a new sample.
 constexpr double Alpha = 0.2;
 
-/// The weight of a sample that is far below the average, so that an endpoint
-/// which recovered is soon trusted again.
-constexpr double RecoveryAlpha = 0.7;
-constexpr double RecoveryShare = 0.5;
+/// Its weight if there has been none for a while, as after a probe.
+constexpr double StaleAlpha = 0.8;
 
 /// Below this many computed tokens the time to the first one says more about
 /// the way there than about the engine.
 constexpr std::uint32_t LeastPrefill = 64;
 
-void blend(double &avg, double sample, bool first) noexcept {
-  if (first || avg <= 0) {
-    avg = sample;
-    return;
-  }
-  const double a = sample < avg * RecoveryShare ? RecoveryAlpha : Alpha;
-  avg += a * (sample - avg);
+void blend(double &avg, double sample, double alpha) noexcept {
+  avg = avg <= 0 ? sample : avg + alpha * (sample - avg);
+}
+
+/// The weight of the next sample; the first one stands alone.
+double alphaOf(const Speed &sp, bool stale) noexcept {
+  if (sp.Samples == 0)
+    return 1;
+  return stale ? StaleAlpha : Alpha;
 }
 
 double nanos(Duration d) noexcept { return static_cast<double>(d.count()); }
@@ -44,19 +44,20 @@
   return sp;
 }
 
-void learn(Speed &sp, const GrantReturn &ret, std::uint32_t asked) noexcept {
-  const bool first = sp.Samples == 0;
+void learn(Speed &sp, const GrantReturn &ret, std::uint32_t asked,
+           bool stale) noexcept {
+  const double alpha = alphaOf(sp, stale);
   const std::uint32_t computed =
       ret.PromptTokens - std::min(ret.PromptTokens, ret.CachedTokens);
   if (ret.OutputTokens == 0) {
-    blend(sp.TokenNanos, nanos(ret.Total) / std::max(asked, 1U), first);
+    blend(sp.TokenNanos, nanos(ret.Total) / std::max(asked, 1U), alpha);
     ++sp.Samples;
     return;
   }
   if (computed >= LeastPrefill && ret.FirstToken > Duration::zero())
-    blend(sp.PrefillNanos, nanos(ret.FirstToken) / computed, first);
+    blend(sp.PrefillNanos, nanos(ret.FirstToken) / computed, alpha);
   const Duration decode = std::max(ret.Total - ret.FirstToken, Duration(0));
-  blend(sp.TokenNanos, nanos(decode) / ret.OutputTokens, first);
+  blend(sp.TokenNanos, nanos(decode) / ret.OutputTokens, alpha);
   ++sp.Samples;
 }
 
@@ -65,7 +66,7 @@
   if (elapsed <= serviceTime(sp, prompt, output))
     return;
   const double decode = nanos(elapsed) - sp.PrefillNanos * prompt;
-  blend(sp.TokenNanos, decode / std::max(output, 1U), sp.Samples == 0);
+  blend(sp.TokenNanos, decode / std::max(output, 1U), alphaOf(sp, false));
   ++sp.Samples;
 }
 
