Add zinniactl and prove approvals across processes

Cause: operators approve bundles from a terminal, and two of them may race. zinniactl checks, proposes, approves, shows, compares and lists bundles; an agent's refusal is printed with step, peer and mend, a conflict ends 4. Ruled out: reading the outcome from the transaction's answer alone, which a lost answer makes a false failure; it is read back from the history row. Conclusion: one head after a race, a lost answer (closed or silent) ends in success once, an outage changes nothing and says so.

--- /dev/null
+++ b/programs/zinniactl.cpp
@@ -0,0 +1,58 @@
+// zinniactl: the operators' command line.
+
+#include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/http_client.h"
+#include "zinniagauge/adapt/operator_commands.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace zinniagauge;
+
+namespace {
+
+constexpr const char *KeyVariable = "ZINNIA_KEY";
+
+constexpr const char *Summary =
+    "Commands:\n"
+    "  bundle check FILE          check a bundle's text; no agent is asked\n"
+    "  bundle propose FILE        store it as a proposal; prints its digest\n"
+    "  bundle approve DIGEST      put the proposal with this digest in force\n"
+    "  bundle show [NAME]         print a text: head, a version or a digest\n"
+    "  bundle diff [OLD] NEW      compare two; files or names; OLD: the head\n"
+    "  bundle history             approved versions, newest first, and by "
+    "whom\n"
+    "  status                     this VM, its entry, members and moves\n"
+    "  move status NAME           how far a version move is\n"
+    "  move take-back NAME        end a version move by taking it back\n"
+    "  drain ENDPOINT             give an endpoint no new requests\n"
+    "The key may be given as ZINNIA_KEY in the environment instead.";
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CommandOptions opt;
+  opt.AgentUrl = "http://127.0.0.1:18041";
+  const CommandLine line{
+      "zinniactl",
+      "COMMAND ...",
+      Summary,
+      {{"agent", "URL", "An agent's operator API", &opt.AgentUrl},
+       {"key", "KEY", "The operator's key", &opt.Key},
+       {"parent", "VERSION", "Propose on this head; else on the present one",
+        &opt.Parent},
+       {"limit", "N", "How much history to print", &opt.Limit},
+       {"json", "", "Print JSON", &opt.Json}},
+      {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage, ExitCode::Unreachable,
+       ExitCode::Conflict}};
+  const ParsedCommand cmd = parseCommandLine(line, argc, argv);
+  if (cmd.Exit)
+    return toInt(*cmd.Exit);
+  if (opt.Key.empty() && std::getenv(KeyVariable))
+    opt.Key = std::getenv(KeyVariable);
+  initHttpClient();
+  const CommandResult res = runCommand(opt, cmd.Arguments);
+  std::fputs(res.Out.c_str(), stdout);
+  std::fputs(res.Err.c_str(), stderr);
+  return toInt(res.Exit);
+}
--- /dev/null
+++ b/tests/process/bundle_test.cpp
@@ -0,0 +1,154 @@
+#include "support/nodes.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *Bin = ZINNIA_BINARY_DIR;
+
+/// The demo's bundle with another weight, so that texts differ.
+std::string bundleText(int weight) {
+  std::ifstream in(ZINNIA_SOURCE_DIR "/examples/demo/bundle.json");
+  json val = json::parse(in);
+  val["workspaces"][0]["weight"] = weight;
+  return val.dump(1);
+}
+
+/// Two nodes in two zones over one platform.
+struct Pair {
+  ScratchFolder Folder;
+  PlatformProcess Platform{Bin};
+  std::vector<Node> Nodes =
+      makeNodes(Folder, Platform.Url, {"vm-a", "vm-b"}, {"cuenca", "gualaceo"});
+
+  Pair() {
+    for (Node &it : Nodes) {
+      startNode(it, Bin);
+      REQUIRE(waitForStatus(it.operatorUrl() + "/v1/status", 401));
+    }
+  }
+
+  [[nodiscard]] ProgramResult run(std::size_t node, std::string_view key,
+                                  std::vector<std::string> words) const {
+    return ctl(Nodes[node], Bin, key, std::move(words));
+  }
+
+  /// Proposes on the present head; returns the digest.
+  [[nodiscard]] std::string propose(std::size_t node, std::string_view key,
+                                    int weight) const {
+    const std::string file = Folder.write(
+        "bundle-" + std::to_string(weight) + ".json", bundleText(weight));
+    const ProgramResult res =
+        run(node, key, {"--json", "bundle", "propose", file});
+    INFO(res.Output);
+    REQUIRE(res.Exit == 0);
+    return json::parse(res.Output).at("digest").get<std::string>();
+  }
+
+  [[nodiscard]] bool reachesEntries(std::int64_t version) const {
+    return std::all_of(Nodes.begin(), Nodes.end(), [&](const Node &it) {
+      return waitUntil(
+          [&] { return statusNumber(it, "/entry/bundle_version") == version; });
+    });
+  }
+
+  [[nodiscard]] json history() const {
+    const ProgramResult res =
+        run(0, FirstOperatorKey, {"--json", "bundle", "history"});
+    return json::parse(res.Output);
+  }
+};
+
+} // namespace
+
+TEST_CASE("an approved bundle reaches the entries", "[process][bundle]") {
+  const Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  CHECK(statusNumber(p.Nodes[0], "/bundle_version") == 0);
+  CHECK(p.run(0, SecondOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  CHECK(p.reachesEntries(1));
+  const json list = p.history();
+  REQUIRE(list.size() == 1);
+  CHECK(list[0].at("proposed_by") == "marija");
+  CHECK(list[0].at("approved_by") == "tomas");
+  CHECK(list[0].at("digest") == digest);
+  CHECK(p.run(1, FirstOperatorKey, {"bundle", "show"}).Output == bundleText(2));
+}
+
+TEST_CASE("of two operators who race to approve one gets a conflict",
+          "[process][bundle]") {
+  const Pair p;
+  const std::vector<std::string> digests = {p.propose(0, FirstOperatorKey, 2),
+                                            p.propose(1, SecondOperatorKey, 3)};
+  std::vector<ProgramResult> res(2);
+  std::thread other([&] {
+    res[1] = p.run(1, SecondOperatorKey, {"bundle", "approve", digests[1]});
+  });
+  res[0] = p.run(0, FirstOperatorKey, {"bundle", "approve", digests[0]});
+  other.join();
+  INFO(res[0].Output << res[1].Output);
+  const std::size_t won = res[0].Exit == 0 ? 0 : 1;
+  CHECK(res[won].Exit == 0);
+  CHECK(res[1 - won].Exit == 4);
+  CHECK(res[1 - won].Output.find("conflict") != std::string::npos);
+  REQUIRE(p.history().size() == 1);
+  CHECK(p.history()[0].at("digest") == digests[won]);
+  CHECK(p.reachesEntries(1));
+}
+
+TEST_CASE("a lost answer to an approval is settled by reading back",
+          "[process][bundle]") {
+  const Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  const bool silent = GENERATE(false, true);
+  REQUIRE(p.Platform.faults(json{
+      {"service", "table"},
+      {"silent", silent},
+      {"lost_answers", 1}}.dump()));
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  CHECK(json::parse(p.Platform.counts()).at("table").at("lost") == 1);
+  CHECK(p.history().size() == 1);
+  CHECK(p.reachesEntries(1));
+}
+
+TEST_CASE("an approval during an outage changes nothing, and says so",
+          "[process][bundle]") {
+  const Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  REQUIRE(p.Platform.faults(R"({"service": "table", "outage": true})"));
+  const ProgramResult res =
+      p.run(0, FirstOperatorKey, {"bundle", "approve", digest});
+  CHECK(res.Exit == 3);
+  CHECK(res.Output.find("nothing was changed") != std::string::npos);
+  REQUIRE(p.Platform.faults(R"({"service": "table", "outage": false})"));
+  CHECK(p.history().empty());
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+}
+
+TEST_CASE("wrong keys, texts and names are refused with their mend",
+          "[process][bundle]") {
+  const Pair p;
+  CHECK(p.run(0, "wrong", {"status"}).Exit == 1);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "show"}).Exit == 1);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", std::string(64, '0')})
+            .Exit == 1);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "aprove"}).Exit == 2);
+  const std::string file = p.Folder.write("wrong.json", R"({"tiers": 1})");
+  const ProgramResult res =
+      p.run(0, FirstOperatorKey, {"bundle", "propose", file});
+  CHECK(res.Exit == 2);
+  CHECK(res.Output.find("/tiers: must be an array") != std::string::npos);
+  const std::vector<Node> gone =
+      makeNodes(p.Folder, p.Platform.Url, {"vm-c"}, {"paute"});
+  CHECK(ctl(gone[0], Bin, FirstOperatorKey, {"status"}).Exit == 3);
+}
