--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -1,72 +1,84 @@
 #include "zinniagauge/adapt/http_server.h"
+#include "zinniagauge/adapt/mailbox.h"
 
-#include "http_connection.h"
-
-#include "zinniagauge/time/timer_service.h"
-
-#include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/http_headers.h>
+#include <pistache/listener.h>
 #include <pistache/peer.h>
+#include <pistache/transport.h>
 
-#include <fcntl.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <sys/timerfd.h>
 
-#include <algorithm>
-#include <array>
-#include <cstdio>
+#include <atomic>
+#include <optional>
+#include <unordered_map>
 #include <utility>
+#include <variant>
 
 namespace zinniagauge {
 
 namespace http = Pistache::Http;
 
-using impl::ArrivedRequest;
-using impl::ConnectionPhase;
-using impl::HttpConnection;
-using impl::HttpKeeper;
-using impl::KeeperMessage;
-using impl::ReadPhase;
-
 namespace {
 
-/// Pistache's own timeouts are set out of reach, because they also end requests
-/// that run; the keeper enforces ours.
-constexpr Duration Never = std::chrono::hours(24 * 365);
-
-constexpr Duration LongestSweep = std::chrono::seconds(1);
-constexpr Duration ShortestSweep = std::chrono::milliseconds(20);
+/// The size at which Pistache flushes a stream by itself; parts are flushed one
+/// by one, so it only bounds a single part.
+constexpr std::size_t StreamBytes = std::size_t{1} << 20U;
 
-/// What the threads and replies of one server share. Replies may outlive the
-/// server.
-struct Hub {
-  Hub(const HttpServerOptions &opt, HttpHandlers handlers)
-      : Handlers(std::move(handlers)), Keeper(opt) {}
+std::string_view methodName(http::Method m) { return http::methodString(m); }
 
-  const HttpHandlers Handlers;
-  HttpKeeper Keeper;
-  std::atomic<bool> Stopped{false};
-};
-
-ArrivedRequest readRequest(const http::Request &req, std::uint64_t id) {
-  ArrivedRequest out;
-  HttpRequest &to = out.Request;
-  to.Method = http::methodString(req.method());
-  to.Path = req.resource();
+HttpRequest readRequest(const http::Request &req, std::uint64_t connection) {
+  HttpRequest out;
+  out.Method = methodName(req.method());
+  out.Path = req.resource();
   const std::string query = req.query().as_str();
-  to.Query = query.empty() ? query : query.substr(1);
-  to.Body = req.body();
-  to.Connection = id;
+  out.Query = query.empty() ? query : query.substr(1);
+  out.Body = req.body();
+  out.Connection = connection;
   for (const auto &it : req.headers().rawList())
-    to.Headers.push_back({it.second.name(), it.second.value()});
-  out.Chunks = req.version() == http::Version::Http11;
-  const auto conn = req.headers().tryGet<http::Header::Connection>();
-  out.KeepOpen = out.Chunks;
-  if (conn && conn->control() == http::ConnectionControl::Close)
-    out.KeepOpen = false;
+    out.Headers.push_back({it.second.name(), it.second.value()});
   return out;
 }
 
+/// Any header of an answer. Pistache 0.0.5 leaves raw headers out of answers
+/// and writes only typed ones.
+class PlainHeader final : public http::Header::Header {
+public:
+  explicit PlainHeader(const HttpHeader &from) : Pair(from) {}
+
+  [[nodiscard]] const char *name() const override { return Pair.Name.c_str(); }
+  void write(std::ostream &out) const override { out << Pair.Value; }
+  [[nodiscard]] std::uint64_t hash() const override { return 0; }
+
+private:
+  HttpHeader Pair;
+};
+
+void addHeaders(http::Header::Collection &to,
+                std::span<const HttpHeader> headers) {
+  for (const HttpHeader &h : headers)
+    to.add(std::make_shared<PlainHeader>(h));
+}
+
+/// Whether the caller keeps the connection after the answer: HTTP/1.1 does
+/// unless it says close, HTTP/1.0 only if it says keep-alive.
+bool staysOpen(const http::Request &req) {
+  const auto said = req.headers().tryGet<http::Header::Connection>();
+  if (!said)
+    return req.version() == http::Version::Http11;
+  return said->control() == http::ConnectionControl::KeepAlive;
+}
+
+/// Pistache 0.0.5 answers "Connection: Close" unless the caller asked to keep
+/// the connection, though HTTP/1.1 keeps it unless the caller asks to close.
+void tellConnection(bool stays, http::Header::Collection &to) {
+  to.remove<http::Header::Connection>();
+  to.add(std::make_shared<PlainHeader>(
+      HttpHeader{"Connection", stays ? "keep-alive" : "close"}));
+}
+
 } // namespace
 
 std::string_view HttpRequest::header(std::string_view name) const noexcept {
@@ -77,297 +89,439 @@
   return {};
 }
 
+namespace {
+
+struct ReplyMessage;
+using ReplyBox = Mailbox<ReplyMessage>;
+
+/// One caller's connection. Its transport's thread and the replies to it share
+/// it, since either may end first.
+struct Connection {
+  std::atomic<bool> Open{true};
+  std::atomic<int> Answering{0}; // Requests that have no whole answer yet.
+  // The rest belongs to the transport's thread.
+  Time Since = monotonicNow(); // When it was last known to be active.
+  bool Served = false;         // It has sent a whole request.
+  bool Continued = false;      // It was told to go on with the body.
+};
+
+} // namespace
+
 struct HttpReply::State {
-  std::shared_ptr<HttpConnection> Connection;
-  std::shared_ptr<Hub> Server;
-  bool KeepOpen = true;
-  bool Chunks = true;
-  bool HeadOnly = false;
+  State(http::ResponseWriter w, std::shared_ptr<Connection> conn,
+        std::shared_ptr<ReplyBox> box, bool stays)
+      : Writer(std::move(w)), Conn(std::move(conn)), Box(std::move(box)),
+        Stays(stays) {}
+
+  // Used on the transport's thread only.
+  http::ResponseWriter Writer;
+  std::optional<http::ResponseStream> Stream;
+  // Used on any thread.
+  std::shared_ptr<Connection> Conn;
+  std::shared_ptr<ReplyBox> Box;
+  bool Stays; // The connection, after the answer.
+};
+
+namespace {
+
+/// Send a whole answer.
+struct SendWhole {
+  std::unique_ptr<HttpReply::State> St;
   int Status = 0;
-  std::vector<HttpHeader> Headers; // Kept for an answer that can't be chunked.
-  std::string Parts;               // Likewise.
-  bool Done = false;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+};
+
+/// Start a streamed answer. \p St lives until EndStream takes it over.
+struct StartStream {
+  HttpReply::State *St = nullptr;
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+};
 
-  [[nodiscard]] bool keepOpen() const {
-    return KeepOpen && !Connection->CloseAfter.load();
+/// Send a part of a streamed answer.
+struct SendPart {
+  HttpReply::State *St = nullptr;
+  std::string Part;
+};
+
+/// End a streamed answer, or one that was never given.
+struct EndStream {
+  std::unique_ptr<HttpReply::State> St;
+  bool Whole = false;
+};
+
+/// What replies tell the transport that serves their connection.
+struct ReplyMessage {
+  std::variant<SendWhole, StartStream, SendPart, EndStream> What;
+};
+
+void close(http::ResponseWriter &writer) {
+  if (const auto peer = writer.getPeer())
+    ::shutdown(peer->fd(), SHUT_RDWR);
+}
+
+/// Closes the connection once \p written is on its way.
+void closeAfter(Pistache::Async::Promise<ssize_t> written,
+                std::weak_ptr<Pistache::Tcp::Peer> to) {
+  written.then(
+      [to](ssize_t /*bytes*/) {
+        if (const auto peer = to.lock())
+          ::shutdown(peer->fd(), SHUT_WR);
+      },
+      [](const std::exception_ptr &) {});
+}
+
+void carryOut(SendWhole &msg) {
+  http::ResponseWriter &writer = msg.St->Writer;
+  addHeaders(writer.headers(), msg.Headers);
+  auto written = writer.send(static_cast<http::Code>(msg.Status),
+                             msg.Body.data(), msg.Body.size());
+  msg.St->Conn->Answering -= 1;
+  if (!msg.St->Stays)
+    closeAfter(std::move(written), writer.getPeer());
+}
+
+void carryOut(StartStream &msg) {
+  http::ResponseWriter &writer = msg.St->Writer;
+  addHeaders(writer.headers(), msg.Headers);
+  msg.St->Stream.emplace(
+      writer.stream(static_cast<http::Code>(msg.Status), StreamBytes));
+  msg.St->Stream->flush();
+}
+
+void carryOut(SendPart &msg) {
+  if (!msg.St->Stream)
+    return;
+  msg.St->Stream->write(msg.Part.data(),
+                        static_cast<std::streamsize>(msg.Part.size()));
+  msg.St->Stream->flush();
+}
+
+void carryOut(EndStream &msg) {
+  if (msg.Whole && msg.St->Stream)
+    msg.St->Stream->ends();
+  else
+    close(msg.St->Writer);
+  msg.St->Conn->Answering -= 1;
+}
+
+/// Bounds on what a caller may keep waiting.
+struct CallerLimits {
+  Duration Header = Duration::zero();
+  Duration Body = Duration::zero();
+  Duration KeepAlive = Duration::zero();
+};
+
+/// How often connections are looked through for silent callers, in seconds.
+constexpr long SweepSeconds = 1;
+
+/// Pistache's transport, mended in three points. Answers are written on the
+/// transport's own thread: from another one, an answer could be queued by file
+/// descriptor for a caller who has left and reach the next one, who got the
+/// same number. Each event is handled by itself, since Pistache 0.0.5 throws
+/// out of its thread when a caller leaves in mid-answer. And a caller who waits
+/// for an answer is never taken for an idle one.
+class Transport final : public Pistache::Tcp::Transport {
+public:
+  Transport(const std::shared_ptr<Pistache::Tcp::Handler> &handler,
+            CallerLimits limits)
+      : Pistache::Tcp::Transport(handler), Handler(handler), Limits(limits),
+        Box(std::make_shared<ReplyBox>()),
+        Timer(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+    const itimerspec every{{SweepSeconds, 0}, {SweepSeconds, 0}};
+    ::timerfd_settime(Timer, 0, &every, nullptr);
   }
-  bool write(std::string_view bytes) {
-    return impl::writeTo(Connection, Server->Keeper, bytes);
+  Transport(const Transport &) = delete;
+  Transport &operator=(const Transport &) = delete;
+  ~Transport() override { ::close(Timer); }
+
+  [[nodiscard]] std::shared_ptr<Pistache::Aio::Handler> clone() const override {
+    return std::make_shared<Transport>(Handler->clone(), Limits);
+  }
+
+  void registerPoller(Pistache::Polling::Epoll &poller) override {
+    Pistache::Tcp::Transport::registerPoller(poller);
+    watch(poller, Box->fd());
+    watch(poller, Timer);
+  }
+
+  void onReady(const Pistache::Aio::FdSet &fds) override;
+
+  /// The connection of \p peer, which has just sent a whole request.
+  std::shared_ptr<Connection> onWholeRequest(Pistache::Tcp::Peer &peer);
+
+  /// The peer's connection has closed.
+  void onClosed(Pistache::Tcp::Peer &peer);
+
+  [[nodiscard]] const std::shared_ptr<ReplyBox> &box() const noexcept {
+    return Box;
   }
-  void sendWhole(int status, std::span<const HttpHeader> headers,
-                 std::string_view body);
-  void finish(bool keepopen);
-  void abort();
+
+private:
+  static void watch(Pistache::Polling::Epoll &poller, int fd) {
+    using Pistache::Polling::NotifyOn;
+    poller.addFd(fd, Pistache::Flags<NotifyOn>(NotifyOn::Read),
+                 Pistache::Polling::Tag(static_cast<std::uint64_t>(fd)));
+  }
+  static void carryOutAll(ReplyMessage &msg);
+  void handOn(const Pistache::Aio::FdSet::Entry &entry);
+  std::shared_ptr<Connection> &connectionOf(int fd);
+  void tellContinue(int fd);
+  void refuseSlow(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
+  void sweep();
+  [[nodiscard]] bool overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                             Connection &conn, Time now) const;
+
+  std::shared_ptr<Pistache::Tcp::Handler> Handler; // As Pistache shares it.
+  CallerLimits Limits;
+  std::shared_ptr<ReplyBox> Box;
+  int Timer;
+  std::unordered_map<int, std::shared_ptr<Connection>> Connections;
 };
 
-namespace {
+void Transport::onReady(const Pistache::Aio::FdSet &fds) {
+  for (const auto &entry : fds) {
+    const auto fd = static_cast<int>(entry.getTag().value());
+    if (fd == Box->fd()) {
+      Box->takeAll(
+          [](std::unique_ptr<ReplyMessage> msg) { carryOutAll(*msg); });
+      flush();
+    } else if (fd == Timer) {
+      sweep();
+    } else {
+      handOn(entry);
+    }
+  }
+}
+
+void Transport::handOn(const Pistache::Aio::FdSet::Entry &entry) {
+  using Pistache::Polling::NotifyOn;
+  Pistache::Polling::Event ev(entry.getTag());
+  if (entry.isReadable())
+    ev.flags.setFlag(NotifyOn::Read);
+  if (entry.isWritable())
+    ev.flags.setFlag(NotifyOn::Write);
+  if (entry.isHangup())
+    ev.flags.setFlag(NotifyOn::Hangup);
+  std::vector<Pistache::Polling::Event> one;
+  one.push_back(ev);
+  try {
+    Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(std::move(one)));
+    if (entry.isReadable())
+      tellContinue(static_cast<int>(entry.getTag().value()));
+  } catch (const std::exception &) {
+    // A caller left in mid-answer; nothing is left to be done for it.
+  }
+}
 
-void deliver(const std::shared_ptr<Hub> &hub,
-             const std::shared_ptr<HttpConnection> &conn, ArrivedRequest req) {
-  if (hub->Stopped.load())
+void Transport::tellContinue(int fd) {
+  constexpr std::string_view GoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+  const auto it = peers.find(fd);
+  if (it == peers.end())
     return;
-  auto st = std::make_unique<HttpReply::State>();
-  st->Connection = conn;
-  st->Server = hub;
-  st->KeepOpen = req.KeepOpen;
-  st->Chunks = req.Chunks;
-  st->HeadOnly = req.Request.Method == "HEAD";
-  hub->Handlers.OnRequest(std::move(req.Request), HttpReply(std::move(st)));
-}
-
-/// Hands over a request that has arrived whole, or keeps it until the one that
-/// runs has ended.
-void accept(const std::shared_ptr<Hub> &hub,
-            const std::shared_ptr<HttpConnection> &conn, ArrivedRequest req) {
-  impl::touch(*conn);
-  auto idle = ConnectionPhase::Idle;
-  if (conn->Phase.compare_exchange_strong(idle, ConnectionPhase::Running)) {
-    deliver(hub, conn, std::move(req));
+  const auto parser = http::Handler::getParser(it->second);
+  if (parser->step()->id() != http::Private::BodyStep::Id)
     return;
-  }
-  conn->Next = std::move(req);
-  auto running = ConnectionPhase::Running;
-  if (conn->Phase.compare_exchange_strong(running, ConnectionPhase::NextHeld))
+  Connection &conn = *connectionOf(fd);
+  if (conn.Continued || !parser->request.headers().has<http::Header::Expect>())
     return;
-  idle = ConnectionPhase::Idle;
-  if (conn->Phase.compare_exchange_strong(idle, ConnectionPhase::Running))
-    deliver(hub, conn, *std::exchange(conn->Next, std::nullopt));
+  conn.Continued = true;
+  asyncWrite(fd, Pistache::RawBuffer(std::string(GoOn), GoOn.size()));
+  flush();
 }
 
-std::string chunkOf(std::string_view part) {
-  std::array<char, 20> size{};
-  const int n = std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
-  std::string chunk(size.data(), static_cast<std::size_t>(n));
-  return chunk.append(part).append("\r\n");
+void Transport::carryOutAll(ReplyMessage &msg) {
+  try {
+    std::visit([](auto &m) { carryOut(m); }, msg.What);
+  } catch (const std::exception &) {
+    // The caller has left: there is nobody to tell.
+  }
 }
 
-} // namespace
+std::shared_ptr<Connection> &Transport::connectionOf(int fd) {
+  std::shared_ptr<Connection> &conn = Connections[fd];
+  if (!conn)
+    conn = std::make_shared<Connection>();
+  return conn;
+}
 
-void HttpReply::State::sendWhole(int status,
-                                 std::span<const HttpHeader> headers,
-                                 std::string_view body) {
-  const bool keep = keepOpen();
-  std::string text = impl::answerHead(status, headers, keep, body.size());
-  if (!HeadOnly)
-    text += body;
-  write(text);
-  finish(keep);
-}
-
-void HttpReply::State::finish(bool keepopen) {
-  Done = true;
-  if (!keepopen) {
-    Connection->Phase.store(ConnectionPhase::Refused);
-    impl::touch(*Connection);
-    impl::endAfterWrites(Connection, Server->Keeper);
+std::shared_ptr<Connection>
+Transport::onWholeRequest(Pistache::Tcp::Peer &peer) {
+  std::shared_ptr<Connection> &conn = connectionOf(peer.fd());
+  conn->Answering += 1;
+  conn->Served = true;
+  conn->Continued = false;
+  conn->Since = monotonicNow();
+  return conn;
+}
+
+void Transport::onClosed(Pistache::Tcp::Peer &peer) {
+  const auto it = Connections.find(peer.fd());
+  if (it == Connections.end())
     return;
+  it->second->Open = false;
+  Connections.erase(it);
+}
+
+bool Transport::overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
+                        Connection &conn, Time now) const {
+  namespace impl = http::Private;
+  const auto id = http::Handler::getParser(peer)->step()->id();
+  const Duration waited = now - conn.Since;
+  if (id == impl::BodyStep::Id)
+    return waited > Limits.Header + Limits.Body;
+  if (id == impl::HeadersStep::Id || !conn.Served)
+    return waited > Limits.Header;
+  return waited > Limits.KeepAlive;
+}
+
+void Transport::sweep() {
+  std::uint64_t times = 0;
+  [[maybe_unused]] const auto n = ::read(Timer, &times, sizeof(times));
+  const Time now = monotonicNow();
+  for (const auto &it : peers) {
+    Connection &conn = *connectionOf(it.first);
+    if (conn.Answering > 0)
+      conn.Since = now;
+    else if (overdue(it.second, conn, now))
+      refuseSlow(it.second);
   }
-  impl::touch(*Connection);
-  auto running = ConnectionPhase::Running;
-  if (Connection->Phase.compare_exchange_strong(running, ConnectionPhase::Idle))
-    return;
-  ArrivedRequest next = *std::exchange(Connection->Next, std::nullopt);
-  Connection->Phase.store(ConnectionPhase::Running);
-  deliver(Server, Connection, std::move(next));
+  flush();
 }
 
-void HttpReply::State::abort() {
-  Done = true;
-  Connection->Phase.store(ConnectionPhase::Refused);
-  impl::touch(*Connection);
-  impl::cut(*Connection);
+void Transport::refuseSlow(const std::shared_ptr<Pistache::Tcp::Peer> &peer) {
+  const auto id = http::Handler::getParser(peer)->step()->id();
+  if (id == http::Private::RequestLineStep::Id) {
+    ::shutdown(peer->fd(), SHUT_RDWR);
+    return;
+  }
+  http::ResponseWriter writer(http::Version::Http11, this,
+                              static_cast<http::Handler *>(Handler.get()),
+                              peer);
+  tellConnection(false, writer.headers());
+  closeAfter(writer.send(http::Code::Request_Timeout), peer);
 }
 
+} // namespace
+
 HttpReply::HttpReply(std::unique_ptr<State> st) noexcept : St(std::move(st)) {}
 HttpReply::HttpReply(HttpReply &&) noexcept = default;
-HttpReply &HttpReply::operator=(HttpReply &&other) noexcept {
-  std::swap(St, other.St);
+
+HttpReply &HttpReply::operator=(HttpReply &&from) noexcept {
+  std::swap(St, from.St);
   return *this;
 }
 
 HttpReply::~HttpReply() {
-  if (St && !St->Done)
-    St->abort();
+  if (St)
+    abort();
+}
+
+namespace {
+
+template <typename T> void post(ReplyBox &box, T msg) {
+  auto owned = std::make_unique<ReplyMessage>();
+  owned->What = std::move(msg);
+  box.post(std::move(owned));
+}
+
+boost::leaf::error_id gone() {
+  return fail({ErrorCode::Gone, Step::Reply, {}, "the caller has left"});
 }
 
+} // namespace
+
 void HttpReply::send(int status, std::span<const HttpHeader> headers,
                      std::string_view body) {
-  St->sendWhole(status, headers, body);
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, SendWhole{std::move(St),
+                       status,
+                       {headers.begin(), headers.end()},
+                       std::string(body)});
 }
 
 Result<void> HttpReply::start(int status, std::span<const HttpHeader> headers) {
-  St->Status = status;
-  if (!St->Chunks) {
-    St->Headers.assign(headers.begin(), headers.end());
-    return {};
-  }
-  St->KeepOpen = St->keepOpen();
-  if (!St->write(impl::answerHead(status, headers, St->KeepOpen, {})))
-    return fail({ErrorCode::Gone, Step::Reply, {}, "the caller has left"});
+  if (!St->Conn->Open)
+    return gone();
+  post(*St->Box,
+       StartStream{St.get(), status, {headers.begin(), headers.end()}});
   return {};
 }
 
 Result<void> HttpReply::write(std::string_view part) {
-  if (part.empty() || St->HeadOnly)
-    return {};
-  if (!St->Chunks)
-    St->Parts += part;
-  else if (!St->write(chunkOf(part)))
-    return fail({ErrorCode::Gone, Step::Reply, {}, "the caller has left"});
+  if (!St->Conn->Open)
+    return gone();
+  post(*St->Box, SendPart{St.get(), std::string(part)});
   return {};
 }
 
 void HttpReply::end() {
-  if (!St->Chunks) {
-    St->sendWhole(St->Status, St->Headers, St->Parts);
-    return;
-  }
-  if (!St->HeadOnly)
-    St->write("0\r\n\r\n");
-  St->finish(St->KeepOpen);
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, EndStream{std::move(St), true});
 }
 
-void HttpReply::abort() { St->abort(); }
+void HttpReply::abort() {
+  const std::shared_ptr<ReplyBox> box = St->Box;
+  post(*box, EndStream{std::move(St), false});
+}
 
 namespace {
 
-/// Takes what Pistache accepted and read, and parses it by Pistache's parser.
 class Bridge final : public http::Handler {
 public:
   HTTP_PROTOTYPE(Bridge)
 
-  Bridge(std::shared_ptr<Hub> hub, std::size_t max)
-      : Server(std::move(hub)), MaxBytes(max) {}
-
-  void onRequest(const http::Request &, http::ResponseWriter) override {
-    // Never called: onInput hands requests over itself.
-  }
+  explicit Bridge(HttpHandlers handlers) : Handlers(std::move(handlers)) {}
 
-  void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override {
-    const int own = ::fcntl(peer->fd(), F_DUPFD_CLOEXEC, 0);
-    auto conn = std::make_shared<HttpConnection>(own, peer->getID(), MaxBytes);
-    // Pistache's own sweep looks for this one.
-    peer->putData(ParserData, std::make_shared<http::RequestParser>(0));
-    peer->putData(ConnectionData, conn);
-    Server->Keeper.post({KeeperMessage::Kind::Watch, std::move(conn), {}});
+  void onRequest(const http::Request &req,
+                 http::ResponseWriter writer) override {
+    const bool stays = staysOpen(req);
+    tellConnection(stays, writer.headers());
+    const auto peer = writer.getPeer();
+    if (!peer)
+      return;
+    Transport &own = served();
+    auto st = std::make_unique<HttpReply::State>(
+        std::move(writer), own.onWholeRequest(*peer), own.box(), stays);
+    Handlers.OnRequest(readRequest(req, peer->getID()),
+                       HttpReply(std::move(st)));
   }
 
   void
   onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override {
-    const auto conn = connectionOf(peer);
-    conn->Gone.store(true);
-    impl::cut(*conn);
-    if (Server->Handlers.OnGone && !Server->Stopped.load())
-      Server->Handlers.OnGone(peer->getID());
-  }
-
-  void onInput(const char *buffer, std::size_t len,
-               const std::shared_ptr<Pistache::Tcp::Peer> &peer) override {
-    const auto conn = connectionOf(peer);
-    const ConnectionPhase phase = conn->Phase.load();
-    if (phase == ConnectionPhase::Refused)
-      return;
-    if (phase == ConnectionPhase::NextHeld) {
-      conn->CloseAfter.store(true);
-      return;
-    }
-    try {
-      read(conn, {buffer, len});
-    } catch (const http::HttpError &ex) {
-      impl::refuse(conn, Server->Keeper, ex.code(), ex.reason());
-    } catch (const std::exception &ex) {
-      impl::refuse(conn, Server->Keeper, 400, ex.what());
-    }
+    served().onClosed(*peer);
+    if (Handlers.OnGone)
+      Handlers.OnGone(peer->getID());
   }
 
 private:
-  static constexpr const char *ConnectionData = "zinnia";
-
-  static std::shared_ptr<HttpConnection>
-  connectionOf(const std::shared_ptr<Pistache::Tcp::Peer> &peer) {
-    return std::static_pointer_cast<HttpConnection>(
-        peer->getData(ConnectionData));
-  }
+  Transport &served() { return *static_cast<Transport *>(transport()); }
 
-  static void setRead(HttpConnection &conn, ReadPhase read) {
-    if (conn.Read.exchange(read) != read)
-      impl::touch(conn);
-  }
-
-  void read(const std::shared_ptr<HttpConnection> &conn,
-            std::string_view bytes) {
-    using http::Private::State;
-    if (conn->Read.load() == ReadPhase::Nothing)
-      setRead(*conn, ReadPhase::Headers);
-    if (!conn->Parser.feed(bytes.data(), bytes.size()))
-      throw http::HttpError(http::Code::Request_Entity_Too_Large,
-                            "the request is larger than " +
-                                std::to_string(MaxBytes) + " bytes");
-    if (conn->Parser.parse() != State::Done) {
-      readOn(conn);
-      return;
-    }
-    ArrivedRequest req = readRequest(conn->Parser.request, conn->Id);
-    conn->Parser.reset();
-    conn->Continued = false;
-    setRead(*conn, ReadPhase::Nothing);
-    accept(Server, conn, std::move(req));
-  }
-
-  /// A part of a request has arrived; more must come.
-  void readOn(const std::shared_ptr<HttpConnection> &conn) {
-    if (conn->Parser.step()->id() != http::Private::BodyStep::Id)
-      return;
-    setRead(*conn, ReadPhase::Body);
-    const auto expect =
-        conn->Parser.request.headers().tryGet<http::Header::Expect>();
-    if (conn->Continued || !expect ||
-        conn->Phase.load() != ConnectionPhase::Idle)
-      return;
-    conn->Continued = true;
-    impl::writeTo(conn, Server->Keeper, "HTTP/1.1 100 Continue\r\n\r\n");
-  }
-
-  std::shared_ptr<Hub> Server;
-  std::size_t MaxBytes;
+  HttpHandlers Handlers;
 };
 
-http::Endpoint::Options endpointOptions(const HttpServerOptions &opt) {
-  return http::Endpoint::options()
-      .threads(opt.Threads)
-      .flags(Pistache::Tcp::Options::ReuseAddr |
-             Pistache::Tcp::Options::NoDelay)
-      .backlog(1024)
-      .maxRequestSize(opt.MaxBodyBytes)
-      .headerTimeout(Never)
-      .bodyTimeout(Never)
-      .keepaliveTimeout(Never);
+CallerLimits limitsOf(const HttpServerOptions &opt) noexcept {
+  return {opt.HeaderTimeout, opt.BodyTimeout, opt.KeepAlive};
 }
 
-Duration sweepPeriod(const HttpServerOptions &opt) {
-  const Duration least =
-      std::min({opt.HeaderTimeout, opt.BodyTimeout, opt.KeepAlive});
-  return std::clamp(least / 4, ShortestSweep, LongestSweep);
-}
+/// Connections that wait to be accepted.
+constexpr int Backlog = 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{1} << 30U;
 
 } // namespace
 
 struct HttpServer::State {
-  State(const Pistache::Address &addr, const HttpServerOptions &opt,
-        HttpHandlers handlers)
-      : Server(std::make_shared<Hub>(opt, std::move(handlers))),
-        Endpoint(addr) {}
+  State() = default;
   State(const State &) = delete;
   State &operator=(const State &) = delete;
   ~State() {
-    Server->Stopped.store(true);
-    Endpoint.shutdown();
-    Server->Keeper.stop();
+    if (Listening)
+      Listener.shutdown();
   }
 
-  std::shared_ptr<Hub> Server;
-  http::Endpoint Endpoint;
-  TimerService Timers;
+  Pistache::Tcp::Listener Listener;
+  bool Listening = false;
 };
 
 HttpServer::HttpServer(std::unique_ptr<State> st) noexcept
@@ -378,18 +532,24 @@
 
 Result<HttpServer> HttpServer::start(const HttpServerOptions &opt,
                                      HttpHandlers handlers) {
+  using Pistache::Tcp::Options;
   const std::string name = opt.Host + ":" + std::to_string(opt.Port);
   try {
-    const Pistache::Address addr(opt.Host, Pistache::Port(opt.Port));
-    auto st = std::make_unique<State>(addr, opt, std::move(handlers));
-    st->Endpoint.init(endpointOptions(opt));
-    st->Endpoint.setHandler(
-        std::make_shared<Bridge>(st->Server, opt.MaxBodyBytes));
-    st->Endpoint.serveThreaded();
-    Hub &hub = *st->Server;
-    st->Timers.every(sweepPeriod(opt), [&hub](Time) {
-      hub.Keeper.post({KeeperMessage::Kind::Sweep, {}, {}});
+    auto bridge = std::make_shared<Bridge>(std::move(handlers));
+    bridge->setMaxRequestSize(opt.MaxBodyBytes);
+    bridge->setMaxResponseSize(MaxAnswerBytes);
+    auto st = std::make_unique<State>();
+    st->Listener.init(static_cast<std::size_t>(opt.Threads),
+                      Pistache::Flags<Options>(Options::ReuseAddr) |
+                          Options::NoDelay,
+                      "", Backlog);
+    st->Listener.setHandler(bridge);
+    st->Listener.setTransportFactory([bridge, limits = limitsOf(opt)] {
+      return std::make_shared<Transport>(bridge, limits);
     });
+    st->Listener.bind(Pistache::Address(opt.Host, Pistache::Port(opt.Port)));
+    st->Listener.runThreaded();
+    st->Listening = true;
     return HttpServer(std::move(st));
   } catch (const std::exception &ex) {
     return fail({ErrorCode::Unavailable, Step::Connect, name, ex.what()});
@@ -397,7 +557,7 @@
 }
 
 std::uint16_t HttpServer::port() const noexcept {
-  return static_cast<std::uint16_t>(St->Endpoint.getPort());
+  return static_cast<std::uint16_t>(St->Listener.getPort());
 }
 
 } // namespace zinniagauge
