--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -12,6 +12,7 @@
 #include <sys/timerfd.h>
 
 #include <atomic>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -103,8 +104,21 @@
   Time Since = monotonicNow(); // When it was last known to be active.
   bool Served = false;         // It has sent a whole request.
   bool Continued = false;      // It was told to go on with the body.
+  // Hands on a request that came before the last answer's end: answers leave a
+  // connection in the order of its requests.
+  std::deque<std::function<void()>> Waiting;
 };
 
+/// A request of \p conn has its whole answer: the next one's turn.
+void onAnswered(Connection &conn) {
+  conn.Answering -= 1;
+  if (conn.Waiting.empty())
+    return;
+  const std::function<void()> next = std::move(conn.Waiting.front());
+  conn.Waiting.pop_front();
+  next();
+}
+
 } // namespace
 
 struct HttpReply::State {
@@ -177,7 +191,7 @@
   addHeaders(writer.headers(), msg.Headers);
   auto written = writer.send(static_cast<http::Code>(msg.Status),
                              msg.Body.data(), msg.Body.size());
-  msg.St->Conn->Answering -= 1;
+  onAnswered(*msg.St->Conn);
   if (!msg.St->Stays)
     closeAfter(std::move(written), writer.getPeer());
 }
@@ -203,7 +217,7 @@
     msg.St->Stream->ends();
   else
     close(msg.St->Writer);
-  msg.St->Conn->Answering -= 1;
+  onAnswered(*msg.St->Conn);
 }
 
 /// Bounds on what a caller may keep waiting.
@@ -360,8 +374,12 @@
   const auto it = Connections.find(peer.fd());
   if (it == Connections.end())
     return;
-  it->second->Open = false;
+  const std::shared_ptr<Connection> conn = std::move(it->second);
   Connections.erase(it);
+  conn->Open = false;
+  // These hold the connection in turn.
+  const auto unserved = std::move(conn->Waiting);
+  conn->Waiting.clear();
 }
 
 bool Transport::overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
@@ -482,10 +500,14 @@
     if (!peer)
       return;
     Transport &own = served();
-    auto st = std::make_unique<HttpReply::State>(
-        std::move(writer), own.onWholeRequest(*peer), own.box(), stays);
-    Handlers.OnRequest(readRequest(req, peer->getID()),
-                       HttpReply(std::move(st)));
+    auto conn = own.onWholeRequest(*peer);
+    auto st = std::make_unique<HttpReply::State>(std::move(writer), conn,
+                                                 own.box(), stays);
+    HttpRequest in = readRequest(req, peer->getID());
+    if (conn->Answering == 1)
+      Handlers.OnRequest(std::move(in), HttpReply(std::move(st)));
+    else
+      conn->Waiting.push_back(later(std::move(in), std::move(st)));
   }
 
   void
@@ -496,6 +518,17 @@
   }
 
 private:
+  /// Hands the request on when its turn comes. std::function asks for copies,
+  /// which are never made, so what can't be copied is shared.
+  std::function<void()> later(HttpRequest in,
+                              std::unique_ptr<HttpReply::State> st) {
+    auto held = std::make_shared<std::pair<HttpRequest, HttpReply>>(
+        std::move(in), HttpReply(std::move(st)));
+    return [this, held] {
+      Handlers.OnRequest(std::move(held->first), std::move(held->second));
+    };
+  }
+
   Transport &served() { return *static_cast<Transport *>(transport()); }
 
   HttpHandlers Handlers;
--- a/tests/standins/standin-engine.cpp
+++ b/tests/standins/standin-engine.cpp
@@ -817,7 +817,7 @@
       "set by POST /faults; GET /runs tells how often each request ran.",
       {{"listen", "IP:PORT", "Where to serve; port 0: any", &opt.Listen},
        {"kind", "engine|service", "What to be", &opt.Kind},
-       {"version", "LABEL", "The version that runs at first", &opt.Version},
+       {"label", "LABEL", "The version that runs at first", &opt.Version},
        {"slots", "COUNT", "Requests that run at full speed together",
         &opt.Slots},
        {"tokens-per-second", "TOKENS/S",
