--- a/include/zinniagauge/decide/end_mark.h
+++ b/include/zinniagauge/decide/end_mark.h
@@ -19,10 +19,6 @@
 /// Scans the next part of the stream.
 void scan(EndMark &em, std::string_view part) noexcept;
 
-/// Whether the stream may end here: the mark was seen, be it without the line
-/// ends that should follow it.
-[[nodiscard]] bool mayEnd(const EndMark &em) noexcept;
-
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_DECIDE_END_MARK_H
--- a/src/decide/dispatch.cpp
+++ b/src/decide/dispatch.cpp
@@ -252,7 +252,7 @@
 /// An answer broke off, or never came.
 void failAnswer(Dispatch &d, Dispatcher &w, const Error &err, Time now,
                 DispatchActions &out) {
-  if (isStream(d) && mayEnd(d.Mark))
+  if (isStream(d) && d.Mark.Whole)
     return complete(d, w, now, out);
   if (mayResume(d, w)) {
     ++d.Current.Resume;
@@ -542,7 +542,8 @@
            DispatchActions &out) {
   if (id != d.Current || d.Phase != DispatchPhase::Answering)
     return;
-  if (d.Head && !isStream(d) && whole)
+  const bool marked = !isStream(d) || d.Mark.Whole;
+  if (d.Head && whole && marked)
     return complete(d, w, now, out);
   failAnswer(d, w,
              {ErrorCode::Broken, Step::Answer, {}, "the answer was cut short"},
--- a/src/decide/end_mark.cpp
+++ b/src/decide/end_mark.cpp
@@ -35,6 +35,4 @@
   }
 }
 
-bool mayEnd(const EndMark &em) noexcept { return em.Marked || isMark(em); }
-
 } // namespace zinniagauge
