--- a/include/zinniagauge/adapt/command_line.h
+++ b/include/zinniagauge/adapt/command_line.h
@@ -14,10 +14,10 @@
 /// How every program ends.
 enum class ExitCode : int {
   Ok = 0,          ///< Done.
-  Failed = 1,      ///< Tried, and failed; the error is on standard error.
+  Failed = 1,      ///< Refused, or tried and failed; standard error says why.
   Usage = 2,       ///< Wrong command line, settings or bundle; nothing done.
-  Refused = 3,     ///< Another change came first, or the key has no right.
-  Unreachable = 4, ///< Not all nodes, or not the agent, could be reached.
+  Unreachable = 3, ///< Not all nodes, or not the agent, could be reached.
+  Conflict = 4,    ///< Another change came first.
 };
 
 /// \p code as main returns it.
