--- /dev/null
+++ b/programs/zinnia-entry.cpp
@@ -0,0 +1,237 @@
+// zinnia-entry: the request path. Takes callers' requests, asks schedulers for
+// grants, and dispatches to endpoints.
+
+#include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/front.h"
+#include "zinniagauge/adapt/http_client.h"
+#include "zinniagauge/adapt/log.h"
+#include "zinniagauge/adapt/metrics.h"
+#include "zinniagauge/adapt/rpc_thread.h"
+#include "zinniagauge/adapt/settings.h"
+#include "zinniagauge/adapt/worker.h"
+#include "zinniagauge/decide/evidence_sum.h"
+#include "zinniagauge/time/timer_service.h"
+
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <thread>
+
+using namespace zinniagauge;
+
+namespace {
+
+/// How often schedulers are stepped though nothing arrives: grants lapse and
+/// tickets grow late.
+constexpr Duration SchedulerPeriod = std::chrono::milliseconds(20);
+
+/// How long a stopping entry stays up, not ready, before it refuses requests:
+/// the balancer needs that time to notice.
+constexpr Duration StopNotice = std::chrono::seconds(1);
+
+/// The parts of the process, in the order in which they start. They end in
+/// reverse: first the front end, last the board.
+struct Entry {
+  EntrySettings Settings;
+  Board Shared;
+  ShareGates Shares;
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Refusing{false};
+  std::uint64_t Incarnation = 0;
+  std::uint64_t IdHigh = 0;
+  std::vector<WorkerThread> Workers;
+  std::optional<RpcThread> Rpc;
+  std::optional<HttpServer> Http;
+  TimerService Timers;
+  std::optional<MetricsServer> Metrics;
+};
+
+std::uint64_t randomWord() {
+  std::random_device dev;
+  return (std::uint64_t{dev()} << 32U) | dev();
+}
+
+std::uint64_t inProgress(const Entry &e) {
+  std::uint64_t sum = 0;
+  for (const WorkerThread &w : e.Workers)
+    sum += w.inProgress();
+  return sum;
+}
+
+EvidenceList collectEvidence(const Entry &e) {
+  EvidenceList sum;
+  for (const WorkerThread &w : e.Workers)
+    addEvidence(sum, w.evidence().Rows);
+  return sum;
+}
+
+WorkerThread &workerOf(Entry &e, RequestId id) {
+  return e.Workers[id.Low % e.Workers.size()];
+}
+
+WorkerOptions workerOptions(Entry &e) {
+  WorkerOptions opt;
+  opt.Shared = &e.Shared;
+  opt.Shares = &e.Shares;
+  opt.Self = VmId::of(e.Settings.VmName);
+  opt.Zone = ZoneId::of(e.Settings.ZoneName);
+  opt.Limits.FirstByte = e.Settings.FirstByteTimeout;
+  opt.Limits.Idle = e.Settings.IdleTimeout;
+  opt.ConnectTimeout = e.Settings.ConnectTimeout;
+  opt.StopTimeout = e.Settings.StopTimeout;
+  opt.Seed = randomWord();
+  opt.ToRpc = [&e](RpcMessage msg) { e.Rpc->post(std::move(msg)); };
+  return opt;
+}
+
+RpcOptions rpcOptions(Entry &e) {
+  RpcOptions opt;
+  opt.Shared = &e.Shared;
+  opt.Shares = &e.Shares;
+  opt.VmName = e.Settings.VmName;
+  opt.ZoneName = e.Settings.ZoneName;
+  opt.Address = e.Settings.RpcAddress;
+  opt.Incarnation = e.Incarnation;
+  opt.ToWorker = [&e](RequestId id, WorkerMessage msg) {
+    workerOf(e, id).post(std::move(msg));
+  };
+  opt.CollectEvidence = [&e] { return collectEvidence(e); };
+  opt.InProgress = [&e] { return inProgress(e); };
+  opt.Stopping = [&e] { return e.Stopping.load(); };
+  return opt;
+}
+
+FrontOptions frontOptions(Entry &e) {
+  const IpPort at = splitAddress(e.Settings.HttpAddress);
+  FrontOptions opt;
+  opt.Shared = &e.Shared;
+  opt.Http.Host = at.Host;
+  opt.Http.Port = at.Port;
+  opt.Http.Threads = static_cast<int>(e.Settings.IoThreads);
+  opt.Http.MaxBodyBytes = e.Settings.MaxBodyBytes;
+  opt.Http.HeaderTimeout = e.Settings.HeaderTimeout;
+  opt.Http.BodyTimeout = e.Settings.BodyTimeout;
+  opt.Http.KeepAlive = e.Settings.KeepAliveTimeout;
+  opt.IdHigh = e.IdHigh;
+  opt.ToWorker = [&e](Arrival msg) {
+    workerOf(e, msg.Id).post(std::move(msg));
+  };
+  opt.OnGone = [&e](std::uint64_t conn) {
+    for (WorkerThread &w : e.Workers)
+      w.post(CallerGone{conn});
+  };
+  opt.Stopping = [&e] { return e.Refusing.load(); };
+  return opt;
+}
+
+MetricsOptions metricsOptions(Entry &e) {
+  MetricsOptions opt;
+  opt.Address = e.Settings.MetricsAddress;
+  opt.VmName = e.Settings.VmName;
+  opt.ZoneName = e.Settings.ZoneName;
+  opt.Program = "entry";
+  opt.Shared = &e.Shared;
+  opt.Timers = &e.Timers;
+  opt.Stopping = [&e] { return e.Stopping.load(); };
+  return opt;
+}
+
+Result<void> startParts(Entry &e) {
+  for (std::uint32_t n = 0; n < e.Settings.WorkerThreads; ++n)
+    e.Workers.push_back(WorkerThread::start(workerOptions(e)));
+  BOOST_LEAF_AUTO(rpc, RpcThread::start(rpcOptions(e)));
+  e.Rpc.emplace(std::move(rpc));
+  e.Timers.every(SchedulerPeriod, [&e](Time) { e.Rpc->post(SchedulerTick{}); });
+  BOOST_LEAF_AUTO(http, startFront(frontOptions(e)));
+  e.Http.emplace(std::move(http));
+  BOOST_LEAF_AUTO(metrics, serveMetrics(metricsOptions(e)));
+  e.Metrics.emplace(std::move(metrics));
+  return {};
+}
+
+/// Stops by plan: not ready, then no new requests, then the running ones end.
+void stopParts(Entry &e) {
+  e.Stopping = true;
+  std::this_thread::sleep_for(StopNotice);
+  e.Refusing = true;
+  for (WorkerThread &w : e.Workers)
+    w.finish();
+}
+
+sigset_t stopSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGTERM);
+  sigaddset(&set, SIGINT);
+  return set;
+}
+
+ExitCode serve(EntrySettings settings) {
+  const sigset_t stop = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  Entry e;
+  e.Settings = std::move(settings);
+  e.Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  e.IdHigh = randomWord();
+  return handle(
+      [&]() -> Result<void> {
+        BOOST_LEAF_CHECK(
+            startLog(e.Settings.Log, e.Settings.VmName, e.Settings.ZoneName));
+        return startParts(e);
+      },
+      [&] {
+        logChange({LogLevel::Info, Step::Settings, {}, "serving"});
+        int sig = 0;
+        sigwait(&stop, &sig);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopping"});
+        stopParts(e);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopped"});
+        stopLog();
+        return ExitCode::Ok;
+      },
+      [](const Error &err) {
+        std::fprintf(stderr, "zinnia-entry: %s\n", describe(err).c_str());
+        return ExitCode::Failed;
+      });
+}
+
+CommandLine commandLine(bool &checkonly) {
+  CommandLine line;
+  line.Program = "zinnia-entry";
+  line.Arguments = "SETTINGS.json";
+  line.Summary = "Takes callers' requests, asks schedulers for grants, and\n"
+                 "dispatches to endpoints.";
+  line.Options = {{"check-settings", "", "Check the settings and end",
+                   OptionTarget(&checkonly)}};
+  line.Ends = {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage};
+  return line;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  bool checkonly = false;
+  const CommandLine line = commandLine(checkonly);
+  const ParsedCommand cmd = parseCommandLine(line, argc, argv);
+  if (cmd.Exit)
+    return toInt(*cmd.Exit);
+  if (cmd.Arguments.size() != 1) {
+    std::fputs(helpText(line).c_str(), stderr);
+    return toInt(ExitCode::Usage);
+  }
+  initHttpClient();
+  const std::string &file = cmd.Arguments[0];
+  std::vector<SettingsFault> faults;
+  const ExitCode end =
+      handle([&] { return loadEntrySettings(file, faults); },
+             [&](EntrySettings s) {
+               return checkonly ? ExitCode::Ok : serve(std::move(s));
+             },
+             [&](const Error &) {
+               std::fputs(describe(file, faults).c_str(), stderr);
+               return ExitCode::Usage;
+             });
+  return toInt(end);
+}
