Never send a control call twice behind the caller's back

Cause: since answers keep their connections, a platform that took a write and closed without an answer was asked again by libcurl itself, so the second answer hid that the first had taken effect; the process test for lost answers failed. Ruled out: a fresh connection for each call (a handshake for each poll). Change: calls other than GET leave at most once, by the same guard between connection and first byte that dispatch has. The platform's stand-in keeps replies that it never answers, since a dropped reply closes its connection.

--- a/src/adapt/http_client.cpp
+++ b/src/adapt/http_client.cpp
@@ -51,6 +51,14 @@
   return list;
 }
 
+/// libcurl sends again by itself when a reused connection turns out dead. The
+/// first sending may have taken effect, so a second one never leaves.
+int onBeforeSend(void *sent, char * /*ip*/, char * /*ownip*/, int /*port*/,
+                 int /*ownport*/) {
+  return std::exchange(*static_cast<bool *>(sent), true) ? CURL_PREREQFUNC_ABORT
+                                                         : CURL_PREREQFUNC_OK;
+}
+
 ErrorCode codeOf(CURLcode rc) noexcept {
   switch (rc) {
   case CURLE_COULDNT_CONNECT:
@@ -100,6 +108,11 @@
   curl_easy_setopt(h, CURLOPT_WRITEDATA, &ans.Body);
   curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, onHeader);
   curl_easy_setopt(h, CURLOPT_HEADERDATA, &ans.Headers);
+  bool sent = false;
+  if (call.Method != "GET") {
+    curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, onBeforeSend);
+    curl_easy_setopt(h, CURLOPT_PREREQDATA, &sent);
+  }
   const CURLcode rc = curl_easy_perform(h);
   if (rc != CURLE_OK)
     return fail({codeOf(rc), call.At, url, curl_easy_strerror(rc)});
--- a/tests/standins/standin-platform.cpp
+++ b/tests/standins/standin-platform.cpp
@@ -58,6 +58,7 @@
   testing::TableModel Table;
   std::map<std::string, std::string> Objects;
   std::deque<VmListAt> Vms{{Time::min(), {}}};
+  std::vector<HttpReply> Unanswered; // Kept, so that nothing is ever said.
   std::int64_t LagMs = 0;
   std::map<std::string, Service> Services{
       {"table", {}}, {"objects", {}}, {"vms", {}}};
@@ -194,7 +195,9 @@
     return reply(to, ans);
   --s.LostAnswers;
   ++s.Lost;
-  if (!s.Silent)
+  if (s.Silent)
+    st.Unanswered.push_back(std::move(to));
+  else
     to.abort();
 }
 
