--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -440,5 +440,6 @@
     compare(mix, false, only);
     compare(mix, true, only);
   }
+  compare(cuencaZone(), false, only);
   return 0;
 }
--- a/bench/traffic.h
+++ b/bench/traffic.h
@@ -48,6 +48,14 @@
           {7, 7, 6}};
 }
 
+/// What one zone's scheduler has of Cuenca's pool, whole or cut off.
+inline Mix cuencaZone() {
+  Mix mix = cuenca();
+  mix.Name = "Cuenca, one zone";
+  mix.Engines = {2, 2, 1};
+  return mix;
+}
+
 /// The generations of hardware; the first is the reference.
 inline constexpr std::array<double, 3> GenerationSpeed = {1.0, 0.7, 0.45};
 inline constexpr double ReferenceTokens = 40;     // A second, one request.
