Reserve as much room for small work as it is likely to need

Cause: a fixed eighth of the slots is too little where small work makes up most of the load, so acts took slots in each lull and higher tiers waited for them. The reserve is now what small tickets of higher tiers have in flight on average and two standard deviations more; the eighth stays within a tier.

--- a/include/zinniagauge/decide/fit.h
+++ b/include/zinniagauge/decide/fit.h
@@ -45,7 +45,6 @@
   std::uint32_t Slots = 0;      // That it batches well.
   std::uint32_t TokenLimit = 0; // That it batches well; zero: no limit.
   bool Usable = false;          // May get new work.
-  Usage Reserved;               // For small tickets.
   Usage Foreign;                // Reported beyond the own grants.
 
   std::array<Usage, SizeClassCount> Own; // By size class.
@@ -74,9 +73,16 @@
   Only, ///< Takes nothing else: a large ticket waits for the rest.
 };
 
-/// Whether a ticket of \p tokens fits.
-[[nodiscard]] bool fits(const EndpointAccount &acc, std::uint32_t tokens,
-                        ReserveUse use) noexcept;
+/// What a ticket asks of an endpoint.
+struct RoomWanted {
+  std::uint32_t Tokens = 0;
+  ReserveUse Use = ReserveUse::Free;
+  double Reserve = 0; // For small tickets, of all slots and tokens.
+};
+
+/// Whether a ticket fits.
+[[nodiscard]] bool fits(const EndpointAccount &acc,
+                        const RoomWanted &want) noexcept;
 
 /// Counts a grant of \p tokens as in flight.
 void take(EndpointAccount &acc, SizeClass cls, std::uint32_t tokens) noexcept;
--- a/include/zinniagauge/decide/schedule.h
+++ b/include/zinniagauge/decide/schedule.h
@@ -53,6 +53,7 @@
   SizeClass Class = SizeClass::Small;
   std::uint32_t Account = 0; // Index into Scheduler::Accounts.
   std::uint64_t PrefixHash = 0;
+  Tier Rank; // The lowest, if only an announcement told of it.
   std::uint32_t OutputTokens = 0; // As the ticket estimated them.
 };
 
@@ -105,6 +106,15 @@
   std::array<double, MaxTiers> ByTier{};        // Tokens a second.
 };
 
+/// The slots that small tickets use, by tier, and what that makes large ones
+/// leave free.
+struct SmallDemand {
+  std::array<std::uint32_t, MaxTiers> InUse{}; // Now.
+  std::array<double, MaxTiers> Mean{};         // Lately.
+  std::array<double, MaxTiers> Reserve{};      // Share of all slots that large
+                                               // tickets of the tier leave.
+};
+
 /// The state of one pool's scheduler. Only the functions below change it.
 struct Scheduler {
   PoolId Pool;
@@ -128,6 +138,7 @@
   DrainRate Drain;
   Time Latest; // The latest time that any call was told.
   std::array<Time, MaxTiers> SmallSeen; // The last small ticket let in.
+  struct SmallDemand SmallDemand;
   std::uint64_t Steps = 0;
   std::uint32_t ScanFrom = 0; // Where the next look over WithRoom starts.
   ScheduleCounts Counts;
--- a/src/decide/fit.cpp
+++ b/src/decide/fit.cpp
@@ -3,6 +3,7 @@
 #include "zinniagauge/board/invariant.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniagauge {
 
@@ -29,10 +30,10 @@
   return most;
 }
 
-bool isReserveFull(const EndpointAccount &acc) noexcept {
-  const Usage &small = acc.Own[indexOf(SizeClass::Small)];
-  return small.Slots >= acc.Reserved.Slots ||
-         (acc.TokenLimit > 0 && small.Tokens >= acc.Reserved.Tokens);
+/// The part \p share of what \p acc batches well.
+Usage reserveOf(const EndpointAccount &acc, double share) noexcept {
+  return {static_cast<std::uint32_t>(std::lround(acc.Slots * share)),
+          static_cast<std::uint64_t>(acc.TokenLimit * share)};
 }
 
 } // namespace
@@ -42,24 +43,25 @@
           acc.Own[0].Tokens + acc.Own[1].Tokens};
 }
 
-bool fits(const EndpointAccount &acc, std::uint32_t tokens,
-          ReserveUse use) noexcept {
+bool fits(const EndpointAccount &acc, const RoomWanted &want) noexcept {
   const Usage &small = acc.Own[indexOf(SizeClass::Small)];
   const Usage own = ownUsage(acc);
-  Usage keep; // Of the reserve, what small tickets don't use now.
-  if (use == ReserveUse::Keep) {
-    keep.Slots = lessOr0(acc.Reserved.Slots, small.Slots);
-    keep.Tokens = lessOr0(acc.Reserved.Tokens, small.Tokens);
-  } else if (use == ReserveUse::Only && isReserveFull(acc)) {
+  const Usage reserve = reserveOf(acc, want.Reserve);
+  if (want.Use == ReserveUse::Only &&
+      (small.Slots >= reserve.Slots ||
+       (acc.TokenLimit > 0 && small.Tokens >= reserve.Tokens)))
     return false;
-  }
+  Usage keep; // Of the reserve, what small tickets don't use now.
+  if (want.Use == ReserveUse::Keep)
+    keep = {lessOr0(reserve.Slots, small.Slots),
+            lessOr0(reserve.Tokens, small.Tokens)};
   if (own.Slots + acc.Foreign.Slots + keep.Slots >= acc.Slots)
     return false;
   if (acc.TokenLimit == 0)
     return true;
   const std::uint64_t used = own.Tokens + acc.Foreign.Tokens + keep.Tokens;
   // A ticket above half of the limit would never find its whole room free.
-  return used + tokens <= acc.TokenLimit || used <= acc.TokenLimit / 2;
+  return used + want.Tokens <= acc.TokenLimit || used <= acc.TokenLimit / 2;
 }
 
 void take(EndpointAccount &acc, SizeClass cls, std::uint32_t tokens) noexcept {
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -48,9 +48,8 @@
 struct Request {
   const QueuedTicket &Queued;
   const Prefix *Known = nullptr;
-  std::uint32_t Tokens = 0;
   SizeClass Class = SizeClass::Small;
-  ReserveUse Reserve = ReserveUse::Free;
+  RoomWanted Room = {};
   Duration Least = Duration::zero(); // At the fastest endpoint.
 };
 
@@ -83,9 +82,12 @@
                   Time now) noexcept {
   Request r{q};
   r.Known = prefixOf(s, q.Asked);
-  r.Tokens = tokensOf(q.Asked);
-  r.Class = sizeClass(s.Policy, r.Tokens);
-  r.Reserve = reserveUse(s, r.Class, q.Asked.Rank, now);
+  r.Room.Tokens = tokensOf(q.Asked);
+  r.Class = sizeClass(s.Policy, r.Room.Tokens);
+  r.Room.Use = reserveUse(s, r.Class, q.Asked.Rank, now);
+  r.Room.Reserve =
+      s.SmallDemand
+          .Reserve[std::min<std::size_t>(q.Asked.Rank.Rank, MaxTiers - 1)];
   r.Least = leastService(s, q.Asked);
   return r;
 }
@@ -149,8 +151,10 @@
   const bool behind = isHigher(acc.LargeClaimant, r.Queued.Asked.Rank);
   if (claimed && (r.Class == SizeClass::Large || behind))
     return false;
-  const ReserveUse use = claimed ? ReserveUse::Only : r.Reserve;
-  return acc.RoomIndex != 0 && fits(acc, r.Tokens, use);
+  RoomWanted want = r.Room;
+  if (claimed)
+    want.Use = ReserveUse::Only;
+  return acc.RoomIndex != 0 && fits(acc, want);
 }
 
 /// How much it matters that an endpoint decodes faster: the busier the pool,
--- a/src/decide/reading.cpp
+++ b/src/decide/reading.cpp
@@ -1,12 +1,20 @@
 #include "zinniagauge/decide/reading.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniagauge {
 
 namespace {
 
-constexpr std::uint32_t PerMille = 1000;
+constexpr double PerMille = 1000;
+
+/// The time over which the slots that small tickets use are averaged.
+constexpr double DemandSeconds = 10;
+
+/// How far above their average the slots of small tickets are expected to go,
+/// in standard deviations of a Poisson process.
+constexpr double DemandDeviations = 2;
 
 bool isMine(const Scheduler &s, const EndpointSpec &ep) noexcept {
   return ep.Pool == s.Pool && (s.Zone == ZoneId{} || s.Zone == ep.Zone);
@@ -60,14 +68,6 @@
       s.Board.Barred.push_back(mv.To);
 }
 
-Usage reserveOf(const Scheduler &s, const EndpointAccount &acc) noexcept {
-  if (!s.Policy.Reserves)
-    return {};
-  const std::uint32_t share = s.Policy.ReservePermille;
-  return {(acc.Slots * share + PerMille / 2) / PerMille,
-          std::uint64_t{acc.TokenLimit} * share / PerMille};
-}
-
 void countUsable(UsableCount &count, VersionId version) {
   ++count.All;
   auto &all = count.ByVersion;
@@ -89,7 +89,6 @@
   acc.Usable =
       (!st || (!st->Leaving && !st->Draining)) &&
       std::find(barred.begin(), barred.end(), acc.Version) == barred.end();
-  acc.Reserved = reserveOf(s, acc);
   sampleUsage(acc, now);
   acc.Foreign = {};
   if (st && st->Load)
@@ -112,6 +111,24 @@
   best.TokenNanos = std::min(best.TokenNanos, acc.Learnt.TokenNanos);
 }
 
+/// Large tickets of a tier keep room for as many small ones of higher tiers as
+/// are likely to be in flight at once.
+void takeDemand(Scheduler &s, Duration since) noexcept {
+  const double dt = std::chrono::duration<double>(since).count();
+  const double alpha = std::clamp(dt / DemandSeconds, 0.0, 1.0);
+  const double base = s.Policy.ReservePermille / PerMille;
+  double higher = 0;
+  for (std::size_t i = 0; i < MaxTiers; ++i) {
+    const double most = higher + DemandDeviations * std::sqrt(higher);
+    const double share = most / std::max(s.Board.Slots, 1U);
+    s.SmallDemand.Reserve[i] =
+        s.Policy.Reserves ? std::clamp(share, base, 1.0) : 0;
+    double &mean = s.SmallDemand.Mean[i];
+    mean += alpha * (s.SmallDemand.InUse[i] - mean);
+    higher += mean;
+  }
+}
+
 bool isFresh(const Scheduler &s, const ScheduleView &view, Time now) noexcept {
   const BoardReading &r = s.Board;
   return r.Read == &view.InForce && r.BundleVersion == view.InForce.Version &&
@@ -159,6 +176,7 @@
   s.Board.Endpoints = &view.Endpoints;
   s.Board.Moves = &view.Moves;
   s.Board.BundleVersion = view.InForce.Version;
+  const Duration since = now - s.Board.At;
   s.Board.At = now;
   if (other)
     takeBundle(s, view.InForce);
@@ -173,6 +191,7 @@
     if (s.Accounts[idx].Usable)
       noteUsable(s, s.Accounts[idx], s.Board.Usable.All == 0, now);
   }
+  takeDemand(s, since);
   if (before.ByVersion != s.Board.Usable.ByVersion)
     s.Board.UsableChanged = true;
 }
@@ -195,8 +214,8 @@
   EndpointAccount &acc = s.Accounts[idx];
   // After a failure, one grant at a time until one goes well.
   const bool troubled = acc.Failures > 0 && ownUsage(acc).Slots > 0;
-  const bool room = acc.Usable && !troubled && now >= acc.NotBefore &&
-                    fits(acc, 1, ReserveUse::Free);
+  const bool room =
+      acc.Usable && !troubled && now >= acc.NotBefore && fits(acc, {1});
   if (room == (acc.RoomIndex != 0))
     return;
   auto &list = s.WithRoom;
--- a/src/decide/schedule.cpp
+++ b/src/decide/schedule.cpp
@@ -45,6 +45,8 @@
 void openGrant(Scheduler &s, const OpenGrant &og, Time now) {
   EndpointAccount &acc = s.Accounts[og.Account];
   take(acc, og.Class, og.Given.Tokens);
+  if (og.Class == SizeClass::Small)
+    ++s.SmallDemand.InUse[indexOf(og.Rank)];
   s.Open.emplace(og.Given.Attempt, og);
   s.ByLapse.insert({og.Lapses, og.Given.Attempt});
   s.ByOverdue.insert({og.Overdue, og.Given.Attempt});
@@ -61,6 +63,8 @@
   s.ByLapse.erase({og.Lapses, id});
   s.ByOverdue.erase({og.Overdue, id});
   release(s.Accounts[og.Account], og.Class, og.Given.Tokens);
+  if (og.Class == SizeClass::Small)
+    --s.SmallDemand.InUse[indexOf(og.Rank)];
   updateRoom(s, og.Account, now);
   return og;
 }
@@ -274,6 +278,7 @@
   og.Account = account;
   og.PrefixHash = t.PrefixHash;
   og.OutputTokens = t.OutputTokens;
+  og.Rank = t.Rank;
   og.Overdue = overdueAt(s, og, now);
   notePlaced(s, t, acc, now);
   openGrant(s, og, now);
@@ -414,6 +419,7 @@
     remove(s.Queue, s.Policy, *idx, false);
   const auto before = closeGrant(s, g.Attempt, now);
   OpenGrant og;
+  og.Rank.Rank = MaxTiers - 1;
   if (before && before->Given.Id == g.Id)
     og = *before;
   else
