Claim keys and issue tickets in the entry

Cause: the entry refused every keyed call that may run once, since nothing spoke to the table for it.

A claim thread decides claims and issued tickets (decide/claim.h, decide/issued_ticket.h) and a second thread makes the blocking calls to the table, so that a table that hangs delays no ticket. POST /zinnia/tickets issues a ticket; it is used as Idempotency-Key or Zinnia-Issued-Ticket. Lapsed grants and retries are counted.

Ruled out: the calls on the workers (they would block requests); on the RPC thread (schedulers would wait for the table).

Before: with the stub each keyed call ended as not_run. Runs of the service by key and by request: never two.

--- a/include/zinniagauge/adapt/front.h
+++ b/include/zinniagauge/adapt/front.h
@@ -20,6 +20,8 @@
   std::uint64_t IdHigh = 0; // The upper half of this process's request ids.
   /// Hands an admitted request to a worker.
   std::function<void(Arrival)> ToWorker;
+  /// Hands a message to the claim thread.
+  std::function<void(ClaimMessage)> ToClaims;
   /// Tells all workers that a caller's connection has closed.
   std::function<void(std::uint64_t)> OnGone;
   /// Whether this process is stopping by plan and takes no new requests.
--- a/include/zinniagauge/adapt/messages.h
+++ b/include/zinniagauge/adapt/messages.h
@@ -6,9 +6,12 @@
 #include "zinniagauge/adapt/mailbox.h"
 #include "zinniagauge/board/request.h"
 #include "zinniagauge/board/ticket.h"
+#include "zinniagauge/decide/claim.h"
 #include "zinniagauge/decide/clock_bound.h"
+#include "zinniagauge/decide/issued_ticket.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -22,8 +25,8 @@
   HttpRequest Asked;
   HttpReply Reply;
   Time At;
-  std::string IdempotencyKey; // Empty: none.
-  std::string IssuedTicket;   // Empty: none.
+  std::string IdempotencyKey;         // Empty: none.
+  std::optional<IssuedTicket> Ticket; // The key, if it is an issued ticket.
 };
 
 /// A scheduler's grant, and how far its clock can have come.
@@ -43,6 +46,12 @@
   AttemptId Attempt;
 };
 
+/// The claim of a request's key has been decided.
+struct ClaimDecided {
+  RequestId Request;
+  ClaimResult Result;
+};
+
 /// A caller's connection has closed.
 struct CallerGone {
   std::uint64_t Connection = 0;
@@ -53,7 +62,7 @@
 
 /// To a worker.
 using WorkerMessage = std::variant<Arrival, Granted, Refused, SchedulerLost,
-                                   CallerGone, StopWorker>;
+                                   ClaimDecided, CallerGone, StopWorker>;
 using WorkerBox = Mailbox<WorkerMessage>;
 
 /// Ask the scheduler of (zone, pool) for a grant.
@@ -98,6 +107,43 @@
                                 HoldGrants, SchedulerTick, StopRpc>;
 using RpcBox = Mailbox<RpcMessage>;
 
+/// Claim a key of the table for a request.
+struct AskClaim {
+  RequestId Request;
+  ClaimKey Key;
+};
+
+/// Spend an issued ticket for a request.
+struct AskTicket {
+  RequestId Request;
+  IssuedTicket Ticket;
+};
+
+/// A request that has asked for a claim or a ticket is over.
+struct WriteOutcome {
+  RequestId Request;
+  Outcome Result = Outcome::Unknown;
+};
+
+/// Issue a ticket to a caller.
+struct IssueTicket {
+  RequestId Request;
+  HttpReply Reply;
+};
+
+/// The table's answer to a transaction of claims.
+struct TableAnswered {
+  ClaimBatchAnswer Answer;
+};
+
+/// Write what is to be recorded, then end the thread.
+struct StopClaims {};
+
+/// To the claim thread.
+using ClaimMessage = std::variant<AskClaim, AskTicket, WriteOutcome,
+                                  IssueTicket, TableAnswered, StopClaims>;
+using ClaimBox = Mailbox<ClaimMessage>;
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_ADAPT_MESSAGES_H
--- a/include/zinniagauge/adapt/worker.h
+++ b/include/zinniagauge/adapt/worker.h
@@ -27,6 +27,8 @@
   std::uint64_t Seed = 0; // Of the jitter of retries.
   /// Hands a message to the RPC thread.
   std::function<void(RpcMessage)> ToRpc;
+  /// Hands a message to the claim thread.
+  std::function<void(ClaimMessage)> ToClaims;
 };
 
 /// Runs from start to destruction.
--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -1,6 +1,7 @@
 // zinnia-entry: the request path. Takes callers' requests, asks schedulers for
 // grants, and dispatches to endpoints.
 
+#include "zinniagauge/adapt/claim_thread.h"
 #include "zinniagauge/adapt/command_line.h"
 #include "zinniagauge/adapt/front.h"
 #include "zinniagauge/adapt/http_client.h"
@@ -40,6 +41,7 @@
   std::uint64_t Incarnation = 0;
   std::uint64_t IdHigh = 0;
   std::vector<WorkerThread> Workers;
+  std::optional<ClaimThread> Claiming;
   std::optional<RpcThread> Rpc;
   std::optional<HttpServer> Http;
   TimerService Timers;
@@ -81,6 +83,25 @@
   opt.StopTimeout = e.Settings.StopTimeout;
   opt.Seed = randomWord();
   opt.ToRpc = [&e](RpcMessage msg) { e.Rpc->post(std::move(msg)); };
+  opt.ToClaims = [&e](ClaimMessage msg) { e.Claiming->post(std::move(msg)); };
+  return opt;
+}
+
+ClaimOptions claimOptions(Entry &e) {
+  const EntrySettings &set = e.Settings;
+  ClaimOptions opt;
+  opt.VmName = set.VmName;
+  opt.ZoneName = set.ZoneName;
+  opt.Incarnation = e.Incarnation;
+  opt.Limits.Timeout = set.PlatformTimeout;
+  // One call may be lost and its row be read back within the time of a claim.
+  constexpr int CallsInTime = 4;
+  if (!set.PlatformUrl.empty())
+    opt.Table =
+        httpPlatform(set.PlatformUrl, set.PlatformTimeout / CallsInTime);
+  opt.ToWorker = [&e](RequestId id, WorkerMessage msg) {
+    workerOf(e, id).post(std::move(msg));
+  };
   return opt;
 }
 
@@ -116,6 +137,7 @@
   opt.ToWorker = [&e](Arrival msg) {
     workerOf(e, msg.Id).post(std::move(msg));
   };
+  opt.ToClaims = [&e](ClaimMessage msg) { e.Claiming->post(std::move(msg)); };
   opt.OnGone = [&e](std::uint64_t conn) {
     for (WorkerThread &w : e.Workers)
       w.post(CallerGone{conn});
@@ -137,6 +159,7 @@
 }
 
 Result<void> startParts(Entry &e) {
+  e.Claiming.emplace(ClaimThread::start(claimOptions(e)));
   for (std::uint32_t n = 0; n < e.Settings.WorkerThreads; ++n)
     e.Workers.push_back(WorkerThread::start(workerOptions(e)));
   BOOST_LEAF_AUTO(rpc, RpcThread::start(rpcOptions(e)));
--- /dev/null
+++ b/src/adapt/claim_rows.cpp
@@ -0,0 +1,97 @@
+#include "zinniagauge/adapt/claim_rows.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace zinniagauge {
+
+namespace {
+
+std::optional<Outcome> readOutcome(std::string_view text) noexcept {
+  constexpr std::array<Outcome, OutcomeCount> All = {
+      Outcome::Completed, Outcome::Failed, Outcome::NotRun, Outcome::Unknown};
+  for (const Outcome oc : All)
+    if (toString(oc) == text)
+      return oc;
+  return std::nullopt;
+}
+
+TableOp toOp(const ClaimOp &op) {
+  TableOp to;
+  to.Row = rowName(op.Key);
+  if (op.Kind == ClaimOpKind::Read)
+    return to;
+  to.Value = encodeRow(op.Row);
+  to.Kind = op.Kind == ClaimOpKind::PutIfAbsent ? TableOpKind::PutIfAbsent
+                                                : TableOpKind::CompareAndSwap;
+  to.Expected = op.Expected;
+  return to;
+}
+
+ClaimOpResult toResult(const TableOpResult &res) {
+  ClaimOpResult to;
+  to.Applied = res.Applied;
+  to.Version = res.Version;
+  if (res.Version != 0)
+    to.Found = decodeRow(res.Value);
+  return to;
+}
+
+} // namespace
+
+std::string rowName(const ClaimKey &key) {
+  constexpr std::size_t MostSize = 64;
+  std::array<char, MostSize> buf{};
+  const int n =
+      std::snprintf(buf.data(), buf.size(), "claims/%016llx-%016llx%016llx",
+                    static_cast<unsigned long long>(key.Workspace.Value),
+                    static_cast<unsigned long long>(key.High),
+                    static_cast<unsigned long long>(key.Low));
+  return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+std::string encodeRow(const ClaimRow &row) {
+  nlohmann::ordered_json val = {{"holder", toString(row.Holder)},
+                                {"vm", row.Vm.Value},
+                                {"incarnation", row.Incarnation}};
+  if (row.Ended)
+    val["outcome"] = toString(*row.Ended);
+  return val.dump();
+}
+
+ClaimRow decodeRow(std::string_view text) {
+  try {
+    const auto val = nlohmann::json::parse(text);
+    ClaimRow row;
+    row.Holder = parseRequestId(val.at("holder").get<std::string>())
+                     .value_or(RequestId{});
+    row.Vm.Value = val.at("vm").get<std::uint64_t>();
+    row.Incarnation = val.at("incarnation").get<std::uint64_t>();
+    row.Ended = readOutcome(val.value("outcome", std::string()));
+    return row;
+  } catch (const nlohmann::json::exception &) {
+    return {};
+  }
+}
+
+TableTransaction toTransaction(const ClaimBatch &batch) {
+  TableTransaction tx;
+  tx.AllOrNothing = false;
+  tx.Ops.reserve(batch.Ops.size());
+  for (const ClaimOp &op : batch.Ops)
+    tx.Ops.push_back(toOp(op));
+  return tx;
+}
+
+ClaimBatchAnswer toAnswer(const ClaimBatch &batch, const TableResult &res) {
+  ClaimBatchAnswer ans{batch.Number, BatchFate::Answered, {}};
+  ans.Results.reserve(res.Ops.size());
+  for (const TableOpResult &it : res.Ops)
+    ans.Results.push_back(toResult(it));
+  return ans;
+}
+
+} // namespace zinniagauge
--- a/src/adapt/front.cpp
+++ b/src/adapt/front.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view TimeoutHeader = "Zinnia-Timeout-Ms";
 constexpr std::string_view TicketHeader = "Zinnia-Issued-Ticket";
 constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+/// Where a caller gets a ticket from, by POST.
+constexpr std::string_view TicketPath = "/zinnia/tickets";
 
 /// What is read of a model request's body.
 struct ModelCall {
@@ -139,6 +141,35 @@
   return admit(bundle, head, digest, now);
 }
 
+/// Reads the key of a request. False if it is refused for it.
+bool takeKey(Arrival &arr) {
+  const std::string_view key = arr.Asked.header(IdempotencyHeader);
+  const std::string_view ticket = arr.Asked.header(TicketHeader);
+  return handle([&] { return readCallKey(key, ticket); },
+                [&](const CallKey &read) {
+                  arr.Ticket = read.Ticket;
+                  arr.IdempotencyKey =
+                      read.Ticket ? toString(*read.Ticket) : read.Key;
+                  return true;
+                },
+                [&](const Error &err) {
+                  sendProblem(arr.Reply, err, Outcome::NotRun, arr.Id);
+                  return false;
+                });
+}
+
+/// Hands out an issued ticket to whoever has a workspace's key.
+void onTicketRequest(Front &fr, const HttpRequest &req, HttpReply reply,
+                     RequestId id) {
+  const ReadGuard guard;
+  const Bundle &b = fr.Opt.Shared->InForce.read(guard);
+  if (findWorkspace(b, sha256Hex(bearerKey(req))))
+    fr.Opt.ToClaims(IssueTicket{id, std::move(reply)});
+  else
+    sendProblem(reply, {ErrorCode::Denied, Step::Authorise, {}, "unknown key"},
+                Outcome::NotRun, id);
+}
+
 void onRequest(Front &fr, HttpRequest req, HttpReply reply) {
   const RequestId id{fr.Opt.IdHigh,
                      fr.NextId.fetch_add(1, std::memory_order_relaxed)};
@@ -148,6 +179,10 @@
                 Outcome::NotRun, id);
     return;
   }
+  if (req.Path == TicketPath && req.Method == "POST") {
+    onTicketRequest(fr, req, std::move(reply), id);
+    return;
+  }
   const Time now = monotonicNow();
   std::optional<Admission> adm;
   handle([&] { return admitRequest(*fr.Opt.Shared, req, now); },
@@ -161,10 +196,9 @@
          });
   if (!adm)
     return;
-  std::string key(req.header(IdempotencyHeader));
-  std::string ticket(req.header(TicketHeader));
-  fr.Opt.ToWorker(Arrival{id, *adm, std::move(req), std::move(reply), now,
-                          std::move(key), std::move(ticket)});
+  Arrival arr{id, *adm, std::move(req), std::move(reply), now, {}, {}};
+  if (takeKey(arr))
+    fr.Opt.ToWorker(std::move(arr));
 }
 
 } // namespace
--- a/src/adapt/worker.cpp
+++ b/src/adapt/worker.cpp
@@ -100,6 +100,7 @@
   void take(const Granted &msg);
   void take(const Refused &msg);
   void take(const SchedulerLost &msg);
+  void take(const ClaimDecided &msg);
   void take(const CallerGone &msg);
   void take(const StopWorker &msg);
 
@@ -128,6 +129,7 @@
   void endStream(Call &c, const FinishRequest &a);
   void count(const Call &c, Outcome oc) const;
   void note(const Call &c, const GiveBack &a);
+  void countClaim(ClaimStatus st) const;
   void expire(Time now);
   void housekeep(Time now);
   [[nodiscard]] Duration sleepFor(Time now) const;
@@ -189,7 +191,7 @@
   DispatchWork work;
   work.Id = asked.Id;
   work.Admitted = asked.Admitted;
-  work.Keyed = !asked.IdempotencyKey.empty() || !asked.IssuedTicket.empty();
+  work.Keyed = !asked.IdempotencyKey.empty();
   work.Random = nextRandom(Random);
   {
     const ReadGuard guard;
@@ -234,6 +236,15 @@
   settle(*c);
 }
 
+void Worker::take(const ClaimDecided &msg) {
+  countClaim(msg.Result.Status);
+  Call *c = find(msg.Request);
+  if (!c)
+    return;
+  onClaim(c->Life, Rules, msg.Result, monotonicNow(), Actions);
+  settle(*c);
+}
+
 void Worker::take(const CallerGone &msg) {
   const auto it = ByConnection.find(msg.Connection);
   if (it == ByConnection.end())
@@ -368,12 +379,18 @@
   Opt.ToRpc(DropTicket{a.Attempt, c.Asked.Admitted.Pool, c.Zone});
 }
 
-void Worker::act(Call &c, const TakeClaim & /*a*/) {
-  onClaim(c.Life, Rules, {ClaimStatus::Unreadable, std::nullopt, {}},
-          monotonicNow(), Actions);
+void Worker::act(Call &c, const TakeClaim &a) {
+  const Arrival &asked = c.Asked;
+  if (asked.Ticket)
+    Opt.ToClaims(AskTicket{a.Request, *asked.Ticket});
+  else
+    Opt.ToClaims(AskClaim{
+        a.Request, claimKeyOf(asked.Admitted.Workspace, asked.IdempotencyKey)});
 }
 
-void Worker::act(Call & /*c*/, const RecordOutcome & /*a*/) {}
+void Worker::act(Call & /*c*/, const RecordOutcome &a) {
+  Opt.ToClaims(WriteOutcome{a.Request, a.Result});
+}
 
 TransferSpec Worker::transferOf(const Call &c, const SendRequest &a,
                                 const EndpointSpec &ep) const {
@@ -499,6 +516,8 @@
   const Tier rank = c.Asked.Admitted.Rank;
   TierCounters &tier = Opt.Shared->Counts.ByTier[rank.Rank];
   tier.ByOutcome[static_cast<std::size_t>(oc)].add();
+  Opt.Shared->Counts.GrantsLapsed.add(c.Life.Lapses);
+  Opt.Shared->Counts.Retries.add(c.Life.Retries);
   tier.Total.observe(micros(now - at));
   if (c.GrantedAt != Time{})
     tier.Wait.observe(micros(c.GrantedAt - at));
@@ -513,6 +532,16 @@
       tier.Good.add();
 }
 
+void Worker::countClaim(ClaimStatus st) const {
+  Counters &all = Opt.Shared->Counts;
+  if (st == ClaimStatus::Mine)
+    all.ClaimsTaken.add();
+  else if (st == ClaimStatus::Unreadable)
+    all.ClaimsUnknown.add();
+  else
+    all.ClaimsRefused.add();
+}
+
 void Worker::note(const Call &c, const GiveBack &a) {
   const GrantReturn &ret = a.Return;
   if (!ret.Dispatched)
--- /dev/null
+++ b/tests/process/at_most_once_test.cpp
@@ -0,0 +1,354 @@
+// What must hold of requests across real processes. Each test counts the runs
+// at the plain service: never two.
+#include "support/nodes.h"
+
+#include "zinniagauge/adapt/digest.h"
+#include "zinniagauge/decide/assign.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <thread>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *Bin = ZINNIA_BINARY_DIR;
+constexpr std::string_view CallerKey = "test-caller";
+constexpr const char *ZoneName = "cuenca";
+constexpr const char *DeskPool = "desk";
+
+/// An endpoint's stand-in.
+struct EndpointProcess {
+  EndpointProcess(const std::string &kind, std::vector<std::string> more = {})
+      : Port(freePorts(1).front()),
+        Url("http://127.0.0.1:" + std::to_string(Port)),
+        Proc(command(kind, std::move(more))) {
+    REQUIRE(Proc.waitForOutput("listening"));
+  }
+
+  std::vector<std::string> command(const std::string &kind,
+                                   std::vector<std::string> more) const {
+    std::vector<std::string> argv{std::string(Bin) + "/standin-engine",
+                                  "--kind", kind, "--listen",
+                                  "127.0.0.1:" + std::to_string(Port)};
+    argv.insert(argv.end(), more.begin(), more.end());
+    return argv;
+  }
+
+  void faults(const json &val) const {
+    REQUIRE(callHttp("POST", Url + "/faults", val.dump()).Status == 200);
+  }
+
+  [[nodiscard]] json runs() const {
+    return json::parse(callHttp("GET", Url + "/runs").Body);
+  }
+
+  std::uint16_t Port;
+  std::string Url;
+  Process Proc;
+};
+
+json endpointJson(const char *name, const char *pool, std::uint16_t port,
+                  int slots) {
+  return {{"name", name},          {"pool", pool},
+          {"zone", ZoneName},      {"host", "127.0.0.1"},
+          {"port", port},          {"version", "v1"},
+          {"slots", slots},        {"generation", 1},
+          {"token_limit", 100000}, {"tokens_per_second", 1000}};
+}
+
+/// One tier whose requests have 8 s, a service that may run a cue once, and an
+/// engine.
+json bundleJson(std::uint16_t desk, std::uint16_t engine, int slots) {
+  json val;
+  val["tiers"] = {{{"name", "cue"},
+                   {"rank", 0},
+                   {"default_timeout_s", 8},
+                   {"first_token_target_ms", 500},
+                   {"objective", 0.99}}};
+  val["workspaces"] = {{{"name", "regiduria"},
+                        {"key_digests", {sha256Hex(CallerKey)}},
+                        {"weight", 1},
+                        {"highest_tier", "cue"}}};
+  val["pools"] = {{{"name", DeskPool}, {"kind", "service"}},
+                  {{"name", "surtitle"}, {"kind", "engine"}}};
+  val["routes"] = {{{"name", "fire-cue"},
+                    {"path_prefix", "/desk/fire-cue"},
+                    {"pool", DeskPool},
+                    {"default_tier", "cue"},
+                    {"idempotent", false}},
+                   {{"name", "surtitle-model"},
+                    {"model", "surtitle"},
+                    {"pool", "surtitle"},
+                    {"default_tier", "cue"}}};
+  val["endpoints"] = {endpointJson("desk-1", DeskPool, desk, slots),
+                      endpointJson("surtitle-1", "surtitle", engine, slots)};
+  val["endpoints"][0].erase("token_limit");
+  val["endpoints"][0].erase("tokens_per_second");
+  val["moves"] = json::array();
+  return val;
+}
+
+/// Adds settings that a test needs to those of an entry.
+void addSettings(const std::string &path, const json &more) {
+  std::ifstream in(path);
+  json val = json::parse(in);
+  val.update(more);
+  std::ofstream(path) << val.dump();
+}
+
+/// Two VMs in one zone, with a bundle in force.
+struct Theatre {
+  ScratchFolder Folder;
+  PlatformProcess Platform{Bin};
+  EndpointProcess Desk;
+  EndpointProcess Engine{"engine"};
+  std::vector<Node> Nodes =
+      makeNodes(Folder, Platform.Url, {"vm-a", "vm-b"}, {ZoneName, ZoneName});
+
+  explicit Theatre(const json &settings = json::object(),
+                   std::vector<std::string> desk = {}, int slots = 8)
+      : Desk("service", std::move(desk)) {
+    for (Node &it : Nodes) {
+      addSettings(it.EntrySettings, settings);
+      startNode(it, Bin);
+      REQUIRE(waitForStatus(it.operatorUrl() + "/v1/status", 401));
+    }
+    approve(Folder.write("bundle.json",
+                         bundleJson(Desk.Port, Engine.Port, slots).dump()));
+    for (const Node &it : Nodes)
+      REQUIRE(waitUntil(
+          [&] { return statusNumber(it, "/entry/bundle_version") == 1; }));
+  }
+
+  void approve(const std::string &file) const {
+    const ProgramResult proposed = ctl(Nodes[0], Bin, FirstOperatorKey,
+                                       {"--json", "bundle", "propose", file});
+    INFO(proposed.Output);
+    REQUIRE(proposed.Exit == 0);
+    const auto digest =
+        json::parse(proposed.Output).at("digest").get<std::string>();
+    REQUIRE(ctl(Nodes[0], Bin, SecondOperatorKey, {"bundle", "approve", digest})
+                .Exit == 0);
+  }
+
+  [[nodiscard]] HttpAnswer call(std::size_t node, std::string_view path,
+                                std::string_view body,
+                                std::vector<HttpHeader> headers = {}) const {
+    headers.push_back({"Authorization", "Bearer " + std::string(CallerKey)});
+    headers.push_back({"Content-Type", "application/json"});
+    const std::string url =
+        "http://" + Nodes[node].EntryHttp + std::string(path);
+    HttpCall req;
+    req.Method = "POST";
+    req.Url = url;
+    req.Headers = headers;
+    req.Body = body;
+    req.Timeout = PatienceBound;
+    return handle([&] { return httpCall(req); },
+                  [](const HttpAnswer &ans) { return ans; },
+                  [](const Error &) { return HttpAnswer{}; });
+  }
+
+  [[nodiscard]] HttpAnswer fire(std::size_t node,
+                                const std::string &key) const {
+    std::vector<HttpHeader> headers;
+    if (!key.empty())
+      headers.push_back({"Idempotency-Key", key});
+    return call(node, "/desk/fire-cue", R"({"cue": 7})", std::move(headers));
+  }
+
+  /// Waits until a cue can be fired at both entries.
+  void warmUp() const {
+    for (std::size_t n = 0; n < Nodes.size(); ++n)
+      REQUIRE(waitUntil([&] { return fire(n, {}).Status == 200; }));
+  }
+
+  void checkRuns() const {
+    const json runs = Desk.runs();
+    INFO(runs.dump());
+    CHECK(runs.at("most_by_key") <= 1);
+    CHECK(runs.at("most_by_request") <= 1);
+  }
+};
+
+/// The value of an entry's metric, summed over its labels.
+double metricOf(const Node &node, const std::string &name) {
+  const std::string text =
+      callHttp("GET", "http://" + node.EntryMetrics + "/metrics").Body;
+  double sum = 0;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);)
+    if (line.starts_with(name) && line.find(' ') != std::string::npos)
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+  return sum;
+}
+
+std::string outcomeOf(const HttpAnswer &ans) {
+  for (const HttpHeader &h : ans.Headers)
+    if (h.Name == "Zinnia-Outcome" || h.Name == "zinnia-outcome")
+      return h.Value;
+  return {};
+}
+
+} // namespace
+
+TEST_CASE("the same key at two entries at once fires one cue",
+          "[process][once]") {
+  constexpr int Cues = 10;
+  const Theatre t;
+  t.warmUp();
+  for (int n = 0; n < Cues; ++n) {
+    const std::string key = "cue-" + std::to_string(n);
+    std::array<HttpAnswer, 2> ans;
+    std::thread other([&] { ans[1] = t.fire(1, key); });
+    ans[0] = t.fire(0, key);
+    other.join();
+    CHECK((ans[0].Status == 200) != (ans[1].Status == 200));
+    const HttpAnswer &second = ans[0].Status == 200 ? ans[1] : ans[0];
+    CHECK(second.Status == 409);
+    const std::string told = outcomeOf(second);
+    CHECK((told == "unknown" || told == "completed"));
+    CHECK(t.Desk.runs().at("by_key").at(key) == 1);
+  }
+  t.checkRuns();
+}
+
+TEST_CASE("a claim whose answer is lost is read back", "[process][once]") {
+  const bool silent = GENERATE(false, true);
+  const Theatre t(json{{"platform_timeout_ms", 4000}});
+  t.warmUp();
+  REQUIRE(t.Platform.faults(json{
+      {"service", "table"},
+      {"silent", silent},
+      {"lost_answers", 1}}.dump()));
+  CHECK(t.fire(0, "cue-1").Status == 200);
+  CHECK(json::parse(t.Platform.counts()).at("table").at("lost") == 1);
+  const HttpAnswer again = t.fire(1, "cue-1");
+  CHECK(again.Status == 409);
+  CHECK(t.Desk.runs().at("by_key").at("cue-1") == 1);
+  t.checkRuns();
+}
+
+TEST_CASE("with the table out a key is refused and a ticket runs once",
+          "[process][once]") {
+  const Theatre t;
+  t.warmUp();
+  const HttpAnswer issued = t.call(0, "/zinnia/tickets", "");
+  REQUIRE(issued.Status == 201);
+  const auto ticket = json::parse(issued.Body).at("ticket").get<std::string>();
+  REQUIRE(t.Platform.faults(R"({"service": "table", "outage": true})"));
+  const HttpAnswer keyed = t.fire(0, "cue-1");
+  CHECK(keyed.Status == 503);
+  CHECK(outcomeOf(keyed) == "not_run");
+  CHECK(json::parse(keyed.Body).at("step") == "claim");
+  CHECK(t.fire(0, ticket).Status == 200);
+  const HttpAnswer again = t.fire(0, ticket);
+  CHECK(again.Status == 409);
+  CHECK(outcomeOf(again) == "completed");
+  const HttpAnswer elsewhere = t.fire(1, ticket);
+  CHECK(elsewhere.Status == 409);
+  CHECK(outcomeOf(elsewhere) == "unknown");
+  const json runs = t.Desk.runs();
+  CHECK(runs.at("by_key").at(ticket) == 1);
+  CHECK_FALSE(runs.at("by_key").contains("cue-1"));
+  t.checkRuns();
+}
+
+TEST_CASE("an engine that goes silent on an open connection is asked anew",
+          "[process][once]") {
+  const Theatre t(json{{"first_byte_timeout_ms", 1000}});
+  t.warmUp();
+  const std::string body =
+      R"({"model": "surtitle", "prompt": "una voz", "max_tokens": 4,)"
+      R"( "stream": true})";
+  REQUIRE(waitUntil(
+      [&] { return t.call(0, "/v1/completions", body).Status == 200; }));
+  t.Engine.faults({{"silent_open", true}});
+  const HttpAnswer ans = t.call(0, "/v1/completions", body);
+  CHECK(ans.Status == 200);
+  CHECK(ans.Body.find("data: [DONE]") != std::string::npos);
+  CHECK(t.Engine.runs().at("most_by_request") <= 2);
+  // Work that may not be repeated is not asked anew.
+  t.Desk.faults({{"silent", true}});
+  const HttpAnswer cue = t.fire(0, "cue-1");
+  CHECK(outcomeOf(cue) == "unknown");
+  t.checkRuns();
+}
+
+TEST_CASE("an answer that is cut short is not passed on as whole",
+          "[process][once]") {
+  const Theatre t;
+  t.warmUp();
+  t.Desk.faults({{"cut_after_bytes", 5}});
+  const HttpAnswer ans = t.fire(0, "cue-1");
+  CHECK(ans.Status == 502);
+  CHECK(outcomeOf(ans) == "unknown");
+  t.checkRuns();
+}
+
+TEST_CASE("an entry that is frozen past its grant asks anew",
+          "[process][once]") {
+  const Theatre t(json{{"platform_timeout_ms", 8000}});
+  t.warmUp();
+  // The claim is slow, so the grant waits for it; both end in the freeze.
+  REQUIRE(t.Platform.faults(R"({"service": "table", "slowness_ms": 1000})"));
+  HttpAnswer ans;
+  const auto writes = [&] {
+    return json::parse(t.Platform.counts()).at("table").at("requests");
+  };
+  const json before = writes();
+  std::thread caller([&] { ans = t.fire(0, "cue-1"); });
+  CHECK(waitUntil([&] { return writes() != before; }));
+  t.Nodes[0].Entry->signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  t.Nodes[0].Entry->signal(SIGCONT);
+  caller.join();
+  CHECK(ans.Status == 200);
+  CHECK(t.Desk.runs().at("by_key").at("cue-1") == 1);
+  CHECK(metricOf(t.Nodes[0], "zinnia_grants_lapsed_total") >= 1);
+  t.checkRuns();
+}
+
+TEST_CASE("a scheduler's VM that is killed loses no request",
+          "[process][once]") {
+  constexpr int Waiting = 8;
+  Theatre t(json::object(), {"--service-ms", "300"}, 1);
+  t.warmUp();
+  std::vector<Member> members(2);
+  for (std::size_t n = 0; n < members.size(); ++n) {
+    members[n].Id = VmId::of(t.Nodes[n].Name);
+    members[n].Zone = ZoneId::of(ZoneName);
+  }
+  const Member *holder =
+      schedulerFor(members, {ZoneId::of(ZoneName), PoolId::of(DeskPool), 0});
+  const std::size_t dies = holder->Id == members[0].Id ? 0 : 1;
+  std::vector<HttpAnswer> ans(Waiting);
+  std::vector<std::thread> callers;
+  for (int n = 0; n < Waiting; ++n)
+    callers.emplace_back([&, n] {
+      ans[static_cast<std::size_t>(n)] =
+          t.fire(1 - dies, "cue-" + std::to_string(n));
+    });
+  const json before = t.Desk.runs().at("total");
+  CHECK(waitUntil([&] { return t.Desk.runs().at("total") > before; }));
+  t.Nodes[dies].Entry->kill();
+  t.Nodes[dies].Agent->kill();
+  for (std::thread &it : callers)
+    it.join();
+  for (const HttpAnswer &it : ans) {
+    INFO(it.Body);
+    CHECK(it.Status == 200);
+  }
+  t.checkRuns();
+}
