--- a/include/zinniagauge/decide/bundle_spread.h
+++ b/include/zinniagauge/decide/bundle_spread.h
@@ -6,6 +6,7 @@
 #include "zinniagauge/board/bundle.h"
 #include "zinniagauge/board/cell.h"
 #include "zinniagauge/board/member.h"
+#include "zinniagauge/decide/exchange.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,12 +36,6 @@
 /// The version and digest of \p b.
 [[nodiscard]] BundleVersion versionOf(const Bundle &b);
 
-/// Whether to send one's text to a member that has version \p theirs.
-[[nodiscard]] constexpr bool wantsText(std::uint64_t mine,
-                                       std::uint64_t theirs) noexcept {
-  return mine > theirs;
-}
-
 /// Puts \p next in force on the board's section \p in_force if it is newer, and
 /// says how it stood to what was. To be called by one thread at a time.
 BundleOrder putInForce(Cell<Bundle> &in_force, Bundle next);
@@ -62,12 +57,18 @@
 struct RecoveryView {
   std::uint64_t InForce = 0;
   std::optional<std::uint64_t> TableHead; // Absent: the table hasn't answered.
-  std::size_t Peers = 0;                  // That were asked.
+  std::size_t Peers = 0;                  // That are known by address.
   std::size_t PeersHeard = 0;
   std::uint64_t HighestPeer = 0;
   Duration Since = Duration::zero(); // The start.
 };
 
+/// What a VM that exchanges state by \p ex has heard; \p table_head is what the
+/// table said, if it answered.
+[[nodiscard]] RecoveryView recoveryView(const Exchange &ex,
+                                        std::optional<std::uint64_t> table_head,
+                                        Time now);
+
 /// Whether a new VM may report ready: it has in force the highest version of
 /// the table and its peers, and has heard the table, or all peers, or after
 /// PeerWait at least one.
--- a/src/decide/bundle_spread.cpp
+++ b/src/decide/bundle_spread.cpp
@@ -44,6 +44,22 @@
   return static_cast<std::size_t>(before) < PollersPerZone;
 }
 
+RecoveryView recoveryView(const Exchange &ex,
+                          std::optional<std::uint64_t> table_head, Time now) {
+  RecoveryView view;
+  view.InForce = ex.InForce.Version;
+  view.TableHead = table_head;
+  view.Peers = ex.Seeds.size();
+  view.Since = now - ex.Members.Started;
+  for (const Member &m : publishMembers(ex.Members, now).Members) {
+    if (m.Id == ex.Members.Self || !mayHoldRoles(m))
+      continue;
+    ++view.PeersHeard;
+    view.HighestPeer = std::max(view.HighestPeer, m.BundleVersion);
+  }
+  return view;
+}
+
 bool isRecovered(const RecoveryView &view) noexcept {
   const std::uint64_t highest =
       std::max(view.TableHead.value_or(0), view.HighestPeer);
