Join agents by exchange, and recover bundles from peers

Cause: agents knew of bundles from the platform alone, so one accepted just before an outage stayed at its agent, and a new VM could not start without the table. The exchange's decisions were there, without a thread. One thread now swaps with the other agents and writes the board's members, endpoints, moves and bundle; a VM pushes no bundle to its entry before it has the highest of its peers and the table. Conclusion: an accepted bundle reaches the entries with the platform out.

--- a/include/zinniagauge/adapt/entry_link.h
+++ b/include/zinniagauge/adapt/entry_link.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/board/cell.h"
 #include "zinniagauge/board/entry_report.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,7 @@
   const Board *Shared = nullptr;       // Pushed to the entry.
   Cell<EntryReport> *Report = nullptr; // Written by the link.
   std::string Address;                 // "ip:port" of the entry's RPC.
+  std::function<bool()> MayServe; // Until it says yes, no bundle is pushed.
 };
 
 /// Between two updates.
--- a/include/zinniagauge/fwd.h
+++ b/include/zinniagauge/fwd.h
@@ -29,7 +29,7 @@
 struct Error;
 struct Evidence;
 struct Exchange;
-struct ExchangeNews;
+
 struct Grant;
 struct GrantReturn;
 struct HeadRow;
--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -1,12 +1,14 @@
 // zinnia-agent: the control path of a VM. Reads the bundle from the platform,
 // keeps the board, pushes it to the entry, and serves operators.
 
-#include "zinniagauge/adapt/bundle_json.h"
 #include "zinniagauge/adapt/bundle_routes.h"
 #include "zinniagauge/adapt/bundle_store.h"
 #include "zinniagauge/adapt/command_line.h"
 #include "zinniagauge/adapt/entry_link.h"
+#include "zinniagauge/adapt/exchange_thread.h"
 #include "zinniagauge/adapt/http_client.h"
+#include "zinniagauge/adapt/log.h"
+#include "zinniagauge/adapt/metrics.h"
 #include "zinniagauge/adapt/operator_api.h"
 #include "zinniagauge/adapt/platform.h"
 #include "zinniagauge/adapt/settings.h"
@@ -19,11 +21,23 @@
 #include <csignal>
 #include <cstdio>
 #include <optional>
+#include <random>
+#include <thread>
 
 using namespace zinniagauge;
 
 namespace {
 
+/// How long a stopping agent goes on, so that others hear that it leaves.
+constexpr Duration StopNotice = std::chrono::seconds(1);
+
+/// What was last read of the table's head; none while it doesn't answer.
+struct TableReading {
+  std::atomic<bool> Reached{false};
+  std::atomic<bool> Known{false}; // Whether it has answered since the start.
+  std::atomic<std::uint64_t> Head{0};
+};
+
 /// The parts of the process, in the order in which they start; they end in
 /// reverse.
 struct Agent {
@@ -31,61 +45,143 @@
   Platform Store;
   Board Shared;
   Cell<EntryReport> Report;
-  std::atomic<bool> TableReached{false};
-  WorkQueue Control; // The one writer of the board's bundle.
-  WorkQueue Poll;    // Calls the platform.
+  TableReading Table;
+  std::atomic<bool> Recovered{false};
+  std::atomic<bool> Stopping{false};
+  std::optional<ExchangeThread> Swaps;
+  WorkQueue Poll; // Calls the platform.
   std::optional<EntryLink> Link;
   std::optional<OperatorApi> Operators;
   TimerService Timers;
+  std::optional<MetricsServer> Metrics;
 };
 
-void offer(Agent &a, Bundle next) {
-  a.Control.post([&a, next = std::move(next)] {
-    static_cast<void>(putInForce(a.Shared.InForce, next));
-  });
-}
-
-std::uint64_t versionInForce(const Agent &a) {
-  const ReadGuard guard;
-  return a.Shared.InForce.read(guard).Version;
-}
-
 Result<void> readTable(Agent &a) {
   BOOST_LEAF_AUTO(head, readHead(a.Store));
-  if (head.Head.Version <= versionInForce(a))
+  a.Table.Head = head.Head.Version;
+  a.Table.Known = true;
+  if (head.Head.Version <= a.Shared.InForce.copy().Version)
     return {};
   BOOST_LEAF_AUTO(next, fetchBundle(a.Store, head.Head));
-  offer(a, std::move(next));
+  a.Swaps->offer(std::move(next));
   return {};
 }
 
 void pollTable(Agent &a) {
-  a.TableReached = handle([&] { return readTable(a); }, [] { return true; },
-                          [](const Error &) { return false; });
+  const MemberList list = a.Shared.Members.copy();
+  if (a.Recovered && !readsTable(list.Members, VmId::of(a.Settings.VmName)))
+    return;
+  const bool reached = handle([&] { return readTable(a); }, [] { return true; },
+                              [](const Error &) { return false; });
+  if (a.Table.Reached.exchange(reached) != reached)
+    logChange({reached ? LogLevel::Info : LogLevel::Warn, Step::Platform,
+               a.Settings.PlatformUrl,
+               reached ? "the platform answers" : "the platform is out"});
+}
+
+/// Tells the exchange of the VMs that the platform lists.
+Result<void> readVmList(Agent &a) {
+  BOOST_LEAF_AUTO(list, a.Store.ListVms());
+  a.Swaps->post([list](Exchange &ex) {
+    std::vector<ListedVm> vms;
+    for (const VmEntry &it : list)
+      vms.push_back({VmId::of(it.Name), it.Leaving});
+    applyVmList(ex.Members, vms);
+  });
+  return {};
+}
+
+void pollVmList(Agent &a) {
+  static_cast<void>(handle([&] { return readVmList(a); }, [] { return true; },
+                           [](const Error &) { return false; }));
+}
+
+/// Follows, on the exchange's thread, whether this VM may serve.
+void followRecovery(Agent &a, const Exchange &ex, Time now) {
+  if (a.Recovered)
+    return;
+  const auto head =
+      a.Table.Known ? std::optional(a.Table.Head.load()) : std::nullopt;
+  if (!isRecovered(recoveryView(ex, head, now)))
+    return;
+  a.Recovered = true;
+  logChange({LogLevel::Info, Step::Bundle, {}, "recovered the bundle"});
 }
 
 std::vector<OperatorRoute> routes(Agent &a) {
   std::vector<OperatorRoute> all = bundleRoutes(
-      {&a.Store, [&a](Bundle next) { offer(a, std::move(next)); }});
+      {&a.Store, [&a](Bundle next) { a.Swaps->offer(std::move(next)); }});
   all.push_back(statusRoute({&a.Settings, &a.Shared, &a.Report,
-                             [&a] { return a.TableReached.load(); }}));
+                             [&a] { return a.Table.Reached.load(); }}));
   return all;
 }
 
+ExchangeOptions exchangeOptions(Agent &a) {
+  ExchangeOptions opt;
+  opt.Shared = &a.Shared;
+  opt.Self.Name = a.Settings.VmName;
+  opt.Self.Id = VmId::of(a.Settings.VmName);
+  opt.Self.ZoneName = a.Settings.ZoneName;
+  opt.Self.Zone = ZoneId::of(a.Settings.ZoneName);
+  opt.Self.EntryAddress = a.Settings.EntryRpcAddress;
+  opt.Self.AgentAddress = a.Settings.RpcAddress;
+  opt.Self.Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  opt.Address = a.Settings.RpcAddress;
+  opt.Seeds = a.Settings.PeerAgents;
+  std::random_device dev;
+  opt.Seed = dev();
+  opt.OnStep = [&a](const Exchange &ex, Time now) {
+    followRecovery(a, ex, now);
+  };
+  return opt;
+}
+
+MetricsOptions metricsOptions(Agent &a) {
+  MetricsOptions opt;
+  opt.Address = a.Settings.MetricsAddress;
+  opt.VmName = a.Settings.VmName;
+  opt.ZoneName = a.Settings.ZoneName;
+  opt.Program = "agent";
+  opt.Shared = &a.Shared;
+  opt.Timers = &a.Timers;
+  opt.Stopping = [&a] { return a.Stopping || !a.Recovered; };
+  return opt;
+}
+
+void startPolls(Agent &a) {
+  a.Poll.post([&a] { pollTable(a); });
+  a.Poll.post([&a] { pollVmList(a); });
+  a.Timers.every(a.Settings.PollPeriod,
+                 [&a](Time) { a.Poll.postIfIdle([&a] { pollTable(a); }); });
+  a.Timers.every(a.Settings.VmListPeriod,
+                 [&a](Time) { a.Poll.post([&a] { pollVmList(a); }); });
+}
+
 Result<void> startParts(Agent &a) {
   a.Store = httpPlatform(a.Settings.PlatformUrl, a.Settings.PlatformTimeout);
-  a.Link.emplace(
-      EntryLinkOptions{&a.Shared, &a.Report, a.Settings.EntryRpcAddress});
+  BOOST_LEAF_AUTO(swaps, ExchangeThread::start(exchangeOptions(a)));
+  a.Swaps.emplace(std::move(swaps));
+  a.Link.emplace(EntryLinkOptions{&a.Shared, &a.Report,
+                                  a.Settings.EntryRpcAddress,
+                                  [&a] { return a.Recovered.load(); }});
   BOOST_LEAF_AUTO(api,
                   OperatorApi::start({a.Settings.OperatorAddress,
                                       a.Settings.OperatorKeys, routes(a)}));
   a.Operators.emplace(std::move(api));
-  a.Poll.post([&a] { pollTable(a); });
-  a.Timers.every(a.Settings.PollPeriod,
-                 [&a](Time) { a.Poll.postIfIdle([&a] { pollTable(a); }); });
+  BOOST_LEAF_AUTO(metrics, serveMetrics(metricsOptions(a)));
+  a.Metrics.emplace(std::move(metrics));
+  startPolls(a);
   return {};
 }
 
+/// Stops by plan: others hear that this VM leaves before it is gone.
+void stopParts(Agent &a) {
+  a.Stopping = true;
+  a.Swaps->post([](Exchange &ex) { noteLeaving(ex); });
+  std::this_thread::sleep_for(StopNotice);
+}
+
 sigset_t stopSignals() {
   sigset_t set;
   sigemptyset(&set);
@@ -100,17 +196,26 @@
   std::signal(SIGPIPE, SIG_IGN);
   Agent a;
   a.Settings = std::move(settings);
-  return handle([&] { return startParts(a); },
-                [&] {
-                  int sig = 0;
-                  sigwait(&stop, &sig);
-                  return ExitCode::Ok;
-                },
-                [](const Error &err) {
-                  std::fprintf(stderr, "zinnia-agent: %s\n",
-                               describe(err).c_str());
-                  return ExitCode::Unreachable;
-                });
+  return handle(
+      [&]() -> Result<void> {
+        BOOST_LEAF_CHECK(
+            startLog(a.Settings.Log, a.Settings.VmName, a.Settings.ZoneName));
+        return startParts(a);
+      },
+      [&] {
+        logChange({LogLevel::Info, Step::Settings, {}, "serving"});
+        int sig = 0;
+        sigwait(&stop, &sig);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopping"});
+        stopParts(a);
+        logChange({LogLevel::Info, Step::Settings, {}, "stopped"});
+        stopLog();
+        return ExitCode::Ok;
+      },
+      [](const Error &err) {
+        std::fprintf(stderr, "zinnia-agent: %s\n", describe(err).c_str());
+        return ExitCode::Failed;
+      });
 }
 
 ExitCode run(const std::string &path, bool check) {
@@ -135,7 +240,7 @@
       "Runs the control path of a VM: reads bundles from the platform, pushes\n"
       "them to the VM's entry and serves operators.",
       {{"check-settings", "", "Check the settings and end", &check}},
-      {ExitCode::Ok, ExitCode::Usage, ExitCode::Unreachable}};
+      {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage}};
   const ParsedCommand cmd = parseCommandLine(line, argc, argv);
   if (cmd.Exit)
     return toInt(*cmd.Exit);
--- a/src/adapt/entry_link.cpp
+++ b/src/adapt/entry_link.cpp
@@ -18,15 +18,17 @@
 constexpr auto UpdatePeriod = EntryUpdatePeriod.count() * kj::NANOSECONDS;
 constexpr auto CallTimeout = EntryCallTimeout.count() * kj::NANOSECONDS;
 
-/// Writes the board; the bundle's text only if the entry has another version.
-void fill(wire::BoardUpdate::Builder to, const Board &b, std::uint64_t has) {
+/// Writes the bundle, its text only if the entry has an older one.
+void fill(wire::BundleText::Builder to, const Bundle &b, std::uint64_t has) {
+  to.setVersion(b.Version);
+  to.setDigest(b.Digest);
+  if (b.Version > has)
+    to.setText(b.Text);
+}
+
+/// Writes the sections besides the bundle.
+void fill(wire::BoardUpdate::Builder to, const Board &b) {
   const ReadGuard guard;
-  const Bundle &bundle = b.InForce.read(guard);
-  auto text = to.initBundle();
-  text.setVersion(bundle.Version);
-  text.setDigest(bundle.Digest);
-  if (bundle.Version > has)
-    text.setText(bundle.Text);
   const auto &members = b.Members.read(guard).Members;
   write(to.initMembers(static_cast<unsigned>(members.size())), members);
   const auto &eps = b.Endpoints.read(guard).Endpoints;
@@ -75,7 +77,12 @@
   std::uint64_t has = 0;
   while (!Stop) {
     auto req = board.updateRequest();
-    fill(req.initUpdate(), *Opt.Shared, has);
+    auto update = req.initUpdate();
+    fill(update, *Opt.Shared);
+    if (Opt.MayServe()) {
+      const ReadGuard guard;
+      fill(update.initBundle(), Opt.Shared->InForce.read(guard), has);
+    }
     const auto res =
         timer.timeoutAfter(CallTimeout, req.send()).wait(io.waitScope);
     EntryReport rep = readReport(res.getReport());
--- a/tests/process/bundle_test.cpp
+++ b/tests/process/bundle_test.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <iterator>
 #include <thread>
@@ -121,6 +122,47 @@
   CHECK(p.reachesEntries(1));
 }
 
+TEST_CASE("an accepted bundle reaches all entries though the platform is out",
+          "[process][bundle]") {
+  const Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  // The other agent can't read the table before it goes out.
+  p.Nodes[1].Agent->signal(SIGSTOP);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  REQUIRE(p.Platform.faults(R"({"service": "table", "outage": true})"));
+  REQUIRE(p.Platform.faults(R"({"service": "objects", "outage": true})"));
+  p.Nodes[1].Agent->signal(SIGCONT);
+  CHECK(p.reachesEntries(1));
+}
+
+TEST_CASE("a new VM recovers from its peers, or doesn't serve",
+          "[process][bundle]") {
+  Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  REQUIRE(p.reachesEntries(1));
+  REQUIRE(p.Platform.faults(R"({"service": "table", "outage": true})"));
+  p.Nodes[1].Entry->kill();
+  p.Nodes[1].Agent->kill();
+  startNode(p.Nodes[1], Bin);
+  CHECK(p.reachesEntries(1));
+
+  const std::string ready = "http://" + p.Nodes[1].EntryMetrics + "/readyz";
+  CHECK(waitForStatus(ready, 200));
+  for (Node &it : p.Nodes) {
+    it.Entry->kill();
+    it.Agent->kill();
+  }
+  // Neither the table nor a peer has the bundle now.
+  startNode(p.Nodes[1], Bin);
+  REQUIRE(waitUntil(
+      [&] { return statusNumber(p.Nodes[1], "/entry/in_progress") == 0; }));
+  REQUIRE(waitForStatus(ready, 503));
+  CHECK(statusNumber(p.Nodes[1], "/entry/bundle_version") == 0);
+  REQUIRE(p.Platform.faults(R"({"service": "table", "outage": false})"));
+  CHECK(waitForStatus(ready, 200));
+}
+
 TEST_CASE("an approval during an outage changes nothing, and says so",
           "[process][bundle]") {
   const Pair p;
--- a/tests/standins/standin-platform.cpp
+++ b/tests/standins/standin-platform.cpp
@@ -30,6 +30,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 using namespace zinniagauge;
 using nlohmann::json;
@@ -59,6 +60,7 @@
   std::map<std::string, std::string> Objects;
   std::deque<VmListAt> Vms{{Time::min(), {}}};
   std::int64_t LagMs = 0;
+  std::vector<HttpReply> Unanswered; // Kept, so that connections stay open.
   std::map<std::string, Service> Services{
       {"table", {}}, {"objects", {}}, {"vms", {}}};
 };
@@ -194,7 +196,9 @@
     return reply(to, ans);
   --s.LostAnswers;
   ++s.Lost;
-  if (!s.Silent)
+  if (s.Silent)
+    st.Unanswered.push_back(std::move(to));
+  else
     to.abort();
 }
 
