--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -84,6 +84,7 @@
   BOOST_LEAF_AUTO(list, a.Store.ListVms());
   a.Swaps->post([list](Exchange &ex) {
     std::vector<ListedVm> vms;
+    vms.reserve(list.size());
     for (const VmEntry &it : list)
       vms.push_back({VmId::of(it.Name), it.Leaving});
     applyVmList(ex.Members, vms);
