--- a/tests/standins/standin-platform.cpp
+++ b/tests/standins/standin-platform.cpp
@@ -59,6 +59,7 @@
   testing::TableModel Table;
   std::map<std::string, std::string> Objects;
   std::deque<VmListAt> Vms{{Time::min(), {}}};
+  std::vector<HttpReply> Unanswered; // Kept, so that nothing is ever said.
   std::int64_t LagMs = 0;
   std::vector<HttpReply> Unanswered; // Kept, so that connections stay open.
   std::map<std::string, Service> Services{
