--- a/src/adapt/http_client.cpp
+++ b/src/adapt/http_client.cpp
@@ -84,10 +84,6 @@
   curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(ms.count()));
   curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(h, CURLOPT_PROXY, "");
-  // libcurl sends a request again by itself when a kept connection closes
-  // without an answer. That must not happen to one that changes something.
-  if (call.Method != "GET")
-    curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
   if (call.Body.empty())
     return;
   curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/tests/standins/standin-platform.cpp
+++ b/tests/standins/standin-platform.cpp
@@ -30,7 +30,6 @@
 #include <deque>
 #include <memory>
 #include <mutex>
-#include <vector>
 
 using namespace zinniagauge;
 using nlohmann::json;
@@ -61,7 +60,6 @@
   std::deque<VmListAt> Vms{{Time::min(), {}}};
   std::vector<HttpReply> Unanswered; // Kept, so that nothing is ever said.
   std::int64_t LagMs = 0;
-  std::vector<HttpReply> Unanswered; // Kept, so that connections stay open.
   std::map<std::string, Service> Services{
       {"table", {}}, {"objects", {}}, {"vms", {}}};
 };
