Let operators drain an endpoint

Cause: zinniactl has the command, but no agent answered it. The order is noted in the exchange for the endpoint's present incarnation and spreads as its leaving does, so it works with the platform out. Ruled out: a row in the table, which an outage would withhold. Conclusion: both nodes of the test see the endpoint draining.

--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -4,6 +4,7 @@
 #include "zinniagauge/adapt/bundle_routes.h"
 #include "zinniagauge/adapt/bundle_store.h"
 #include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/endpoint_routes.h"
 #include "zinniagauge/adapt/entry_link.h"
 #include "zinniagauge/adapt/exchange_thread.h"
 #include "zinniagauge/adapt/http_client.h"
@@ -114,6 +115,7 @@
       {&a.Store, [&a](Bundle next) { a.Swaps->offer(std::move(next)); }});
   all.push_back(statusRoute({&a.Settings, &a.Shared, &a.Report,
                              [&a] { return a.Table.Reached.load(); }}));
+  all.push_back(drainRoute(a.Shared, *a.Swaps));
   return all;
 }
 
--- a/src/adapt/operator_commands.cpp
+++ b/src/adapt/operator_commands.cpp
@@ -259,6 +259,8 @@
                  entry.at("in_progress").dump() + " requests in progress"
            : "not reached") +
       "\n";
+  text += "endpoints: " + st.at("leaving").dump() + " leaving, " +
+          st.at("draining").dump() + " draining\n";
   for (const json &m : st.at("members"))
     text += "member " + m.at("name").get<std::string>() + " in " +
             m.at("zone").get<std::string>() + ": " +
--- a/src/adapt/status_route.cpp
+++ b/src/adapt/status_route.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -52,14 +53,24 @@
   return out;
 }
 
+/// How many endpoints have a flag set.
+std::size_t countOf(const EndpointList &list, bool EndpointState::*flag) {
+  return static_cast<std::size_t>(
+      std::count_if(list.Endpoints.begin(), list.Endpoints.end(),
+                    [&](const EndpointState &st) { return st.*flag; }));
+}
+
 std::string statusJson(const StatusSources &src) {
   const ReadGuard guard;
   const Bundle &b = src.Shared->InForce.read(guard);
+  const EndpointList &eps = src.Shared->Endpoints.read(guard);
   const json out{{"vm", src.Settings->VmName},
                  {"zone", src.Settings->ZoneName},
                  {"bundle_version", b.Version},
                  {"bundle_digest", b.Digest},
                  {"table_reached", src.TableReached()},
+                 {"leaving", countOf(eps, &EndpointState::Leaving)},
+                 {"draining", countOf(eps, &EndpointState::Draining)},
                  {"entry", entryJson(src.Report->read(guard))},
                  {"members", membersJson(src.Shared->Members.read(guard))},
                  {"moves", movesJson(b, src.Shared->Moves.read(guard))}};
--- a/tests/process/bundle_test.cpp
+++ b/tests/process/bundle_test.cpp
@@ -177,6 +177,17 @@
   CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
 }
 
+TEST_CASE("an endpoint is drained at every node", "[process][drain]") {
+  const Pair p;
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  REQUIRE(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  REQUIRE(p.reachesEntries(1));
+  CHECK(p.run(0, FirstOperatorKey, {"drain", "surtitle-9"}).Exit == 1);
+  CHECK(p.run(0, FirstOperatorKey, {"drain", "surtitle-2"}).Exit == 0);
+  for (const Node &it : p.Nodes)
+    CHECK(waitUntil([&] { return statusNumber(it, "/draining") == 1; }));
+}
+
 TEST_CASE("wrong keys, texts and names are refused with their mend",
           "[process][bundle]") {
   const Pair p;
