Make writes of the control path once only

Cause: two checks of the process tests failed: a transaction whose answer was lost came back as a success. libcurl sends a request again if a kept connection closes before the answer begins, and since answers keep connections, that happened to the platform's transactions, where the second run sees the first. Ruled out: an option of libcurl against it; there is none but a connection of its own. Reads still use the kept one.

--- a/include/zinniagauge/adapt/http_client.h
+++ b/include/zinniagauge/adapt/http_client.h
@@ -36,9 +36,10 @@
   std::string Body;
 };
 
-/// Makes the call on the calling thread, over a connection that the thread
-/// keeps for next time. Fails with Unavailable if no connection was made (then
-/// nothing was sent), or with TimedOut or Broken (then it may have been).
+/// Makes the call on the calling thread: a GET over a connection that the
+/// thread keeps for next time, anything else once, over a new one. Fails with
+/// Unavailable if no connection was made (then nothing was sent), or with
+/// TimedOut or Broken (then it may have been).
 [[nodiscard]] Result<HttpAnswer> httpCall(const HttpCall &call);
 
 /// Initialises libcurl; call it in main before any thread starts.
--- a/src/adapt/http_client.cpp
+++ b/src/adapt/http_client.cpp
@@ -76,6 +76,11 @@
   curl_easy_setopt(h, CURLOPT_TIMEOUT_MS, static_cast<long>(ms.count()));
   curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(h, CURLOPT_PROXY, "");
+  // libcurl sends a request again if a kept connection closes before the answer
+  // begins, though the first one may have taken effect. Only reads may go so.
+  const long fresh = call.Method == "GET" ? 0L : 1L;
+  curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, fresh);
+  curl_easy_setopt(h, CURLOPT_FORBID_REUSE, fresh);
   if (call.Body.empty())
     return;
   curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE_LARGE,
