--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -21,10 +21,10 @@
 constexpr double LeastDecodeWeight = 0.01;
 
 /// A ticket holds out for its prefix at most this share of its spare time.
-constexpr double HoldShare = 0.1;
+constexpr double HoldShare = 0.15;
 
 /// In the busiest pool a second of prefill is worth so many of waiting.
-constexpr double MostHold = 16;
+constexpr double MostHold = 32;
 
 /// While small tickets have come within this time, room is kept for them.
 constexpr Duration SmallWindow = std::chrono::seconds(10);
@@ -34,7 +34,7 @@
 
 /// An endpoint this much slower than the fastest one is probed when its turn
 /// comes, since its cost alone would never let it be chosen.
-constexpr double SlowFactor = 4.0;
+constexpr double SlowFactor = 1.5;
 
 /// A probe must leave a ticket so many times the fastest service time.
 constexpr int ProbeSlack = 4;
@@ -58,6 +58,7 @@
 struct Best {
   std::optional<std::uint32_t> Account;
   double Cost = 0;
+  bool Waits = false;
 };
 
 const Prefix *prefixOf(const Scheduler &s, const Ticket &t) noexcept {
@@ -158,7 +159,7 @@
 double decodeWeight(const Scheduler &s) noexcept {
   const double idle =
       1 - static_cast<double>(s.Board.SlotsTaken) / std::max(s.Board.Slots, 1U);
-  return std::max(idle * idle, LeastDecodeWeight);
+  return std::max(idle * idle * idle, LeastDecodeWeight);
 }
 
 double costAt(const Scheduler &s, const EndpointAccount &acc, const Request &r,
@@ -186,7 +187,7 @@
   const double cost =
       isProbe(s, acc, r, service, now) ? 0 : costAt(s, acc, r, service);
   if (!best.Account || cost < best.Cost)
-    best = {idx, cost};
+    best = {idx, cost, false};
   return false;
 }
 
@@ -229,6 +230,7 @@
   s.ScanFrom += static_cast<std::uint32_t>(n == size ? 1 : n);
   if (!best.Account)
     claim(s, r, std::span(full).first(nfull));
+  best.Waits = !best.Account && nfull > 0;
   return best;
 }
 
@@ -253,16 +255,16 @@
   return t.Choice == VersionChoice::To ? to > 0 : usable.All > to;
 }
 
-std::optional<std::uint32_t> place(Scheduler &s, const QueuedTicket &q,
-                                   Time now) {
+Placement place(Scheduler &s, const QueuedTicket &q, Time now) {
   const Request r = requestOf(s, q, now);
   if (q.Asked.Choice == VersionChoice::PreferTo ||
       q.Asked.Choice == VersionChoice::To) {
     const Best best = weighMovedTo(s, r, now);
     if (best.Account)
-      return best.Account;
+      return {best.Account, false};
   }
-  return weighAll(s, r, now).Account;
+  const Best best = weighAll(s, r, now);
+  return {best.Account, best.Waits};
 }
 
 std::optional<std::uint32_t> placeAtHolder(const Scheduler &s,
