Let a silent platform stay silent

Cause: a reply that is dropped closes its connection since answers are written on the connection's thread, so the stand-in's silent fault became a broken answer and its check failed (Broken for TimedOut). The stand-in now keeps such replies, as the endpoint's does.

--- a/tests/standins/standin-platform.cpp
+++ b/tests/standins/standin-platform.cpp
@@ -30,6 +30,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 using namespace zinniagauge;
 using nlohmann::json;
@@ -61,6 +62,7 @@
   std::int64_t LagMs = 0;
   std::map<std::string, Service> Services{
       {"table", {}}, {"objects", {}}, {"vms", {}}};
+  std::vector<HttpReply> Unanswered; // Kept, since dropping one closes it.
 };
 
 /// What a request comes to.
@@ -194,7 +196,9 @@
     return reply(to, ans);
   --s.LostAnswers;
   ++s.Lost;
-  if (!s.Silent)
+  if (s.Silent)
+    st.Unanswered.push_back(std::move(to));
+  else
     to.abort();
 }
 
