Tell members where an entry's metrics are

Cause: the report asks an agent for all nodes, and the list of members had no address that serves counts. One more field in both messages; JSON status shows it. Ruled out: a port by convention, which settings may break.

--- a/include/zinniagauge/board/member.h
+++ b/include/zinniagauge/board/member.h
@@ -27,6 +27,7 @@
   ZoneId Zone;
   std::string EntryAddress;      // "ip:port" of the entry's RPC.
   std::string AgentAddress;      // "ip:port" of the agent's RPC.
+  std::string MetricsAddress;    // "ip:port" of the entry's metrics.
   std::uint64_t Incarnation = 0; // Rises with each start.
   std::uint64_t Heartbeat = 0;   // Rises with each beat of the incarnation.
   std::uint64_t BundleVersion = 0;
--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -21,6 +21,7 @@
   bundleVersion @6 :UInt64;
   downAt @7 :UInt64;
   leaving @8 :Bool;
+  metricsAddress @9 :Text;
 }
 
 struct ExchangeEndpoint {
--- a/schema/exchange.capnp.h
+++ b/schema/exchange.capnp.h
@@ -58,7 +58,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d16ae1be7b4e4d53, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d16ae1be7b4e4d53, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -324,6 +324,9 @@
 
   inline bool getLeaving() const;
 
+  inline bool hasMetricsAddress() const;
+  inline  ::capnp::Text::Reader getMetricsAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -395,6 +398,13 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool hasMetricsAddress();
+  inline  ::capnp::Text::Builder getMetricsAddress();
+  inline void setMetricsAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMetricsAddress(unsigned int size);
+  inline void adoptMetricsAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMetricsAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1453,6 +1463,40 @@
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ExchangeMember::Reader::hasMetricsAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMember::Builder::hasMetricsAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ExchangeMember::Reader::getMetricsAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ExchangeMember::Builder::getMetricsAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ExchangeMember::Builder::setMetricsAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ExchangeMember::Builder::initMetricsAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMember::Builder::adoptMetricsAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ExchangeMember::Builder::disownMetricsAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ExchangeEndpoint::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/zinnia.capnp
+++ b/schema/zinnia.capnp
@@ -89,6 +89,7 @@
   heartbeat @5 :UInt64;
   bundleVersion @6 :UInt64;
   state @7 :UInt8;
+  metricsAddress @8 :Text;
 }
 
 struct EndpointState {
--- a/schema/zinnia.capnp.h
+++ b/schema/zinnia.capnp.h
@@ -337,7 +337,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f63e4f5ece4f1a66, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f63e4f5ece4f1a66, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2150,6 +2150,9 @@
 
   inline  ::uint8_t getState() const;
 
+  inline bool hasMetricsAddress() const;
+  inline  ::capnp::Text::Reader getMetricsAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2218,6 +2221,13 @@
   inline  ::uint8_t getState();
   inline void setState( ::uint8_t value);
 
+  inline bool hasMetricsAddress();
+  inline  ::capnp::Text::Builder getMetricsAddress();
+  inline void setMetricsAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMetricsAddress(unsigned int size);
+  inline void adoptMetricsAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMetricsAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4762,6 +4772,40 @@
       ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Member::Reader::hasMetricsAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasMetricsAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getMetricsAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getMetricsAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setMetricsAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initMetricsAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptMetricsAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownMetricsAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t EndpointState::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/adapt/exchange_codec.cpp
+++ b/src/adapt/exchange_codec.cpp
@@ -64,6 +64,7 @@
   out.setZoneName(r.Said.ZoneName);
   out.setEntryAddress(r.Said.EntryAddress);
   out.setAgentAddress(r.Said.AgentAddress);
+  out.setMetricsAddress(r.Said.MetricsAddress);
   out.setIncarnation(r.Said.Incarnation);
   out.setHeartbeat(r.Said.Heartbeat);
   out.setBundleVersion(r.Said.BundleVersion);
@@ -79,6 +80,7 @@
   r.Said.Zone = ZoneId::of(r.Said.ZoneName);
   r.Said.EntryAddress = in.getEntryAddress().cStr();
   r.Said.AgentAddress = in.getAgentAddress().cStr();
+  r.Said.MetricsAddress = in.getMetricsAddress().cStr();
   r.Said.Incarnation = in.getIncarnation();
   r.Said.Heartbeat = in.getHeartbeat();
   r.Said.BundleVersion = in.getBundleVersion();
--- a/src/adapt/status_route.cpp
+++ b/src/adapt/status_route.cpp
@@ -29,6 +29,7 @@
     out.push_back(
         {{"name", m.Name},
          {"zone", m.ZoneName},
+         {"metrics_address", m.MetricsAddress},
          {"state", MemberStates.at(static_cast<std::size_t>(m.State))},
          {"bundle_version", m.BundleVersion}});
   return out;
--- a/src/adapt/wire.cpp
+++ b/src/adapt/wire.cpp
@@ -142,6 +142,7 @@
     b.setZoneName(m.ZoneName);
     b.setEntryAddress(m.EntryAddress);
     b.setAgentAddress(m.AgentAddress);
+    b.setMetricsAddress(m.MetricsAddress);
     b.setIncarnation(m.Incarnation);
     b.setHeartbeat(m.Heartbeat);
     b.setBundleVersion(m.BundleVersion);
@@ -160,6 +161,7 @@
     m.Zone = ZoneId::of(m.ZoneName);
     m.EntryAddress = r.getEntryAddress();
     m.AgentAddress = r.getAgentAddress();
+    m.MetricsAddress = r.getMetricsAddress();
     m.Incarnation = r.getIncarnation();
     m.Heartbeat = r.getHeartbeat();
     m.BundleVersion = r.getBundleVersion();
--- a/src/decide/exchange.cpp
+++ b/src/decide/exchange.cpp
@@ -29,6 +29,7 @@
   std::uint64_t h = combine(r.Said.Id.Value, r.Said.Incarnation);
   h = combine(h, nameHash(r.Said.EntryAddress));
   h = combine(h, nameHash(r.Said.AgentAddress));
+  h = combine(h, nameHash(r.Said.MetricsAddress));
   h = combine(h, r.Said.Zone.Value);
   return combine(h, r.Leaving ? 1 : 0);
 }
--- a/src/decide/member.cpp
+++ b/src/decide/member.cpp
@@ -10,7 +10,8 @@
 /// What a VM says of its whereabouts; of two that differ, all VMs must keep
 /// the same one.
 auto whereabouts(const Member &m) noexcept {
-  return std::tie(m.Name, m.ZoneName, m.Zone, m.EntryAddress, m.AgentAddress);
+  return std::tie(m.Name, m.ZoneName, m.Zone, m.EntryAddress, m.AgentAddress,
+                  m.MetricsAddress);
 }
 
 bool raise(std::uint64_t &into, std::uint64_t val) noexcept {
--- a/tests/unit/exchange_codec_test.cpp
+++ b/tests/unit/exchange_codec_test.cpp
@@ -15,6 +15,7 @@
   m.Zone = ZoneId::of("hvar");
   m.EntryAddress = "127.0.0.1:1";
   m.AgentAddress = "127.0.0.1:2";
+  m.MetricsAddress = "127.0.0.1:3";
   m.Incarnation = 7;
   m.Heartbeat = 8;
   m.BundleVersion = 9;
