Pass over a scheduler that could not be reached lately

Cause: with real membership, a scheduler's VM that was killed stayed the holder of its role for six seconds, until it counted as dead; requests that waited for it asked it again and again and ran out of their deadlines (seven of eight, 504 not_run, in the process test). Ruled out: a shorter time until dead (a pause would move roles each time). Change: an entry passes over VMs whose link broke within three seconds and asks the next by weight; two schedulers for a while only over-admit.

--- a/include/zinniagauge/adapt/peer_links.h
+++ b/include/zinniagauge/adapt/peer_links.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace zinniagauge {
 
@@ -34,6 +35,9 @@
   /// How far the clock of \p vm can have come, by its last heartbeat.
   [[nodiscard]] ClockBound clockOf(VmId vm) const noexcept;
 
+  /// The VMs whose links broke or could not be made within the last seconds.
+  [[nodiscard]] std::vector<VmId> outOfReach(Time now);
+
 private:
   struct Link;
 
@@ -42,6 +46,7 @@
 
   kj::AsyncIoContext &Io;
   std::map<VmId, std::unique_ptr<Link>> Links;
+  std::map<VmId, Time> LostAt;
   std::unique_ptr<kj::TaskSet::ErrorHandler> OnError;
   kj::TaskSet Tasks;
 };
--- a/include/zinniagauge/decide/assign.h
+++ b/include/zinniagauge/decide/assign.h
@@ -22,10 +22,13 @@
 
 /// The member that schedules \p role: of the members of its zone that may hold
 /// roles the one with the highest weight; if the zone has none, the one of all
-/// zones; null if there is none at all. Two VMs with different views may both
+/// zones; null if there is none at all. Members in \p outofreach, those that
+/// this VM could not reach lately, are passed over, so that a dead scheduler is
+/// replaced before all have noticed. Two VMs with different views may both
 /// think that they hold a role: too much is then admitted, nothing worse.
-[[nodiscard]] const Member *schedulerFor(std::span<const Member> members,
-                                         SchedulerRole role) noexcept;
+[[nodiscard]] const Member *
+schedulerFor(std::span<const Member> members, SchedulerRole role,
+             std::span<const VmId> outofreach = {}) noexcept;
 
 /// Whether \p m may hold roles.
 [[nodiscard]] constexpr bool mayHoldRoles(const Member &m) noexcept {
--- a/src/adapt/peer_links.cpp
+++ b/src/adapt/peer_links.cpp
@@ -12,6 +12,10 @@
 constexpr auto HeartbeatTimeout = 2 * kj::SECONDS;
 constexpr auto ConnectTimeout = 1 * kj::SECONDS;
 
+/// How long a VM whose link broke is not asked: then it is tried again, and by
+/// then membership knows more.
+constexpr Duration LostSpan = std::chrono::seconds(3);
+
 /// A failed task has done its work: its caller was told by the failed call.
 struct IgnoreErrors final : kj::TaskSet::ErrorHandler {
   void taskFailed(kj::Exception && /*ex*/) override {}
@@ -39,8 +43,10 @@
   // Not at once: the caller is a promise that the link owns.
   Tasks.add(kj::evalLater([this, vm, link] {
     const auto it = Links.find(vm);
-    if (it != Links.end() && it->second.get() == link)
-      Links.erase(it);
+    if (it == Links.end() || it->second.get() != link)
+      return;
+    Links.erase(it);
+    LostAt[vm] = monotonicNow();
   }));
 }
 
@@ -98,4 +104,14 @@
   return it->second->Clock;
 }
 
+std::vector<VmId> PeerLinks::outOfReach(Time now) {
+  std::erase_if(LostAt,
+                [&](const auto &it) { return now - it.second > LostSpan; });
+  std::vector<VmId> list;
+  list.reserve(LostAt.size());
+  for (const auto &it : LostAt)
+    list.push_back(it.first);
+  return list;
+}
+
 } // namespace zinniagauge
--- a/src/adapt/rpc_thread.cpp
+++ b/src/adapt/rpc_thread.cpp
@@ -65,7 +65,7 @@
   void drop(const DropTicket &msg);
   void hold(const HoldGrants &msg);
   void holdAtPeer(const HeldGrant &held);
-  [[nodiscard]] Member holderOf(ScheduleKey key) const;
+  [[nodiscard]] Member holderOf(ScheduleKey key);
   [[nodiscard]] std::string addressOf(VmId vm) const;
   [[nodiscard]] ClockBound ownClock() const noexcept;
   void stepSoon();
@@ -205,10 +205,11 @@
              msg);
 }
 
-Member Core::holderOf(ScheduleKey key) const {
+Member Core::holderOf(ScheduleKey key) {
+  const std::vector<VmId> lost = Links.outOfReach(monotonicNow());
   const ReadGuard guard;
   const MemberList &list = Opt.Shared->Members.read(guard);
-  const Member *m = schedulerFor(list.Members, {key.Zone, key.Pool, 0});
+  const Member *m = schedulerFor(list.Members, {key.Zone, key.Pool, 0}, lost);
   if (m)
     return *m;
   // Nobody is known yet, so this VM is the only one that it knows of.
--- a/src/decide/assign.cpp
+++ b/src/decide/assign.cpp
@@ -1,5 +1,7 @@
 #include "zinniagauge/decide/assign.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 namespace {
@@ -13,6 +15,10 @@
   return x ^ (x >> 31U);
 }
 
+bool contains(std::span<const VmId> list, VmId id) noexcept {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
 } // namespace
 
 std::uint64_t roleWeight(VmId vm, SchedulerRole role) noexcept {
@@ -22,12 +28,12 @@
   return mix(x ^ role.Shard);
 }
 
-const Member *schedulerFor(std::span<const Member> members,
-                           SchedulerRole role) noexcept {
+const Member *schedulerFor(std::span<const Member> members, SchedulerRole role,
+                           std::span<const VmId> outofreach) noexcept {
   const Member *best = nullptr;
   bool bestlocal = false;
   for (const Member &m : members) {
-    if (!mayHoldRoles(m))
+    if (!mayHoldRoles(m) || contains(outofreach, m.Id))
       continue;
     const bool local = m.Zone == role.Zone;
     const bool better = !best || local > bestlocal ||
--- a/tests/unit/assign_test.cpp
+++ b/tests/unit/assign_test.cpp
@@ -44,3 +44,15 @@
     CHECK((before[n] == "d" || before[n] == m->Name));
   }
 }
+
+TEST_CASE("a scheduler out of reach is passed over", "[assign]") {
+  const std::vector<Member> all = {vm("a", "split"), vm("b", "split"),
+                                   vm("c", "hvar")};
+  const SchedulerRole role{ZoneId::of("split"), PoolId::of("dossier")};
+  const VmId first = schedulerFor(all, role)->Id;
+  const std::vector<VmId> one = {first};
+  CHECK(schedulerFor(all, role, one)->Id != first);
+  CHECK(schedulerFor(all, role, one)->Zone == ZoneId::of("split"));
+  const std::vector<VmId> both = {VmId::of("a"), VmId::of("b")};
+  CHECK(schedulerFor(all, role, both)->Name == "c");
+}
