--- a/tests/unit/metrics_test.cpp
+++ b/tests/unit/metrics_test.cpp
@@ -6,6 +6,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
 using namespace zinniagauge;
 
 namespace {
@@ -132,9 +136,27 @@
   opt.Shared = &b;
   const auto doc = nlohmann::json::parse(burnJson(opt));
   CHECK(doc["vm"] == "vm-1");
+  CHECK(doc["history_minutes"] == 1);
   CHECK(doc["tiers"][0]["name"] == "dossier");
   CHECK(doc["tiers"][0]["windows"][0]["minutes"] == 5);
   CHECK(doc["tiers"][0]["windows"][3]["good"] == 9);
   CHECK(doc["moves"][0]["to"] == "dossier-8");
   CHECK(doc["moves"][0]["evidence"] == "slow");
 }
+
+TEST_CASE("docs/OPERATORS.md names every metric", "[metrics]") {
+  std::ifstream in(std::string(ZINNIA_SOURCE_DIR) + "/docs/OPERATORS.md");
+  const std::string page{std::istreambuf_iterator<char>(in), {}};
+  Board b;
+  b.InForce.publish(oneTier());
+  std::istringstream text(metricsText(b));
+  std::size_t named = 0;
+  for (std::string word; text >> word;) {
+    if (word != "HELP" || !(text >> word))
+      continue;
+    ++named;
+    INFO(word);
+    CHECK(has(page, "| `" + word + "` |"));
+  }
+  CHECK(named >= 20);
+}
