Pass the roles of an unreachable VM on at once

Cause: after the scheduler's VM was killed, its entry kept being asked until the members agreed that it is dead (10 s), longer than a cue's deadline: 7 of 8 waiting requests ended as not_run by the deadline (process test 'a scheduler's VM that is killed loses no request', first failed when members came to the entries; before that each entry took itself for the holder and the test proved nothing). Now an entry passes over a peer that it could not reach for 2 s.

Ruled out: a shorter time until a member is dead (a pause would then move roles of the whole zone); a longer deadline in the test.

--- a/include/zinniagauge/decide/assign.h
+++ b/include/zinniagauge/decide/assign.h
@@ -24,8 +24,10 @@
 /// roles the one with the highest weight; if the zone has none, the one of all
 /// zones; null if there is none at all. Two VMs with different views may both
 /// think that they hold a role: too much is then admitted, nothing worse.
-[[nodiscard]] const Member *schedulerFor(std::span<const Member> members,
-                                         SchedulerRole role) noexcept;
+/// Members of \p lost, which this VM could not reach lately, are passed over.
+[[nodiscard]] const Member *
+schedulerFor(std::span<const Member> members, SchedulerRole role,
+             std::span<const VmId> lost = {}) noexcept;
 
 /// Whether \p m may hold roles.
 [[nodiscard]] constexpr bool mayHoldRoles(const Member &m) noexcept {
--- a/src/adapt/rpc_thread.cpp
+++ b/src/adapt/rpc_thread.cpp
@@ -17,11 +17,16 @@
 #include <map>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace zinniagauge {
 
 namespace {
 
+/// How long a peer that could not be reached is asked for nothing: its roles
+/// pass to others before the members agree that it is dead.
+constexpr Duration LostPeerPause = std::chrono::seconds(2);
+
 template <typename... Fns> struct Overloaded : Fns... {
   using Fns::operator()...;
 };
@@ -65,7 +70,8 @@
   void drop(const DropTicket &msg);
   void hold(const HoldGrants &msg);
   void holdAtPeer(const HeldGrant &held);
-  [[nodiscard]] Member holderOf(ScheduleKey key) const;
+  [[nodiscard]] Member holderOf(ScheduleKey key);
+  [[nodiscard]] std::vector<VmId> lostPeers();
   [[nodiscard]] std::string addressOf(VmId vm) const;
   [[nodiscard]] ClockBound ownClock() const noexcept;
   void stepSoon();
@@ -82,6 +88,7 @@
   kj::AsyncIoContext Io;
   kj::UnixEventPort::FdObserver BoxReady;
   SchedulerHost Host;
+  std::map<VmId, Time> LostUntil; // Peers that could not be reached.
   std::map<AttemptId, PendingSubmit> Submits;
   std::map<AttemptId, ScheduleKey> Local; // Tickets of this VM's own entry.
   PeerLinks Links;
@@ -205,10 +212,21 @@
              msg);
 }
 
-Member Core::holderOf(ScheduleKey key) const {
+std::vector<VmId> Core::lostPeers() {
+  const Time now = monotonicNow();
+  std::erase_if(LostUntil, [&](const auto &it) { return it.second <= now; });
+  std::vector<VmId> lost;
+  lost.reserve(LostUntil.size());
+  for (const auto &it : LostUntil)
+    lost.push_back(it.first);
+  return lost;
+}
+
+Member Core::holderOf(ScheduleKey key) {
+  const std::vector<VmId> lost = lostPeers();
   const ReadGuard guard;
   const MemberList &list = Opt.Shared->Members.read(guard);
-  const Member *m = schedulerFor(list.Members, {key.Zone, key.Pool, 0});
+  const Member *m = schedulerFor(list.Members, {key.Zone, key.Pool, 0}, lost);
   if (m)
     return *m;
   // Nobody is known yet, so this VM is the only one that it knows of.
@@ -257,7 +275,8 @@
           Opt.ToWorker(id.Request, Refused{id, static_cast<RefusalReason>(
                                                    ans.getRefusal())});
       },
-      [this, id](kj::Exception && /*ex*/) {
+      [this, id, vm](kj::Exception && /*ex*/) {
+        LostUntil[vm] = monotonicNow() + LostPeerPause;
         Opt.ToWorker(id.Request, SchedulerLost{id});
       });
   Tasks.add(kj::mv(done));
--- a/src/decide/assign.cpp
+++ b/src/decide/assign.cpp
@@ -1,5 +1,7 @@
 #include "zinniagauge/decide/assign.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 namespace {
@@ -22,12 +24,13 @@
   return mix(x ^ role.Shard);
 }
 
-const Member *schedulerFor(std::span<const Member> members,
-                           SchedulerRole role) noexcept {
+const Member *schedulerFor(std::span<const Member> members, SchedulerRole role,
+                           std::span<const VmId> lost) noexcept {
   const Member *best = nullptr;
   bool bestlocal = false;
   for (const Member &m : members) {
-    if (!mayHoldRoles(m))
+    if (!mayHoldRoles(m) ||
+        std::find(lost.begin(), lost.end(), m.Id) != lost.end())
       continue;
     const bool local = m.Zone == role.Zone;
     const bool better = !best || local > bestlocal ||
--- a/tests/unit/assign_test.cpp
+++ b/tests/unit/assign_test.cpp
@@ -44,3 +44,17 @@
     CHECK((before[n] == "d" || before[n] == m->Name));
   }
 }
+
+TEST_CASE("a VM that can't be reached holds no role here", "[assign]") {
+  const std::vector<Member> all = {vm("a", "z"), vm("b", "z"), vm("c", "y")};
+  const SchedulerRole role{ZoneId::of("z"), PoolId::of("p")};
+  const VmId first = schedulerFor(all, role)->Id;
+  std::vector<VmId> lost = {first};
+  const Member *next = schedulerFor(all, role, lost);
+  CHECK(next->Id != first);
+  CHECK(next->Zone == ZoneId::of("z"));
+  lost.push_back(next->Id);
+  CHECK(schedulerFor(all, role, lost)->Name == "c");
+  lost.push_back(VmId::of("c"));
+  CHECK(schedulerFor(all, role, lost) == nullptr);
+}
