--- a/src/decide/assign.cpp
+++ b/src/decide/assign.cpp
@@ -15,10 +15,6 @@
   return x ^ (x >> 31U);
 }
 
-bool contains(std::span<const VmId> list, VmId id) noexcept {
-  return std::find(list.begin(), list.end(), id) != list.end();
-}
-
 } // namespace
 
 std::uint64_t roleWeight(VmId vm, SchedulerRole role) noexcept {
@@ -29,11 +25,12 @@
 }
 
 const Member *schedulerFor(std::span<const Member> members, SchedulerRole role,
-                           std::span<const VmId> outofreach) noexcept {
+                           std::span<const VmId> lost) noexcept {
   const Member *best = nullptr;
   bool bestlocal = false;
   for (const Member &m : members) {
-    if (!mayHoldRoles(m) || contains(outofreach, m.Id))
+    if (!mayHoldRoles(m) ||
+        std::find(lost.begin(), lost.end(), m.Id) != lost.end())
       continue;
     const bool local = m.Zone == role.Zone;
     const bool better = !best || local > bestlocal ||
--- a/tests/unit/assign_test.cpp
+++ b/tests/unit/assign_test.cpp
@@ -45,14 +45,16 @@
   }
 }
 
-TEST_CASE("a scheduler out of reach is passed over", "[assign]") {
-  const std::vector<Member> all = {vm("a", "split"), vm("b", "split"),
-                                   vm("c", "hvar")};
-  const SchedulerRole role{ZoneId::of("split"), PoolId::of("dossier")};
+TEST_CASE("a VM that can't be reached holds no role here", "[assign]") {
+  const std::vector<Member> all = {vm("a", "z"), vm("b", "z"), vm("c", "y")};
+  const SchedulerRole role{ZoneId::of("z"), PoolId::of("p")};
   const VmId first = schedulerFor(all, role)->Id;
-  const std::vector<VmId> one = {first};
-  CHECK(schedulerFor(all, role, one)->Id != first);
-  CHECK(schedulerFor(all, role, one)->Zone == ZoneId::of("split"));
-  const std::vector<VmId> both = {VmId::of("a"), VmId::of("b")};
-  CHECK(schedulerFor(all, role, both)->Name == "c");
+  std::vector<VmId> lost = {first};
+  const Member *next = schedulerFor(all, role, lost);
+  CHECK(next->Id != first);
+  CHECK(next->Zone == ZoneId::of("z"));
+  lost.push_back(next->Id);
+  CHECK(schedulerFor(all, role, lost)->Name == "c");
+  lost.push_back(VmId::of("c"));
+  CHECK(schedulerFor(all, role, lost) == nullptr);
 }
