--- a/tests/support/scenario_verbs.cpp
+++ b/tests/support/scenario_verbs.cpp
@@ -1,3 +1,4 @@
+#include "support/bundle_verbs.h"
 #include "support/dispatch_verbs.h"
 #include "support/scenario.h"
 
@@ -5,6 +6,7 @@
 
 void addAllVerbs(VerbTable &t) {
   addClockVerbs(t);
+  addBundleVerbs(t);
   addDispatchVerbs(t);
 }
 
