Prove that a frozen entry and a stopping agent harm nothing

Cause: the agent's connection to its entry has a heartbeat and is replaced when silent, which no test showed; nor that an agent ends by plan. Ruled out: asserting how long either takes; the tests wait for the event. Conclusion: a frozen entry is told of, nothing reaches it, and it has the bundle once it wakes; an agent ends with 0 by SIGTERM and its entry goes on.

--- a/tests/process/bundle_test.cpp
+++ b/tests/process/bundle_test.cpp
@@ -205,3 +205,26 @@
       makeNodes(p.Folder, p.Platform.Url, {"vm-c"}, {"paute"});
   CHECK(ctl(gone[0], Bin, FirstOperatorKey, {"status"}).Exit == 3);
 }
+
+TEST_CASE("a frozen entry is told of, and has the bundle once it wakes",
+          "[process][bundle]") {
+  const Pair p;
+  const Node &node = p.Nodes[0];
+  const auto reached = [&] { return statusNumber(node, "/entry/reached"); };
+  REQUIRE(waitUntil([&] { return reached() == 1; }));
+  node.Entry->signal(SIGSTOP);
+  CHECK(waitUntil([&] { return reached() == 0; }));
+  const std::string digest = p.propose(0, FirstOperatorKey, 2);
+  CHECK(p.run(0, FirstOperatorKey, {"bundle", "approve", digest}).Exit == 0);
+  CHECK(statusNumber(node, "/entry/bundle_version") == 0);
+  node.Entry->signal(SIGCONT);
+  CHECK(p.reachesEntries(1));
+}
+
+TEST_CASE("an agent stops by plan", "[process][bundle]") {
+  Pair p;
+  p.Nodes[1].Agent->signal(SIGTERM);
+  CHECK(p.Nodes[1].Agent->wait() == 0);
+  // Its entry goes on without it.
+  CHECK(waitForStatus("http://" + p.Nodes[1].EntryMetrics + "/livez", 200));
+}
--- a/tests/support/nodes.cpp
+++ b/tests/support/nodes.cpp
@@ -113,9 +113,12 @@
       callHttp("GET", node.operatorUrl() + "/v1/status", {}, FirstOperatorKey);
   const json val = json::parse(ans.Body, nullptr, false);
   const json::json_pointer at(pointer);
-  if (val.is_discarded() || !val.contains(at) || !val.at(at).is_number())
+  if (val.is_discarded() || !val.contains(at))
     return -1;
-  return val.at(at).get<std::int64_t>();
+  const json &found = val.at(at);
+  if (found.is_boolean())
+    return found.get<bool>() ? 1 : 0;
+  return found.is_number() ? found.get<std::int64_t>() : -1;
 }
 
 } // namespace zinniagauge::testing
--- a/tests/support/nodes.h
+++ b/tests/support/nodes.h
@@ -69,7 +69,7 @@
                                 std::vector<std::string> words);
 
 /// The number at \p pointer, such as "/entry/bundle_version", of the agent's
-/// status; -1 if it can't be had.
+/// status, a truth value being 0 or 1; -1 if it can't be had.
 [[nodiscard]] std::int64_t statusNumber(const Node &node,
                                         const std::string &pointer);
 
