Judge new versions and lead version moves under a fenced lease

Cause: a move has to end in exactly one of completed and taken back by its deadline, and a bad version has to be caught on few requests without damning a good one.

--- a/include/zinniagauge/board/move.h
+++ b/include/zinniagauge/board/move.h
@@ -14,6 +14,11 @@
 /// How far a version move is. The last two are final.
 enum class MoveStage : std::uint8_t { Waiting, Moving, Completed, TakenBack };
 
+/// Whether a move in this stage has ended.
+[[nodiscard]] constexpr bool isFinal(MoveStage st) noexcept {
+  return st == MoveStage::Completed || st == MoveStage::TakenBack;
+}
+
 /// One version move as the board knows it.
 struct MoveState {
   MoveId Id;
--- a/src/decide/exchange.cpp
+++ b/src/decide/exchange.cpp
@@ -73,10 +73,6 @@
   return d;
 }
 
-bool isFinal(MoveStage st) noexcept {
-  return st == MoveStage::Completed || st == MoveStage::TakenBack;
-}
-
 /// Orders states of one move by how far its row had got.
 auto progress(const MoveState &st) noexcept {
   const auto stage = static_cast<unsigned>(st.Stage);
--- /dev/null
+++ b/tests/support/move_world.cpp
@@ -0,0 +1,387 @@
+#include "support/move_world.h"
+
+#include "zinniagauge/board/invariant.h"
+#include "zinniagauge/decide/random.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace zinniagauge {
+
+namespace {
+
+constexpr Duration Tick = std::chrono::milliseconds(100);
+constexpr std::size_t EndpointsPerVersion = 4;
+constexpr std::uint32_t OrdinaryFailures = 5; // Permille.
+constexpr double FirstTokenNanos = 50e6;
+constexpr double TokenNanos = 10e6;
+
+const PoolId ThePool = PoolId::of("dossier");
+const VersionId OldVersion = VersionId::of("dossier-6");
+const VersionId NewVersion = VersionId::of("dossier-7");
+const std::array<RouteId, 2> Routes = {RouteId::of("draft"),
+                                       RouteId::of("screen")};
+
+bool chance(MoveWorld &w, std::uint32_t permille) {
+  return pickBelow(w.Net.Random, 1000) < permille;
+}
+
+/// About normal, by the sum of uniform numbers.
+double normal(MoveWorld &w) {
+  double sum = -6;
+  for (int n = 0; n < 12; ++n)
+    sum += static_cast<double>(nextRandom(w.Net.Random) >> 11U) * 0x1p-53;
+  return sum;
+}
+
+double noisy(MoveWorld &w, double mean) {
+  constexpr double Spread = 0.4;
+  return mean * std::exp(Spread * normal(w) - Spread * Spread / 2);
+}
+
+Duration age(const MoveWorld &w) { return w.Net.Now - w.Start; }
+
+/// The load goes up and down once a minute, for both versions alike; a burst
+/// comes at a third of the move.
+bool inBurst(const MoveWorld &w) {
+  const auto s = std::chrono::duration_cast<std::chrono::seconds>(age(w));
+  return w.Kind == VersionKind::GoodBurst && s.count() % 80 >= 60;
+}
+
+LoadClass loadOf(MoveWorld &w) {
+  if (inBurst(w))
+    return LoadClass::Full;
+  const auto s = std::chrono::duration_cast<std::chrono::seconds>(age(w));
+  const auto phase = static_cast<std::uint64_t>(s.count()) % 60 / 20;
+  const bool other = chance(w, 200);
+  return static_cast<LoadClass>(other ? pickBelow(w.Net.Random, 3) : phase);
+}
+
+std::uint32_t failurePermille(const MoveWorld &w, const FakeEndpoint &ep,
+                              std::size_t route) {
+  constexpr std::uint32_t Half = 500;
+  constexpr std::uint32_t InBurst = 80;
+  if (ep.Fails)
+    return Half;
+  const bool bad =
+      ep.New && (w.Kind == VersionKind::BadAtOnce ||
+                 (w.Kind == VersionKind::BadLater && age(w) > w.LaterAfter) ||
+                 (w.Kind == VersionKind::BadOneRoute && route == 1));
+  if (bad)
+    return Half;
+  return inBurst(w) ? InBurst : OrdinaryFailures;
+}
+
+double slowdown(const MoveWorld &w, const FakeEndpoint &ep, LoadClass load) {
+  constexpr std::array<double, 3> ByLoad = {1, 1.5, 3};
+  constexpr double Burst = 4;
+  double factor = ByLoad[static_cast<std::size_t>(load)];
+  if (inBurst(w))
+    factor *= Burst;
+  if (ep.New && w.Kind == VersionKind::BadSlow)
+    factor *= 3;
+  if (ep.New && w.Kind == VersionKind::BadUnderLoad && load == LoadClass::Full)
+    factor *= 4;
+  return factor;
+}
+
+FakeEndpoint *pickEndpoint(MoveWorld &w, bool fresh) {
+  std::vector<FakeEndpoint *> all;
+  for (FakeEndpoint &ep : w.Endpoints)
+    if (ep.New == fresh && ep.Reported == ep.Version)
+      all.push_back(&ep);
+  return all.empty() ? nullptr : all[pickBelow(w.Net.Random, all.size())];
+}
+
+void countResult(MoveWorld &w, MoveVm &vm, const FakeEndpoint &ep) {
+  const std::size_t route = pickBelow(w.Net.Random, Routes.size());
+  const LoadClass load = loadOf(w);
+  EvidenceCounts &row =
+      vm.Rows[{ThePool, ep.Version, ep.Id, Routes[route], load}];
+  ++row.Requests;
+  if (chance(w, failurePermille(w, ep, route))) {
+    ++row.Failures;
+    return;
+  }
+  const double slow = slowdown(w, ep, load);
+  const auto tokens = 20 + pickBelow(w.Net.Random, 200);
+  const double first = noisy(w, FirstTokenNanos * slow);
+  const double rest = noisy(w, TokenNanos * slow) * static_cast<double>(tokens);
+  row.FirstTokenNanos += static_cast<std::uint64_t>(first);
+  row.TotalNanos += static_cast<std::uint64_t>(first + rest);
+  row.OutputTokens += tokens;
+}
+
+/// One request: chosen, perhaps given up, dispatched, judged.
+void dispatch(MoveWorld &w, MoveVm &vm, bool knowsbad) {
+  const ShareChoice made = chooseVersion(vm.Shares, w.InForce, ThePool);
+  const bool maynew = made.Choice == VersionChoice::PreferTo ||
+                      made.Choice == VersionChoice::To;
+  FakeEndpoint *ep = maynew ? pickEndpoint(w, true) : nullptr;
+  if (!ep)
+    ep = pickEndpoint(w, false);
+  if (chance(w, 20) || !startDispatch(vm.Shares, made, ep->Version))
+    return dropChoice(vm.Shares, made);
+  ++w.AllRequests;
+  ++vm.All;
+  if (ep->New) {
+    ++w.NewRequests;
+    ++vm.ToNew;
+    w.NewAfterBad += knowsbad ? 1 : 0;
+  }
+  check(Invariant::ShareBound,
+        vm.ToNew * FullShare <= std::uint64_t{vm.Share} * vm.All);
+  countResult(w, vm, *ep);
+}
+
+EvidenceList evidenceOf(const MoveVm &vm) {
+  EvidenceList list;
+  for (const auto &[key, counts] : vm.Rows)
+    list.Rows.push_back({key, counts});
+  return list;
+}
+
+void noteShare(MoveWorld &w, std::size_t n) {
+  MoveVm &vm = w.Vms[n];
+  const MoveList moves = publishMoves(w.Net.Vms[n].State);
+  applyShares(vm.Shares, w.InForce, moves);
+  const MoveState &st = moves.Moves.front();
+  const bool stopped = st.Stage != MoveStage::Completed &&
+                       (st.Bad || st.Stage == MoveStage::TakenBack);
+  const std::uint32_t share = stopped ? 0 : st.SharePermille;
+  if (share != vm.Share)
+    vm.All = vm.ToNew = 0;
+  vm.Share = share;
+}
+
+void judgeAt(MoveWorld &w, std::size_t n) {
+  MoveVm &vm = w.Vms[n];
+  Exchange &ex = w.Net.Vms[n].State;
+  const MoveList moves = publishMoves(ex);
+  const EvidenceList seen = evidenceOf(vm);
+  std::vector<Verdict> verdicts;
+  step(vm.Judging, {w.InForce, moves, seen}, verdicts);
+  for (const Verdict &v : verdicts) {
+    stopShare(vm.Shares, v.Move);
+    MoveState st;
+    st.Id = v.Move;
+    st.Bad = true;
+    st.Evidence = v.Why;
+    noteMove(ex, st);
+    if (w.FirstBad == Time{})
+      w.FirstBad = w.Net.Now;
+  }
+}
+
+void send(MoveWorld &w, FakeCall call) {
+  const auto most = static_cast<std::size_t>(w.Table.MaxDelay.count());
+  call.Due = w.Net.Now + Duration(pickBelow(w.Net.Random, most + 1));
+  w.Table.Calls.push_back(std::move(call));
+}
+
+/// What the agent's poll of endpoints brings.
+void pollEndpoints(MoveWorld &w, std::size_t n) {
+  for (const FakeEndpoint &ep : w.Endpoints) {
+    EndpointRecord r;
+    r.Id = ep.Id;
+    r.ReportedAt = ep.Reported == VersionId{} ? 0 : ep.Orders + 1;
+    r.Reported = ep.Reported;
+    noteEndpoint(w.Net.Vms[n].State, r);
+  }
+}
+
+void give(MoveWorld &w, const MoveOrder &o) {
+  const auto it =
+      std::find_if(w.Endpoints.begin(), w.Endpoints.end(),
+                   [&](const auto &ep) { return ep.Id == o.Endpoint; });
+  if (it->ChecksFencing && o.Fence < it->HighestFence)
+    return;
+  it->HighestFence = std::max(it->HighestFence, o.Fence);
+  ++it->Orders;
+  it->Reported = o.Serve;
+}
+
+void control(MoveWorld &w, std::size_t n) {
+  MoveVm &vm = w.Vms[n];
+  Exchange &ex = w.Net.Vms[n].State;
+  const MoveList moves = publishMoves(ex);
+  const EndpointList endpoints = publishEndpoints(ex, {});
+  const MemberList members = publishMembers(ex.Members, w.Net.Now);
+  MoveChanges out;
+  step(vm.Ctl, {w.InForce, moves, endpoints, members.Members, vm.Judging},
+       w.Net.Now, wallOf(w), out);
+  for (MoveAsk &ask : out.Asks) {
+    FakeCall call;
+    call.Vm = n;
+    call.Incarnation = vm.Ctl.Incarnation;
+    call.Ask = std::move(ask);
+    send(w, std::move(call));
+  }
+  for (const MoveOrder &o : out.Orders)
+    give(w, o);
+}
+
+/// Lets a call have its effect.
+MoveAnswer effect(MoveWorld &w, const MoveAsk &ask) {
+  MoveRowSeen &row = w.Table.Rows[ask.Move];
+  MoveAnswer ans;
+  ans.Move = ask.Move;
+  ans.Number = ask.Number;
+  ans.Answered = true;
+  ans.Applied = ask.Write && row.Version == ask.Expected;
+  if (ans.Applied) {
+    check(Invariant::MoveEndsOnce,
+          !isFinal(row.Row.Stage) || row.Row.Stage == ask.Next.Stage);
+    row.Row = ask.Next;
+    ++row.Version;
+  }
+  ans.Seen = row;
+  if (isFinal(row.Row.Stage) && !w.Ended) {
+    w.Ended = true;
+    w.End = row.Row.Stage;
+    w.EndedAt = wallOf(w);
+  }
+  return ans;
+}
+
+void answer(MoveWorld &w, const FakeCall &call) {
+  MoveVm &vm = w.Vms[call.Vm];
+  const FakeVm &net = w.Net.Vms[call.Vm];
+  if (vm.Ctl.Incarnation != call.Incarnation || net.PausedUntil > w.Net.Now)
+    return;
+  onAnswer(vm.Ctl, call.Answer, w.Net.Now);
+  const MoveState st = stateOf(vm.Ctl, call.Ask.Move);
+  if (st.Id != MoveId{})
+    noteMove(w.Net.Vms[call.Vm].State, st);
+}
+
+void serveTable(MoveWorld &w) {
+  std::vector<FakeCall> due;
+  std::erase_if(w.Table.Calls, [&](FakeCall &call) {
+    const bool now = call.Due <= w.Net.Now;
+    if (now)
+      due.push_back(std::move(call));
+    return now;
+  });
+  for (FakeCall &call : due) {
+    if (call.Answers) {
+      answer(w, call);
+      continue;
+    }
+    if (w.Table.Out)
+      continue;
+    call.Answer = effect(w, call.Ask);
+    call.Answers = true;
+    if (!chance(w, w.Table.LostPermille))
+      send(w, std::move(call));
+  }
+}
+
+EndpointSpec specOf(const FakeEndpoint &ep) {
+  EndpointSpec s;
+  s.Id = ep.Id;
+  s.Pool = ThePool;
+  s.Version = ep.Version;
+  return s;
+}
+
+void addEndpoints(MoveWorld &w) {
+  for (std::size_t n = 0; n < 2 * EndpointsPerVersion; ++n) {
+    FakeEndpoint ep;
+    ep.Id = EndpointId::of("engine-" + std::to_string(n));
+    ep.New = n >= EndpointsPerVersion;
+    ep.Version = ep.New ? NewVersion : OldVersion;
+    ep.Reported = ep.New ? VersionId{} : OldVersion;
+    ep.ChecksFencing = n % 2 == 0;
+    ep.Fails =
+        w.Kind == VersionKind::GoodBadEndpoint && n == EndpointsPerVersion;
+    w.Endpoints.push_back(ep);
+    w.InForce.Endpoints.push_back(specOf(ep));
+  }
+}
+
+void startControl(MoveWorld &w, std::size_t n) {
+  MoveVm &vm = w.Vms[n];
+  vm.Ctl = {};
+  vm.Ctl.Self = VmId::of(w.Net.Vms[n].Name);
+  vm.Ctl.Incarnation = w.Net.Vms[n].Incarnation;
+  vm.Judging = {};
+  vm.Rows.clear();
+  vm.Share = 0;
+  vm.All = vm.ToNew = 0;
+  for (ShareGate &g : vm.Shares.Gates) {
+    g.Move = 0;
+    g.Word = 0;
+  }
+}
+
+} // namespace
+
+WallTime wallOf(const MoveWorld &w) noexcept {
+  return WallTime(std::chrono::milliseconds(1764800000000)) +
+         std::chrono::duration_cast<std::chrono::milliseconds>(age(w));
+}
+
+MoveId theMove() noexcept { return MoveId::of("to-7"); }
+
+MoveWorld makeMoveWorld(const MoveWorldOptions &opt) {
+  MoveWorld w;
+  w.Kind = opt.Kind;
+  w.Net.Random = opt.Seed;
+  for (std::size_t n = 0; n < opt.Vms; ++n)
+    addVm(w.Net, "vm" + std::to_string(n), "hvar");
+  run(w.Net, std::chrono::seconds(3));
+  w.Start = w.Net.Now;
+  w.InForce.Version = 1;
+  addEndpoints(w);
+  MoveSpec m;
+  m.Id = theMove();
+  m.Pool = ThePool;
+  m.From = OldVersion;
+  m.To = NewVersion;
+  m.SharesPermille = {10, 100, 500, 1000};
+  m.StepTime = opt.StepTime;
+  m.Deadline =
+      wallOf(w) +
+      std::chrono::duration_cast<std::chrono::milliseconds>(opt.Deadline);
+  w.InForce.Moves.push_back(m);
+  indexBundle(w.InForce);
+  holdEverywhere(w.Net, w.InForce);
+  w.Vms = std::vector<MoveVm>(opt.Vms);
+  for (std::size_t n = 0; n < opt.Vms; ++n)
+    startControl(w, n);
+  return w;
+}
+
+void tick(MoveWorld &w) {
+  run(w.Net, Tick);
+  serveTable(w);
+  for (std::size_t n = 0; n < w.Vms.size(); ++n) {
+    const FakeVm &net = w.Net.Vms[n];
+    if (!net.Running || net.PausedUntil > w.Net.Now ||
+        net.State.InForce.Version == 0)
+      continue;
+    pollEndpoints(w, n);
+    control(w, n);
+    noteShare(w, n);
+    const bool knowsbad = net.State.Moves.at(theMove()).Bad;
+    for (std::uint32_t k = 0; k < w.RequestsPerTick; ++k)
+      dispatch(w, w.Vms[n], knowsbad);
+    judgeAt(w, n);
+  }
+}
+
+void run(MoveWorld &w, Duration len) {
+  const Time end = w.Net.Now + len;
+  while (w.Net.Now < end)
+    tick(w);
+}
+
+void restart(MoveWorld &w, std::size_t n) {
+  kill(w.Net, n);
+  restart(w.Net, n);
+  startControl(w, n);
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/tests/unit/move_run_test.cpp
@@ -0,0 +1,153 @@
+// Randomised runs of one version move through outages, lost answers, pauses,
+// restarts and cuts, with the invariants asserted inside the program.
+
+#include "support/move_world.h"
+#include "support/seeded.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261204;
+
+enum class Event : std::uint8_t {
+  TableOut,
+  TableBack,
+  TableLoses,
+  TableSlow,
+  Pause,
+  Restart,
+  Cut,
+  Join,
+};
+
+void apply(MoveWorld &w, Event ev, std::size_t n) {
+  const std::size_t next = (n + 1) % w.Vms.size();
+  switch (ev) {
+  case Event::TableOut:
+    w.Table.Out = true;
+    break;
+  case Event::TableBack:
+    w.Table = {w.Table.Rows, w.Table.Calls, false, 0, 20ms};
+    break;
+  case Event::TableLoses:
+    w.Table.LostPermille = 500;
+    break;
+  case Event::TableSlow:
+    w.Table.MaxDelay = 12s; // Past the wait for answers, and past leases.
+    break;
+  case Event::Pause:
+    pause(w.Net, n, 15s);
+    break;
+  case Event::Restart:
+    restart(w, n);
+    break;
+  case Event::Cut:
+    setCut(w.Net, n, next, true);
+    break;
+  case Event::Join:
+    setCut(w.Net, n, next, false);
+    break;
+  }
+}
+
+MoveWorld anyWorld() {
+  MoveWorldOptions opt;
+  opt.Seed = *rc::gen::inRange<std::uint64_t>(1, 1U << 30U);
+  opt.Vms = *rc::gen::inRange<std::size_t>(2, 6);
+  opt.Kind =
+      static_cast<VersionKind>(*rc::gen::inRange<std::size_t>(0, VersionKinds));
+  opt.StepTime = 5s;
+  opt.Deadline = 60s;
+  MoveWorld w = makeMoveWorld(opt);
+  w.RequestsPerTick = 1;
+  w.LaterAfter = 15s;
+  return w;
+}
+
+/// A handful of events over the move's time, then all faults end.
+void runThrough(MoveWorld &w) {
+  const auto events = *rc::gen::container<std::vector<std::uint32_t>>(
+      5, rc::gen::arbitrary<std::uint32_t>());
+  for (const std::uint32_t ev : events) {
+    run(w, std::chrono::milliseconds(ev % 16000));
+    apply(w, static_cast<Event>(ev / 16000 % 8), ev / 128000 % w.Vms.size());
+  }
+  apply(w, Event::TableBack, 0);
+  w.Net.Link.Cut.clear();
+  run(w, 60s);
+}
+
+} // namespace
+
+TEST_CASE("a move ends once through outages, pauses, restarts and cuts",
+          "[move][random]") {
+  CHECK(support::holds(
+      [] {
+        MoveWorld w = anyWorld();
+        runThrough(w);
+        RC_ASSERT(w.Ended);
+        RC_ASSERT(w.NewAfterBad == 0U);
+        for (const FakeVm &vm : w.Net.Vms)
+          RC_ASSERT(vm.State.Moves.at(theMove()).Stage == w.End);
+        RC_ASSERT(w.FirstBad == Time{} || w.End == MoveStage::TakenBack);
+      },
+      Seed, 150));
+}
+
+TEST_CASE("an outage that covers the deadline ends in one way", "[move]") {
+  for (const VersionKind kind : {VersionKind::Good, VersionKind::BadAtOnce}) {
+    MoveWorldOptions opt;
+    opt.Kind = kind;
+    MoveWorld w = makeMoveWorld(opt);
+    run(w, 30s);
+    w.Table.Out = true;
+    run(w, 5min);
+    CHECK_FALSE(w.Ended);
+    CHECK(w.NewAfterBad == 0);
+    w.Table.Out = false;
+    run(w, 30s);
+    CHECK(w.End == MoveStage::TakenBack);
+  }
+}
+
+TEST_CASE("a bad version is stopped while the table is out", "[move]") {
+  MoveWorldOptions opt;
+  opt.Kind = VersionKind::BadLater;
+  MoveWorld w = makeMoveWorld(opt);
+  while (w.Vms[0].Share < 100)
+    tick(w);
+  w.LaterAfter = w.Net.Now - w.Start;
+  w.Table.Out = true;
+  run(w, 60s);
+  REQUIRE(w.FirstBad != Time{});
+  const std::uint64_t before = w.NewRequests;
+  run(w, 60s);
+  CHECK(w.NewRequests == before);
+  w.Table.Out = false;
+  run(w, 30s);
+  CHECK(w.End == MoveStage::TakenBack);
+}
+
+TEST_CASE("two VMs never hold the lease of one move at once", "[move]") {
+  CHECK(support::holds(
+      [] {
+        MoveWorld w = anyWorld();
+        const auto events = *rc::gen::container<std::vector<std::uint32_t>>(
+            5, rc::gen::arbitrary<std::uint32_t>());
+        for (const std::uint32_t ev : events) {
+          for (std::uint32_t n = 0; n < ev % 100; ++n) {
+            tick(w);
+            std::size_t holders = 0;
+            for (const MoveVm &vm : w.Vms)
+              holders += holds(vm.Ctl, theMove(), w.Net.Now) ? 1 : 0;
+            RC_ASSERT(holders <= 1U);
+          }
+          apply(w, static_cast<Event>(ev / 100 % 8), ev / 800 % w.Vms.size());
+        }
+      },
+      Seed, 150));
+}
