--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -12,6 +12,7 @@
 #include <sys/timerfd.h>
 
 #include <atomic>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -62,15 +63,21 @@
     to.add(std::make_shared<PlainHeader>(h));
 }
 
+/// Whether the caller keeps the connection after the answer: HTTP/1.1 does
+/// unless it says close, HTTP/1.0 only if it says keep-alive.
+bool staysOpen(const http::Request &req) {
+  const auto said = req.headers().tryGet<http::Header::Connection>();
+  if (!said)
+    return req.version() == http::Version::Http11;
+  return said->control() == http::ConnectionControl::KeepAlive;
+}
+
 /// Pistache 0.0.5 answers "Connection: Close" unless the caller asked to keep
 /// the connection, though HTTP/1.1 keeps it unless the caller asks to close.
-void keepOpen(const http::Request &req, http::Header::Collection &to) {
-  if (req.version() != http::Version::Http11)
-    return;
-  if (req.headers().has<http::Header::Connection>())
-    return;
+void tellConnection(bool stays, http::Header::Collection &to) {
   to.remove<http::Header::Connection>();
-  to.add<http::Header::Connection>(http::ConnectionControl::KeepAlive);
+  to.add(std::make_shared<PlainHeader>(
+      HttpHeader{"Connection", stays ? "keep-alive" : "close"}));
 }
 
 } // namespace
@@ -92,18 +99,33 @@
 /// it, since either may end first.
 struct Connection {
   std::atomic<bool> Open{true};
-  std::atomic<bool> Answering{false}; // A request has no whole answer yet.
+  std::atomic<int> Answering{0}; // Requests that have no whole answer yet.
   // The rest belongs to the transport's thread.
   Time Since = monotonicNow(); // When it was last known to be active.
   bool Served = false;         // It has sent a whole request.
+  bool Continued = false;      // It was told to go on with the body.
+  // Hands on a request that came before the last answer's end: answers leave a
+  // connection in the order of its requests.
+  std::deque<std::function<void()>> Waiting;
 };
 
+/// A request of \p conn has its whole answer: the next one's turn.
+void onAnswered(Connection &conn) {
+  conn.Answering -= 1;
+  if (conn.Waiting.empty())
+    return;
+  const std::function<void()> next = std::move(conn.Waiting.front());
+  conn.Waiting.pop_front();
+  next();
+}
+
 } // namespace
 
 struct HttpReply::State {
   State(http::ResponseWriter w, std::shared_ptr<Connection> conn,
-        std::shared_ptr<ReplyBox> box)
-      : Writer(std::move(w)), Conn(std::move(conn)), Box(std::move(box)) {}
+        std::shared_ptr<ReplyBox> box, bool stays)
+      : Writer(std::move(w)), Conn(std::move(conn)), Box(std::move(box)),
+        Stays(stays) {}
 
   // Used on the transport's thread only.
   http::ResponseWriter Writer;
@@ -111,6 +133,7 @@
   // Used on any thread.
   std::shared_ptr<Connection> Conn;
   std::shared_ptr<ReplyBox> Box;
+  bool Stays; // The connection, after the answer.
 };
 
 namespace {
@@ -152,12 +175,25 @@
     ::shutdown(peer->fd(), SHUT_RDWR);
 }
 
+/// Closes the connection once \p written is on its way.
+void closeAfter(Pistache::Async::Promise<ssize_t> written,
+                std::weak_ptr<Pistache::Tcp::Peer> to) {
+  written.then(
+      [to](ssize_t /*bytes*/) {
+        if (const auto peer = to.lock())
+          ::shutdown(peer->fd(), SHUT_WR);
+      },
+      [](const std::exception_ptr &) {});
+}
+
 void carryOut(SendWhole &msg) {
   http::ResponseWriter &writer = msg.St->Writer;
   addHeaders(writer.headers(), msg.Headers);
-  writer.send(static_cast<http::Code>(msg.Status), msg.Body.data(),
-              msg.Body.size());
-  msg.St->Conn->Answering = false;
+  auto written = writer.send(static_cast<http::Code>(msg.Status),
+                             msg.Body.data(), msg.Body.size());
+  onAnswered(*msg.St->Conn);
+  if (!msg.St->Stays)
+    closeAfter(std::move(written), writer.getPeer());
 }
 
 void carryOut(StartStream &msg) {
@@ -181,7 +217,7 @@
     msg.St->Stream->ends();
   else
     close(msg.St->Writer);
-  msg.St->Conn->Answering = false;
+  onAnswered(*msg.St->Conn);
 }
 
 /// Bounds on what a caller may keep waiting.
@@ -245,6 +281,8 @@
   static void carryOutAll(ReplyMessage &msg);
   void handOn(const Pistache::Aio::FdSet::Entry &entry);
   std::shared_ptr<Connection> &connectionOf(int fd);
+  void tellContinue(int fd);
+  void refuseSlow(const std::shared_ptr<Pistache::Tcp::Peer> &peer);
   void sweep();
   [[nodiscard]] bool overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
                              Connection &conn, Time now) const;
@@ -284,11 +322,29 @@
   one.push_back(ev);
   try {
     Pistache::Tcp::Transport::onReady(Pistache::Aio::FdSet(std::move(one)));
+    if (entry.isReadable())
+      tellContinue(static_cast<int>(entry.getTag().value()));
   } catch (const std::exception &) {
     // A caller left in mid-answer; nothing is left to be done for it.
   }
 }
 
+void Transport::tellContinue(int fd) {
+  constexpr std::string_view GoOn = "HTTP/1.1 100 Continue\r\n\r\n";
+  const auto it = peers.find(fd);
+  if (it == peers.end())
+    return;
+  const auto parser = http::Handler::getParser(it->second);
+  if (parser->step()->id() != http::Private::BodyStep::Id)
+    return;
+  Connection &conn = *connectionOf(fd);
+  if (conn.Continued || !parser->request.headers().has<http::Header::Expect>())
+    return;
+  conn.Continued = true;
+  asyncWrite(fd, Pistache::RawBuffer(std::string(GoOn), GoOn.size()));
+  flush();
+}
+
 void Transport::carryOutAll(ReplyMessage &msg) {
   try {
     std::visit([](auto &m) { carryOut(m); }, msg.What);
@@ -307,8 +363,9 @@
 std::shared_ptr<Connection>
 Transport::onWholeRequest(Pistache::Tcp::Peer &peer) {
   std::shared_ptr<Connection> &conn = connectionOf(peer.fd());
-  conn->Answering = true;
+  conn->Answering += 1;
   conn->Served = true;
+  conn->Continued = false;
   conn->Since = monotonicNow();
   return conn;
 }
@@ -317,8 +374,12 @@
   const auto it = Connections.find(peer.fd());
   if (it == Connections.end())
     return;
-  it->second->Open = false;
+  const std::shared_ptr<Connection> conn = std::move(it->second);
   Connections.erase(it);
+  conn->Open = false;
+  // These hold the connection in turn.
+  const auto unserved = std::move(conn->Waiting);
+  conn->Waiting.clear();
 }
 
 bool Transport::overdue(const std::shared_ptr<Pistache::Tcp::Peer> &peer,
@@ -339,11 +400,25 @@
   const Time now = monotonicNow();
   for (const auto &it : peers) {
     Connection &conn = *connectionOf(it.first);
-    if (conn.Answering)
+    if (conn.Answering > 0)
       conn.Since = now;
     else if (overdue(it.second, conn, now))
-      ::shutdown(it.first, SHUT_RDWR);
+      refuseSlow(it.second);
   }
+  flush();
+}
+
+void Transport::refuseSlow(const std::shared_ptr<Pistache::Tcp::Peer> &peer) {
+  const auto id = http::Handler::getParser(peer)->step()->id();
+  if (id == http::Private::RequestLineStep::Id) {
+    ::shutdown(peer->fd(), SHUT_RDWR);
+    return;
+  }
+  http::ResponseWriter writer(http::Version::Http11, this,
+                              static_cast<http::Handler *>(Handler.get()),
+                              peer);
+  tellConnection(false, writer.headers());
+  closeAfter(writer.send(http::Code::Request_Timeout), peer);
 }
 
 } // namespace
@@ -419,15 +494,20 @@
 
   void onRequest(const http::Request &req,
                  http::ResponseWriter writer) override {
-    keepOpen(req, writer.headers());
+    const bool stays = staysOpen(req);
+    tellConnection(stays, writer.headers());
     const auto peer = writer.getPeer();
     if (!peer)
       return;
     Transport &own = served();
-    auto st = std::make_unique<HttpReply::State>(
-        std::move(writer), own.onWholeRequest(*peer), own.box());
-    Handlers.OnRequest(readRequest(req, peer->getID()),
-                       HttpReply(std::move(st)));
+    auto conn = own.onWholeRequest(*peer);
+    auto st = std::make_unique<HttpReply::State>(std::move(writer), conn,
+                                                 own.box(), stays);
+    HttpRequest in = readRequest(req, peer->getID());
+    if (conn->Answering == 1)
+      Handlers.OnRequest(std::move(in), HttpReply(std::move(st)));
+    else
+      conn->Waiting.push_back(later(std::move(in), std::move(st)));
   }
 
   void
@@ -438,6 +518,17 @@
   }
 
 private:
+  /// Hands the request on when its turn comes. std::function asks for copies,
+  /// which are never made, so what can't be copied is shared.
+  std::function<void()> later(HttpRequest in,
+                              std::unique_ptr<HttpReply::State> st) {
+    auto held = std::make_shared<std::pair<HttpRequest, HttpReply>>(
+        std::move(in), HttpReply(std::move(st)));
+    return [this, held] {
+      Handlers.OnRequest(std::move(held->first), std::move(held->second));
+    };
+  }
+
   Transport &served() { return *static_cast<Transport *>(transport()); }
 
   HttpHandlers Handlers;
--- a/src/decide/place.cpp
+++ b/src/decide/place.cpp
@@ -20,6 +20,12 @@
 /// The least weight of decoding, see decodeWeight.
 constexpr double LeastDecodeWeight = 0.01;
 
+/// A ticket holds out for its prefix at most this share of its spare time.
+constexpr double HoldShare = 0.15;
+
+/// In the busiest pool a second of prefill is worth so many of waiting.
+constexpr double MostHold = 32;
+
 /// While small tickets have come within this time, room is kept for them.
 constexpr Duration SmallWindow = std::chrono::seconds(10);
 
@@ -28,7 +34,7 @@
 
 /// An endpoint this much slower than the fastest one is probed when its turn
 /// comes, since its cost alone would never let it be chosen.
-constexpr double SlowFactor = 4.0;
+constexpr double SlowFactor = 1.5;
 
 /// A probe must leave a ticket so many times the fastest service time.
 constexpr int ProbeSlack = 4;
@@ -52,6 +58,7 @@
 struct Best {
   std::optional<std::uint32_t> Account;
   double Cost = 0;
+  bool Waits = false;
 };
 
 const Prefix *prefixOf(const Scheduler &s, const Ticket &t) noexcept {
@@ -152,7 +159,7 @@
 double decodeWeight(const Scheduler &s) noexcept {
   const double idle =
       1 - static_cast<double>(s.Board.SlotsTaken) / std::max(s.Board.Slots, 1U);
-  return std::max(idle * idle, LeastDecodeWeight);
+  return std::max(idle * idle * idle, LeastDecodeWeight);
 }
 
 double costAt(const Scheduler &s, const EndpointAccount &acc, const Request &r,
@@ -180,7 +187,7 @@
   const double cost =
       isProbe(s, acc, r, service, now) ? 0 : costAt(s, acc, r, service);
   if (!best.Account || cost < best.Cost)
-    best = {idx, cost};
+    best = {idx, cost, false};
   return false;
 }
 
@@ -223,6 +230,7 @@
   s.ScanFrom += static_cast<std::uint32_t>(n == size ? 1 : n);
   if (!best.Account)
     claim(s, r, std::span(full).first(nfull));
+  best.Waits = !best.Account && nfull > 0;
   return best;
 }
 
@@ -247,16 +255,16 @@
   return t.Choice == VersionChoice::To ? to > 0 : usable.All > to;
 }
 
-std::optional<std::uint32_t> place(Scheduler &s, const QueuedTicket &q,
-                                   Time now) {
+Placement place(Scheduler &s, const QueuedTicket &q, Time now) {
   const Request r = requestOf(s, q, now);
   if (q.Asked.Choice == VersionChoice::PreferTo ||
       q.Asked.Choice == VersionChoice::To) {
     const Best best = weighMovedTo(s, r, now);
     if (best.Account)
-      return best.Account;
+      return {best.Account, false};
   }
-  return weighAll(s, r, now).Account;
+  const Best best = weighAll(s, r, now);
+  return {best.Account, best.Waits};
 }
 
 std::optional<std::uint32_t> placeAtHolder(const Scheduler &s,
@@ -271,6 +279,29 @@
   return best.Account;
 }
 
+bool holdsOut(const Scheduler &s, const QueuedTicket &q, Time now) {
+  const Prefix *p = prefixOf(s, q.Asked);
+  if (!p)
+    return false;
+  const Duration saved =
+      serviceTime(s.Board.Fastest, savedTokens(*p, q.Asked.PromptTokens), 0);
+  const Duration spare = q.Deadline - q.Arrived - leastService(s, q.Asked);
+  const double worth = std::min(1 / decodeWeight(s), MostHold);
+  const double most = std::min(static_cast<double>(saved.count()) * worth,
+                               static_cast<double>(spare.count()) * HoldShare);
+  if (static_cast<double>((now - q.Arrived).count()) >= most)
+    return false;
+  const Request r = requestOf(s, q, now);
+  return std::any_of(p->Holders.begin(), p->Holders.end(), [&](const auto &h) {
+    const auto it = s.ByEndpoint.find(h.Endpoint);
+    if (it == s.ByEndpoint.end() || h.Used <= now - s.Policy.PrefixMaxAge)
+      return false;
+    const EndpointAccount &acc = s.Accounts[it->second];
+    return acc.Usable && acc.Failures == 0 &&
+           suits(s, acc, r, serviceAt(s, acc, r, now), now);
+  });
+}
+
 Duration leastService(const Scheduler &s, const Ticket &t) noexcept {
   std::uint32_t prefill = t.PromptTokens;
   if (const Prefix *p = prefixOf(s, t))
