Join the agents by exchange, and lead version moves from them

Cause: the agent pushed an empty members, endpoints and moves section to its entry; each entry scheduled by itself. A queue each for the table, the VM list, endpoints' polls and orders, since those calls block. Ruled out: locks around the state (tasks are posted to the thread and done in its next step instead).

--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -5,6 +5,7 @@
 #include "zinniagauge/adapt/bundle_routes.h"
 #include "zinniagauge/adapt/bundle_store.h"
 #include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/control.h"
 #include "zinniagauge/adapt/entry_link.h"
 #include "zinniagauge/adapt/http_client.h"
 #include "zinniagauge/adapt/operator_api.h"
@@ -19,11 +20,16 @@
 #include <csignal>
 #include <cstdio>
 #include <optional>
+#include <random>
+#include <thread>
 
 using namespace zinniagauge;
 
 namespace {
 
+/// How long a stopping agent goes on, so that other VMs hear of it.
+constexpr Duration LeaveNotice = std::chrono::seconds(1);
+
 /// The parts of the process, in the order in which they start; they end in
 /// reverse.
 struct Agent {
@@ -32,19 +38,33 @@
   Board Shared;
   Cell<EntryReport> Report;
   std::atomic<bool> TableReached{false};
-  WorkQueue Control; // The one writer of the board's bundle.
+  WorkQueue Bundles; // The one writer of the board's bundle.
   WorkQueue Poll;    // Calls the platform.
   std::optional<EntryLink> Link;
+  std::optional<Control> Peers; // Exchange, endpoints and version moves.
   std::optional<OperatorApi> Operators;
   TimerService Timers;
 };
 
 void offer(Agent &a, Bundle next) {
-  a.Control.post([&a, next = std::move(next)] {
+  a.Bundles.post([&a, next = std::move(next)] {
     static_cast<void>(putInForce(a.Shared.InForce, next));
   });
 }
 
+/// A peer told of a newer bundle; it is checked like one from the table.
+void offerText(Agent &a, const BundleText &text) {
+  a.Bundles.post([&a, text] {
+    handle([&] { return parseBundle(text.Version, text.Text); },
+           [&](Bundle next) {
+             return next.Digest == text.Digest &&
+                    putInForce(a.Shared.InForce, std::move(next)) ==
+                        BundleOrder::Newer;
+           },
+           [](const Error &) { return false; });
+  });
+}
+
 std::uint64_t versionInForce(const Agent &a) {
   const ReadGuard guard;
   return a.Shared.InForce.read(guard).Version;
@@ -72,6 +92,25 @@
   return all;
 }
 
+std::uint64_t randomWord() {
+  std::random_device dev;
+  return (std::uint64_t{dev()} << 32U) | dev();
+}
+
+ControlOptions controlOptions(Agent &a) {
+  ControlOptions opt;
+  opt.Settings = &a.Settings;
+  opt.Store = &a.Store;
+  opt.Endpoints = httpEndpointClient(a.Settings.EndpointTimeout);
+  opt.Shared = &a.Shared;
+  opt.Report = &a.Report;
+  opt.Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  opt.Random = randomWord();
+  opt.OnBundle = [&a](const BundleText &text) { offerText(a, text); };
+  return opt;
+}
+
 Result<void> startParts(Agent &a) {
   a.Store = httpPlatform(a.Settings.PlatformUrl, a.Settings.PlatformTimeout);
   a.Link.emplace(
@@ -80,9 +119,15 @@
                   OperatorApi::start({a.Settings.OperatorAddress,
                                       a.Settings.OperatorKeys, routes(a)}));
   a.Operators.emplace(std::move(api));
+  BOOST_LEAF_AUTO(peers, Control::start(controlOptions(a)));
+  a.Peers.emplace(std::move(peers));
   a.Poll.post([&a] { pollTable(a); });
   a.Timers.every(a.Settings.PollPeriod,
                  [&a](Time) { a.Poll.postIfIdle([&a] { pollTable(a); }); });
+  a.Timers.every(a.Settings.EndpointPeriod,
+                 [&a](Time) { a.Peers->pollEndpoints(); });
+  a.Timers.every(a.Settings.VmListPeriod,
+                 [&a](Time) { a.Peers->pollVmList(); });
   return {};
 }
 
@@ -104,6 +149,8 @@
                 [&] {
                   int sig = 0;
                   sigwait(&stop, &sig);
+                  a.Peers->leave();
+                  std::this_thread::sleep_for(LeaveNotice);
                   return ExitCode::Ok;
                 },
                 [](const Error &err) {
--- /dev/null
+++ b/src/adapt/control.cpp
@@ -0,0 +1,287 @@
+#include "zinniagauge/adapt/control.h"
+
+#include "zinniagauge/adapt/exchange_thread.h"
+#include "zinniagauge/adapt/move_row_json.h"
+#include "zinniagauge/adapt/work_queue.h"
+#include "zinniagauge/decide/assign.h"
+#include "zinniagauge/decide/evidence.h"
+#include "zinniagauge/decide/move.h"
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <utility>
+
+namespace zinniagauge {
+
+struct Control::State {
+  explicit State(ControlOptions o) : Opt(std::move(o)) {}
+
+  void onStep(Exchange &ex, Time now);
+  void takeReport(Exchange &ex);
+  void judge(Exchange &ex, const EntryReport &rep);
+  void leadMoves(const Exchange &ex, Time now);
+  void askTable(const MoveAsk &ask, const std::string &name);
+  void giveOrder(const MoveOrder &order, const EndpointSpec &ep);
+  void pollEndpoint(const EndpointSpec &ep);
+  void pollAll();
+  void readVmList();
+
+  ControlOptions Opt;
+  Judge Judging;
+  MoveController Moves;
+  Time ReportAt;
+  bool Left = false;
+  std::atomic<bool> Ready{false}; // Thread is set.
+  std::optional<ExchangeThread> Thread;
+  WorkQueue Table;  // Reads and writes moves' rows.
+  WorkQueue Vms;    // Reads the VM list.
+  WorkQueue Polls;  // Polls endpoints.
+  WorkQueue Orders; // Gives orders to endpoints.
+};
+
+namespace {
+
+Member selfOf(const AgentSettings &s, std::uint64_t incarnation) {
+  Member m;
+  m.Name = s.VmName;
+  m.Id = VmId::of(s.VmName);
+  m.ZoneName = s.ZoneName;
+  m.Zone = ZoneId::of(s.ZoneName);
+  m.EntryAddress = s.EntryRpcAddress;
+  m.AgentAddress = s.RpcAddress;
+  m.Incarnation = incarnation;
+  return m;
+}
+
+TableTransaction transactionOf(const MoveAsk &ask, const std::string &name) {
+  TableOp op;
+  op.Row = moveRowName(name);
+  if (ask.Write) {
+    op.Kind = TableOpKind::CompareAndSwap;
+    op.Value = encodeMoveRow(ask.Next);
+    op.Expected = ask.Expected;
+  }
+  return {{std::move(op)}, true};
+}
+
+Result<MoveAnswer> answerOf(const MoveAsk &ask, const TableResult &res) {
+  if (res.Ops.size() != 1)
+    return fail({ErrorCode::Broken, Step::Move, {}, "not one result"});
+  const TableOpResult &op = res.Ops.front();
+  MoveAnswer ans{ask.Move, ask.Number, true, ask.Write && op.Applied, {}};
+  ans.Seen.Version = op.Version;
+  if (op.Version != 0) {
+    BOOST_LEAF_AUTO(row, decodeMoveRow(op.Value));
+    ans.Seen.Row = std::move(row);
+  }
+  return ans;
+}
+
+/// Whether this VM polls \p ep: one VM of the endpoint's zone does.
+bool isPoller(const Board &b, VmId self, const EndpointSpec &ep) {
+  const ReadGuard guard;
+  const Member *m = schedulerFor(b.Members.read(guard).Members,
+                                 {ep.Zone, PoolId{ep.Id.Value}, 0});
+  return m && m->Id == self;
+}
+
+/// What to spread of an endpoint's status; a report that is known already
+/// keeps its time.
+EndpointRecord recordOf(const Board &b, const EndpointSpec &ep,
+                        const EndpointStatus &st) {
+  EndpointRecord r;
+  r.Id = ep.Id;
+  r.Incarnation = st.Incarnation;
+  r.Leaving = st.Leaving;
+  if (st.VersionLabel.empty())
+    return r;
+  const VersionId reported = VersionId::of(st.VersionLabel);
+  const ReadGuard guard;
+  const EndpointState *old = findState(b.Endpoints.read(guard), ep.Id);
+  const bool known =
+      old && old->Incarnation == st.Incarnation && old->Reported == reported;
+  if (known)
+    return r;
+  r.Reported = reported;
+  r.ReportedAt =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  return r;
+}
+
+} // namespace
+
+void Control::State::onStep(Exchange &ex, Time now) {
+  if (!Ready)
+    return;
+  takeReport(ex);
+  leadMoves(ex, now);
+}
+
+void Control::State::takeReport(Exchange &ex) {
+  const EntryReport rep = Opt.Report->copy();
+  if (!rep.Reached || rep.At == ReportAt)
+    return;
+  ReportAt = rep.At;
+  if (rep.Stopping && !std::exchange(Left, true))
+    noteLeaving(ex);
+  for (const MoveState &st : rep.BadMoves.Moves)
+    noteMove(ex, st);
+  judge(ex, rep);
+}
+
+void Control::State::judge(Exchange &ex, const EntryReport &rep) {
+  const ReadGuard guard;
+  const MoveList moves = publishMoves(ex);
+  std::vector<Verdict> verdicts;
+  step(Judging, {Opt.Shared->InForce.read(guard), moves, rep.Seen}, verdicts);
+  for (const Verdict &v : verdicts) {
+    MoveState st;
+    st.Id = v.Move;
+    st.Bad = true;
+    st.Evidence = v.Why;
+    noteMove(ex, st);
+  }
+}
+
+void Control::State::leadMoves(const Exchange &ex, Time now) {
+  const ReadGuard guard;
+  const Bundle &b = Opt.Shared->InForce.read(guard);
+  const MoveList moves = publishMoves(ex);
+  const EndpointList endpoints = publishEndpoints(ex, {});
+  const MemberList members = publishMembers(ex.Members, now);
+  MoveChanges out;
+  step(Moves, {b, moves, endpoints, members.Members, Judging}, now, wallNow(),
+       out);
+  for (const MoveAsk &ask : out.Asks)
+    for (const MoveSpec &m : b.Moves)
+      if (m.Id == ask.Move)
+        Table.post([this, ask, name = m.Name] { askTable(ask, name); });
+  for (const MoveOrder &order : out.Orders)
+    if (const EndpointSpec *ep = findEndpoint(b, order.Endpoint))
+      Orders.post([this, order, ep = *ep] { giveOrder(order, ep); });
+}
+
+void Control::State::askTable(const MoveAsk &ask, const std::string &name) {
+  const MoveAnswer ans = handle(
+      [&]() -> Result<MoveAnswer> {
+        BOOST_LEAF_AUTO(res, Opt.Store->Transact(transactionOf(ask, name)));
+        return answerOf(ask, res);
+      },
+      [](MoveAnswer got) { return got; },
+      [&](const Error &) {
+        return MoveAnswer{ask.Move, ask.Number, false, false, {}};
+      });
+  Thread->post([this, ans](Exchange &ex) {
+    onAnswer(Moves, ans, monotonicNow());
+    const MoveState st = stateOf(Moves, ans.Move);
+    if (st.Id != MoveId{})
+      noteMove(ex, st);
+  });
+}
+
+void Control::State::giveOrder(const MoveOrder &order, const EndpointSpec &ep) {
+  if (monotonicNow() >= order.ValidUntil)
+    return;
+  // Whether it was followed is seen by what the endpoint reports.
+  handle(
+      [&] {
+        return Opt.Endpoints.Order(ep, {order.ServeLabel, order.Fence});
+      },
+      [] { return true; }, [](const Error &) { return false; });
+}
+
+void Control::State::pollEndpoint(const EndpointSpec &ep) {
+  const auto st =
+      handle([&] { return Opt.Endpoints.Status(ep); },
+             [](EndpointStatus got) { return std::optional(std::move(got)); },
+             [](const Error &) { return std::optional<EndpointStatus>(); });
+  if (!st)
+    return;
+  Thread->post([rec = recordOf(*Opt.Shared, ep, *st)](Exchange &ex) {
+    noteEndpoint(ex, rec);
+  });
+}
+
+void Control::State::pollAll() {
+  const Bundle b = Opt.Shared->InForce.copy();
+  const VmId self = VmId::of(Opt.Settings->VmName);
+  for (const EndpointSpec &ep : b.Endpoints)
+    if (isPoller(*Opt.Shared, self, ep))
+      pollEndpoint(ep);
+}
+
+void Control::State::readVmList() {
+  std::vector<VmEntry> list =
+      handle([&] { return Opt.Store->ListVms(); },
+             [](std::vector<VmEntry> got) { return got; },
+             [](const Error &) { return std::vector<VmEntry>(); });
+  if (list.empty())
+    return;
+  Thread->post([this, list = std::move(list)](Exchange &ex) {
+    std::vector<ListedVm> vms;
+    ex.Seeds = Opt.Settings->PeerAgents;
+    for (const VmEntry &vm : list) {
+      vms.push_back({VmId::of(vm.Name), vm.Leaving});
+      ex.Seeds.push_back(vm.AgentAddress);
+    }
+    std::erase(ex.Seeds, Opt.Settings->RpcAddress);
+    applyVmList(ex.Members, vms);
+  });
+}
+
+Control::Control(std::unique_ptr<State> st) noexcept : St(std::move(st)) {}
+Control::Control(Control &&) noexcept = default;
+Control &Control::operator=(Control &&) noexcept = default;
+
+Control::~Control() {
+  if (!St)
+    return;
+  // The queues' tasks post to the thread, and its steps post to the queues.
+  St->Table.stop();
+  St->Vms.stop();
+  St->Polls.stop();
+  St->Orders.stop();
+  St->Thread.reset();
+}
+
+Result<Control> Control::start(ControlOptions opt) {
+  auto st = std::make_unique<State>(std::move(opt));
+  State *const s = st.get();
+  const AgentSettings &set = *s->Opt.Settings;
+  const Member self = selfOf(set, s->Opt.Incarnation);
+  s->Moves.Self = self.Id;
+  s->Moves.Incarnation = self.Incarnation;
+  BOOST_LEAF_AUTO(
+      thread,
+      ExchangeThread::start(
+          {s->Opt.Shared, self, set.PeerAgents, s->Opt.Random, s->Opt.OnBundle,
+           [s](Exchange &ex, Time now) { s->onStep(ex, now); }}));
+  s->Thread.emplace(std::move(thread));
+  s->Ready = true;
+  return Control(std::move(st));
+}
+
+void Control::pollEndpoints() {
+  St->Polls.postIfIdle([s = St.get()] { s->pollAll(); });
+}
+
+void Control::pollVmList() {
+  St->Vms.postIfIdle([s = St.get()] { s->readVmList(); });
+}
+
+void Control::leave() {
+  St->Thread->post([](Exchange &ex) { noteLeaving(ex); });
+}
+
+void Control::takeBack(MoveId move, std::string why) {
+  St->Thread->post([move, why = std::move(why)](Exchange &ex) {
+    MoveState st;
+    st.Id = move;
+    st.Bad = true;
+    st.Evidence = why;
+    noteMove(ex, st);
+  });
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/tests/process/exchange_test.cpp
@@ -0,0 +1,91 @@
+#include "support/nodes.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *Bin = ZINNIA_BINARY_DIR;
+
+json status(const Node &node) {
+  const ProgramResult res =
+      ctl(node, Bin, FirstOperatorKey, {"--json", "status"});
+  return json::parse(res.Output, nullptr, false);
+}
+
+/// What \p node says of the state of the VM called \p name.
+std::string stateAt(const Node &node, const std::string &name) {
+  const json val = status(node);
+  if (!val.is_object() || !val.contains("members"))
+    return {};
+  for (const json &m : val.at("members"))
+    if (m.value("name", "") == name)
+      return m.value("state", "");
+  return {};
+}
+
+bool comesTo(const Node &node, const std::string &name,
+             const std::string &state) {
+  return waitUntil([&] { return stateAt(node, name) == state; });
+}
+
+/// Three VMs, two of them in one zone.
+struct Three {
+  ScratchFolder Folder;
+  PlatformProcess Platform{Bin};
+  std::vector<Node> Nodes =
+      makeNodes(Folder, Platform.Url, {"vm-a", "vm-b", "vm-c"},
+                {"cuenca", "cuenca", "gualaceo"});
+
+  Three() {
+    for (Node &it : Nodes) {
+      startNode(it, Bin);
+      REQUIRE(waitForStatus(it.operatorUrl() + "/v1/status", 401));
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("agents find each other and tell of a planned stop",
+          "[process][exchange]") {
+  Three t;
+  for (const Node &at : t.Nodes)
+    for (const Node &of : t.Nodes)
+      CHECK(comesTo(at, of.Name, "alive"));
+  t.Nodes[1].Agent->signal(SIGTERM);
+  CHECK(comesTo(t.Nodes[0], "vm-b", "leaving"));
+  CHECK(comesTo(t.Nodes[2], "vm-b", "leaving"));
+}
+
+TEST_CASE("a bundle reaches a VM that can't reach the table",
+          "[process][exchange]") {
+  Three t;
+  for (const Node &at : t.Nodes)
+    REQUIRE(comesTo(at, "vm-c", "alive"));
+  std::ifstream in(ZINNIA_SOURCE_DIR "/examples/demo/bundle.json");
+  const std::string file =
+      t.Folder.write("bundle.json", json::parse(in).dump());
+  const auto proposed = ctl(t.Nodes[0], Bin, FirstOperatorKey,
+                            {"--json", "bundle", "propose", file});
+  const std::string digest =
+      json::parse(proposed.Output).at("digest").get<std::string>();
+  CHECK(ctl(t.Nodes[0], Bin, SecondOperatorKey, {"bundle", "approve", digest})
+            .Exit == 0);
+  REQUIRE(waitUntil(
+      [&] { return statusNumber(t.Nodes[0], "/bundle_version") == 1; }));
+  REQUIRE(t.Platform.faults(R"({"service": "table", "outage": true})"));
+  t.Nodes[2].Agent.reset();
+  t.Nodes[2].Entry.reset();
+  startNode(t.Nodes[2], Bin);
+  CHECK(waitUntil(
+      [&] { return statusNumber(t.Nodes[2], "/entry/bundle_version") == 1; }));
+}
