--- a/include/zinniagauge/adapt/control.h
+++ b/include/zinniagauge/adapt/control.h
@@ -1,16 +1,16 @@
-// What an agent does beside bundles: it exchanges state with other agents,
-// polls endpoints and the VM list, judges versions and leads version moves.
+// What an agent does for version moves: it polls endpoints, judges versions by
+// the entry's evidence and leads the moves, all on the exchange's thread.
 #ifndef ZINNIAGAUGE_ADAPT_CONTROL_H
 #define ZINNIAGAUGE_ADAPT_CONTROL_H
 
 #include "zinniagauge/adapt/endpoint_client.h"
+#include "zinniagauge/adapt/exchange_thread.h"
 #include "zinniagauge/adapt/platform.h"
 #include "zinniagauge/adapt/settings.h"
 #include "zinniagauge/board/board.h"
 #include "zinniagauge/board/entry_report.h"
-#include "zinniagauge/decide/exchange.h"
 
-#include <functional>
+#include <cstdint>
 #include <memory>
 
 namespace zinniagauge {
@@ -20,40 +20,32 @@
   const AgentSettings *Settings = nullptr;
   const Platform *Store = nullptr;
   EndpointClient Endpoints;
-  Board *Shared = nullptr; // Members, endpoints and moves are written.
+  const Board *Shared = nullptr;
   const Cell<EntryReport> *Report = nullptr;
   std::uint64_t Incarnation = 0;
-  std::uint64_t Random = 1;
-  /// Gets a newer bundle that a peer told of, to be checked and put into force.
-  std::function<void(BundleText)> OnBundle;
+  ExchangeThread *Swaps = nullptr;
 };
 
-/// Runs from start to destruction.
+/// The state of version moves at one agent.
 class Control {
 public:
-  /// Fails with Unavailable if the RPC address is in use.
-  [[nodiscard]] static Result<Control> start(ControlOptions opt);
-
-  struct State;
-  explicit Control(std::unique_ptr<State> st) noexcept;
-  Control(Control &&) noexcept;
-  Control &operator=(Control &&) noexcept;
+  explicit Control(ControlOptions opt);
+  Control(const Control &) = delete;
+  Control &operator=(const Control &) = delete;
   ~Control();
 
+  /// Judges versions and leads moves, on the exchange's thread.
+  void step();
+
   /// Polls the endpoints that are this VM's to poll, unless a poll still runs.
   void pollEndpoints();
 
-  /// Reads the VM list, unless a call to the platform still runs.
-  void pollVmList();
-
-  /// Tells all VMs that this one stops by plan.
-  void leave();
-
-  /// Takes a move back by an operator's word: it counts as bad at once,
-  /// everywhere, and its row follows.
-  void takeBack(MoveId move, std::string why);
+  /// Ends the calls to the table and endpoints; to be called before the
+  /// exchange's thread ends, which must end before this.
+  void stop();
 
 private:
+  struct State;
   std::unique_ptr<State> St;
 };
 
--- a/include/zinniagauge/adapt/exchange_thread.h
+++ b/include/zinniagauge/adapt/exchange_thread.h
@@ -1,6 +1,5 @@
-// The agent's thread of control: it swaps state with the agents of other VMs by
-// Cap'n Proto, and is the one writer of the board's members, endpoints and
-// moves.
+// The thread that swaps state with the agents of other VMs. It is the one
+// writer of the board's members, endpoints, moves and bundle.
 #ifndef ZINNIAGAUGE_ADAPT_EXCHANGE_THREAD_H
 #define ZINNIAGAUGE_ADAPT_EXCHANGE_THREAD_H
 
@@ -15,32 +14,31 @@
 
 namespace zinniagauge {
 
-/// How often the thread steps.
-inline constexpr Duration ExchangeStepPeriod = std::chrono::milliseconds(100);
-
-/// How long a swap may go unanswered; then its connection is replaced, though
-/// it may still look open.
-inline constexpr Duration SwapTimeout = std::chrono::seconds(1);
-
-/// How long a connection that isn't used is kept.
-inline constexpr Duration LinkIdleTime = std::chrono::seconds(10);
-
 /// What the thread works with.
 struct ExchangeOptions {
   Board *Shared = nullptr; // Outlives the thread.
-  Member Self;             // AgentAddress is where to listen.
+  Member Self;             // With its addresses and incarnation.
+  std::string Address;     // "ip:port" to listen at.
   std::vector<std::string> Seeds;
-  std::uint64_t Random = 1;
-  /// Gets a newer bundle that a peer told of, to be checked and put into force.
-  std::function<void(BundleText)> OnBundle;
-  /// Called in each step, on the thread, before the board is published.
-  std::function<void(Exchange &, Time)> OnStep;
+  std::uint64_t Seed = 1; // Of its choices.
+  /// Called on the thread after each of its steps.
+  std::function<void(const Exchange &, Time)> OnStep;
 };
 
+/// How long a swap may go unanswered; then its connection is replaced, though
+/// it may still look open. Every connection carries a swap at least each
+/// SwapPeriod while its peer is chosen, so swaps are its heartbeat.
+inline constexpr Duration SwapTimeout = std::chrono::seconds(1);
+
 /// Runs from start to destruction.
 class ExchangeThread {
 public:
-  /// Listens and starts. Fails with Unavailable if the address is in use.
+  /// Something to do on the thread, which publishes the board's sections
+  /// afterwards.
+  using Task = std::function<void(Exchange &)>;
+
+  /// Listens and starts the thread. Fails with Unavailable if the address is
+  /// in use.
   [[nodiscard]] static Result<ExchangeThread> start(ExchangeOptions opt);
 
   struct State;
@@ -49,8 +47,12 @@
   ExchangeThread &operator=(ExchangeThread &&) noexcept;
   ~ExchangeThread();
 
-  /// Has \p fn called on the thread in its next step.
-  void post(std::function<void(Exchange &)> fn);
+  /// Hands \p fn to the thread; never waits.
+  void post(Task fn);
+
+  /// Hands an accepted bundle to the thread, which puts it in force unless a
+  /// newer one is; never waits.
+  void offer(Bundle next);
 
 private:
   std::unique_ptr<State> St;
--- a/src/adapt/control.cpp
+++ b/src/adapt/control.cpp
@@ -1,6 +1,5 @@
 #include "zinniagauge/adapt/control.h"
 
-#include "zinniagauge/adapt/exchange_thread.h"
 #include "zinniagauge/adapt/move_row_json.h"
 #include "zinniagauge/adapt/work_queue.h"
 #include "zinniagauge/decide/assign.h"
@@ -8,7 +7,6 @@
 #include "zinniagauge/decide/move.h"
 
 #include <algorithm>
-#include <atomic>
 #include <optional>
 #include <utility>
 
@@ -25,35 +23,18 @@
   void giveOrder(const MoveOrder &order, const EndpointSpec &ep);
   void pollEndpoint(const EndpointSpec &ep);
   void pollAll();
-  void readVmList();
 
   ControlOptions Opt;
   Judge Judging;
   MoveController Moves;
   Time ReportAt;
-  bool Left = false;
-  std::atomic<bool> Ready{false}; // Thread is set.
-  std::optional<ExchangeThread> Thread;
   WorkQueue Table;  // Reads and writes moves' rows.
-  WorkQueue Vms;    // Reads the VM list.
   WorkQueue Polls;  // Polls endpoints.
   WorkQueue Orders; // Gives orders to endpoints.
 };
 
 namespace {
 
-Member selfOf(const AgentSettings &s, std::uint64_t incarnation) {
-  Member m;
-  m.Name = s.VmName;
-  m.Id = VmId::of(s.VmName);
-  m.ZoneName = s.ZoneName;
-  m.Zone = ZoneId::of(s.ZoneName);
-  m.EntryAddress = s.EntryRpcAddress;
-  m.AgentAddress = s.RpcAddress;
-  m.Incarnation = incarnation;
-  return m;
-}
-
 TableTransaction transactionOf(const MoveAsk &ask, const std::string &name) {
   TableOp op;
   op.Row = moveRowName(name);
@@ -112,8 +93,6 @@
 } // namespace
 
 void Control::State::onStep(Exchange &ex, Time now) {
-  if (!Ready)
-    return;
   takeReport(ex);
   leadMoves(ex, now);
 }
@@ -123,8 +102,6 @@
   if (!rep.Reached || rep.At == ReportAt)
     return;
   ReportAt = rep.At;
-  if (rep.Stopping && !std::exchange(Left, true))
-    noteLeaving(ex);
   for (const MoveState &st : rep.BadMoves.Moves)
     noteMove(ex, st);
   judge(ex, rep);
@@ -134,7 +111,8 @@
   const ReadGuard guard;
   const MoveList moves = publishMoves(ex);
   std::vector<Verdict> verdicts;
-  step(Judging, {Opt.Shared->InForce.read(guard), moves, rep.Seen}, verdicts);
+  zinniagauge::step(Judging, {Opt.Shared->InForce.read(guard), moves, rep.Seen},
+                    verdicts);
   for (const Verdict &v : verdicts) {
     MoveState st;
     st.Id = v.Move;
@@ -151,8 +129,8 @@
   const EndpointList endpoints = publishEndpoints(ex, {});
   const MemberList members = publishMembers(ex.Members, now);
   MoveChanges out;
-  step(Moves, {b, moves, endpoints, members.Members, Judging}, now, wallNow(),
-       out);
+  zinniagauge::step(Moves, {b, moves, endpoints, members.Members, Judging}, now,
+                    wallNow(), out);
   for (const MoveAsk &ask : out.Asks)
     for (const MoveSpec &m : b.Moves)
       if (m.Id == ask.Move)
@@ -172,7 +150,7 @@
       [&](const Error &) {
         return MoveAnswer{ask.Move, ask.Number, false, false, {}};
       });
-  Thread->post([this, ans](Exchange &ex) {
+  Opt.Swaps->post([this, ans](Exchange &ex) {
     onAnswer(Moves, ans, monotonicNow());
     const MoveState st = stateOf(Moves, ans.Move);
     if (st.Id != MoveId{})
@@ -198,7 +176,7 @@
              [](const Error &) { return std::optional<EndpointStatus>(); });
   if (!st)
     return;
-  Thread->post([rec = recordOf(*Opt.Shared, ep, *st)](Exchange &ex) {
+  Opt.Swaps->post([rec = recordOf(*Opt.Shared, ep, *st)](Exchange &ex) {
     noteEndpoint(ex, rec);
   });
 }
@@ -211,77 +189,27 @@
       pollEndpoint(ep);
 }
 
-void Control::State::readVmList() {
-  std::vector<VmEntry> list =
-      handle([&] { return Opt.Store->ListVms(); },
-             [](std::vector<VmEntry> got) { return got; },
-             [](const Error &) { return std::vector<VmEntry>(); });
-  if (list.empty())
-    return;
-  Thread->post([this, list = std::move(list)](Exchange &ex) {
-    std::vector<ListedVm> vms;
-    ex.Seeds = Opt.Settings->PeerAgents;
-    for (const VmEntry &vm : list) {
-      vms.push_back({VmId::of(vm.Name), vm.Leaving});
-      ex.Seeds.push_back(vm.AgentAddress);
-    }
-    std::erase(ex.Seeds, Opt.Settings->RpcAddress);
-    applyVmList(ex.Members, vms);
-  });
+Control::Control(ControlOptions opt)
+    : St(std::make_unique<State>(std::move(opt))) {
+  St->Moves.Self = VmId::of(St->Opt.Settings->VmName);
+  St->Moves.Incarnation = St->Opt.Incarnation;
 }
 
-Control::Control(std::unique_ptr<State> st) noexcept : St(std::move(st)) {}
-Control::Control(Control &&) noexcept = default;
-Control &Control::operator=(Control &&) noexcept = default;
-
-Control::~Control() {
-  if (!St)
-    return;
-  // The queues' tasks post to the thread, and its steps post to the queues.
-  St->Table.stop();
-  St->Vms.stop();
-  St->Polls.stop();
-  St->Orders.stop();
-  St->Thread.reset();
-}
+Control::~Control() = default;
 
-Result<Control> Control::start(ControlOptions opt) {
-  auto st = std::make_unique<State>(std::move(opt));
-  State *const s = st.get();
-  const AgentSettings &set = *s->Opt.Settings;
-  const Member self = selfOf(set, s->Opt.Incarnation);
-  s->Moves.Self = self.Id;
-  s->Moves.Incarnation = self.Incarnation;
-  BOOST_LEAF_AUTO(
-      thread,
-      ExchangeThread::start(
-          {s->Opt.Shared, self, set.PeerAgents, s->Opt.Random, s->Opt.OnBundle,
-           [s](Exchange &ex, Time now) { s->onStep(ex, now); }}));
-  s->Thread.emplace(std::move(thread));
-  s->Ready = true;
-  return Control(std::move(st));
+void Control::step() {
+  St->Opt.Swaps->post(
+      [s = St.get()](Exchange &ex) { s->onStep(ex, monotonicNow()); });
 }
 
 void Control::pollEndpoints() {
   St->Polls.postIfIdle([s = St.get()] { s->pollAll(); });
 }
 
-void Control::pollVmList() {
-  St->Vms.postIfIdle([s = St.get()] { s->readVmList(); });
-}
-
-void Control::leave() {
-  St->Thread->post([](Exchange &ex) { noteLeaving(ex); });
-}
-
-void Control::takeBack(MoveId move, std::string why) {
-  St->Thread->post([move, why = std::move(why)](Exchange &ex) {
-    MoveState st;
-    st.Id = move;
-    st.Bad = true;
-    st.Evidence = why;
-    noteMove(ex, st);
-  });
+void Control::stop() {
+  St->Table.stop();
+  St->Polls.stop();
+  St->Orders.stop();
 }
 
 } // namespace zinniagauge
--- a/src/adapt/exchange_thread.cpp
+++ b/src/adapt/exchange_thread.cpp
@@ -1,14 +1,16 @@
 #include "zinniagauge/adapt/exchange_thread.h"
 
+#include "zinniagauge/adapt/bundle_json.h"
 #include "zinniagauge/adapt/exchange_codec.h"
+#include "zinniagauge/adapt/mailbox.h"
+#include "zinniagauge/decide/bundle_spread.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <kj/async-unix.h>
 
-#include <atomic>
 #include <future>
 #include <map>
-#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -16,229 +18,248 @@
 
 namespace {
 
-constexpr auto StepPeriod = ExchangeStepPeriod.count() * kj::NANOSECONDS;
+constexpr auto StepPeriod = NewsPeriod.count() * kj::NANOSECONDS;
 constexpr auto CallTimeout = SwapTimeout.count() * kj::NANOSECONDS;
 
-template <typename Message> std::uint64_t bytesOf(const Message &msg) {
-  return msg.totalSize().wordCount * sizeof(capnp::word);
-}
+using Task = ExchangeThread::Task;
+
+/// A task for the thread; an empty one ends it.
+using TaskBox = Mailbox<Task>;
 
-/// A connection to another agent. Each swap is its heartbeat.
-struct Link {
+using SwapResponse = capnp::Response<wire::Exchange::SwapResults>;
+
+/// One connection to a peer. Members are destroyed in reverse: first the swap
+/// in progress, then the capability and the RPC system, last the stream under
+/// it. The capability is asked for once: on a connection that its peer has
+/// closed, asking again ends the process.
+struct PeerLink {
   kj::Own<kj::AsyncIoStream> Stream;
   kj::Own<capnp::TwoPartyClient> Rpc;
-  Time Used;
+  kj::Maybe<wire::Exchange::Client> Peer;
   bool Busy = false;
-  bool Broken = false;
+  kj::Promise<void> Swapping = nullptr;
 };
 
-/// Lives on the thread.
-class Core final : public kj::TaskSet::ErrorHandler {
+/// All that lives on the thread.
+class Core final : kj::TaskSet::ErrorHandler {
 public:
-  Core(kj::AsyncIoContext &io, ExchangeOptions &opt)
-      : Io(io), Opt(opt),
-        Held(startExchange(opt.Self, opt.Seeds, opt.Random, monotonicNow())),
-        Tasks(*this) {}
+  Core(const ExchangeOptions &opt, TaskBox &box);
+
+  /// Listens; throws kj::Exception if the address is taken.
+  void listen();
 
-  Exchange &held() noexcept { return Held; }
-  Swap onSwap(wire::ExchangeSwap::Reader ask);
-  void stepAll();
-  void taskFailed(kj::Exception &&) override {}
+  /// Serves until told to stop.
+  void serve();
 
-  ExchangeOptions &options() noexcept { return Opt; }
+  /// The server's side of a swap.
+  void answer(wire::ExchangeSwap::Reader ask, wire::ExchangeSwap::Builder to);
 
 private:
-  void note(ExchangeNews &news);
-  void takeBundle();
-  void publish(Time now);
-  void swapWith(const SwapTarget &t);
-  kj::Promise<void> connect(Link &link, const std::string &address);
-  kj::Promise<void> ask(Link &link, ZoneId to);
-  kj::Promise<void> push(Link &link, const Swap &s);
-
-  kj::AsyncIoContext &Io;
-  ExchangeOptions &Opt;
-  Exchange Held;
-  std::map<std::string, Link> Links;
+  void taskFailed(kj::Exception && /*ex*/) override {}
+  kj::Promise<void> watchBox();
+  kj::Promise<void> stepForever();
+  void stepNow();
+  void startSwap(const SwapTarget &to);
+  kj::Promise<void> connect(PeerLink &link, const std::string &address);
+  kj::Promise<SwapResponse> send(PeerLink &link, const Swap &msg);
+  kj::Promise<void> swapOnce(PeerLink &link, const SwapTarget &to);
+  kj::Promise<void> finishSwap(PeerLink &link, const SwapResponse &res);
+  void dropLater(const std::string &address);
+  void take(const ExchangeNews &news);
+  void publish();
+
+  const ExchangeOptions &Opt;
+  TaskBox &Box;
+  Exchange State;
+  kj::AsyncIoContext Io;
+  kj::UnixEventPort::FdObserver BoxReady;
+  std::map<std::string, PeerLink> Links; // By address.
+  kj::Own<capnp::TwoPartyServer> Server;
+  kj::Own<kj::ConnectionReceiver> Receiver;
+  kj::PromiseFulfillerPair<void> Stop;
   kj::TaskSet Tasks;
 };
 
-Swap Core::onSwap(wire::ExchangeSwap::Reader from) {
-  Opt.Shared->Counts.ExchangeBytesIn.add(bytesOf(from));
-  ExchangeNews news;
-  auto got = readSwap(from);
-  KJ_REQUIRE(static_cast<bool>(got), "malformed swap");
-  Swap answer = answerSwap(Held, got.value(), monotonicNow(), news);
-  note(news);
-  return answer;
+class ExchangeServer final : public wire::Exchange::Server {
+public:
+  explicit ExchangeServer(Core &c) : At(c) {}
+
+protected:
+  kj::Promise<void> swap(SwapContext ctx) override {
+    At.answer(ctx.getParams().getAsk(), ctx.getResults().initAnswer());
+    return kj::READY_NOW;
+  }
+
+private:
+  Core &At;
+};
+
+Core::Core(const ExchangeOptions &opt, TaskBox &box)
+    : Opt(opt), Box(box),
+      State(startExchange(opt.Self, opt.Seeds, opt.Seed, monotonicNow())),
+      Io(kj::setupAsyncIo()),
+      BoxReady(Io.unixEventPort, box.fd(),
+               kj::UnixEventPort::FdObserver::OBSERVE_READ),
+      Stop(kj::newPromiseAndFulfiller<void>()), Tasks(*this) {}
+
+void Core::listen() {
+  auto addr =
+      Io.provider->getNetwork().parseAddress(Opt.Address).wait(Io.waitScope);
+  Receiver = addr->listen();
+  Server = kj::heap<capnp::TwoPartyServer>(kj::heap<ExchangeServer>(*this));
+  Tasks.add(Server->listen(*Receiver));
 }
 
-void Core::note(ExchangeNews &news) {
-  if (news.Bundle)
-    Opt.OnBundle(std::move(*news.Bundle));
+void Core::serve() {
+  Tasks.add(watchBox());
+  Tasks.add(stepForever());
+  Stop.promise.wait(Io.waitScope);
 }
 
-void Core::takeBundle() {
-  const ReadGuard guard;
-  const Bundle &b = Opt.Shared->InForce.read(guard);
-  if (b.Version > Held.InForce.Version)
-    holdBundle(Held, b);
+kj::Promise<void> Core::watchBox() {
+  return BoxReady.whenBecomesReadable().then([this] {
+    Box.takeAll([this](std::unique_ptr<Task> fn) {
+      if (*fn)
+        (*fn)(State);
+      else
+        Stop.fulfiller->fulfill();
+    });
+    publish();
+    return watchBox();
+  });
 }
 
-void Core::publish(Time now) {
-  Board &b = *Opt.Shared;
-  b.Members.publish(publishMembers(Held.Members, now));
-  b.Endpoints.publish(publishEndpoints(Held, b.Endpoints.copy()));
-  b.Moves.publish(publishMoves(Held));
+kj::Promise<void> Core::stepForever() {
+  stepNow();
+  return Io.provider->getTimer().afterDelay(StepPeriod).then([this] {
+    return stepForever();
+  });
 }
 
-void Core::stepAll() {
+void Core::stepNow() {
   const Time now = monotonicNow();
-  takeBundle();
-  Opt.OnStep(Held, now);
   std::vector<SwapTarget> targets;
-  step(Held, now, targets);
-  publish(now);
-  std::erase_if(Links, [&](const auto &it) {
-    const Link &l = it.second;
-    return !l.Busy && (l.Broken || now - l.Used > LinkIdleTime);
-  });
-  for (const SwapTarget &t : targets)
-    swapWith(t);
+  step(State, now, targets);
+  for (const SwapTarget &it : targets)
+    startSwap(it);
+  publish();
+  if (Opt.OnStep)
+    Opt.OnStep(State, now);
+}
+
+void Core::startSwap(const SwapTarget &to) {
+  PeerLink &link = Links[to.Address];
+  if (link.Busy)
+    return;
+  link.Busy = true;
+  link.Swapping = Io.provider->getTimer()
+                      .timeoutAfter(CallTimeout, swapOnce(link, to))
+                      .then([&link] { link.Busy = false; })
+                      .eagerlyEvaluate(
+                          [this, address = to.Address](
+                              kj::Exception && /*ex*/) { dropLater(address); });
 }
 
-kj::Promise<void> Core::connect(Link &link, const std::string &address) {
-  if (link.Stream.get() != nullptr)
+void Core::dropLater(const std::string &address) {
+  // Not at once: the caller is a promise that the link owns.
+  Tasks.add(kj::evalLater([this, address] { Links.erase(address); }));
+}
+
+kj::Promise<void> Core::connect(PeerLink &link, const std::string &address) {
+  if (link.Peer != nullptr)
     return kj::READY_NOW;
   return Io.provider->getNetwork()
       .parseAddress(address)
-      .then([](kj::Own<kj::NetworkAddress> addr) {
-        auto stream = addr->connect();
-        return stream.attach(kj::mv(addr));
+      .then([](kj::Own<kj::NetworkAddress> &&addr) {
+        auto conn = addr->connect();
+        return conn.attach(kj::mv(addr));
       })
-      .then([&link](kj::Own<kj::AsyncIoStream> stream) {
+      .then([&link](kj::Own<kj::AsyncIoStream> &&stream) {
         link.Stream = kj::mv(stream);
         link.Rpc = kj::heap<capnp::TwoPartyClient>(*link.Stream);
+        link.Peer = link.Rpc->bootstrap().castAs<wire::Exchange>();
       });
 }
 
-kj::Promise<void> Core::push(Link &link, const Swap &s) {
-  auto req = link.Rpc->bootstrap().castAs<wire::Exchange>().swapRequest();
-  writeSwap(s, Opt.Self, req.initAsk());
-  Opt.Shared->Counts.ExchangeBytesOut.add(bytesOf(req.getAsk().asReader()));
-  return req.send().ignoreResult();
+kj::Promise<SwapResponse> Core::send(PeerLink &link, const Swap &msg) {
+  auto req = KJ_ASSERT_NONNULL(link.Peer).swapRequest();
+  writeSwap(msg, selfRecord(State.Members).Said, req.initAsk());
+  const auto words = req.totalSize().wordCount;
+  Opt.Shared->Counts.ExchangeBytesOut.add(words * sizeof(capnp::word));
+  return req.send();
 }
 
-kj::Promise<void> Core::ask(Link &link, ZoneId to) {
-  auto req = link.Rpc->bootstrap().castAs<wire::Exchange>().swapRequest();
-  writeSwap(openSwap(Held, to, monotonicNow()), Opt.Self, req.initAsk());
-  Opt.Shared->Counts.ExchangeBytesOut.add(bytesOf(req.getAsk().asReader()));
-  return req.send().then([this, &link](auto &&res) -> kj::Promise<void> {
-    Opt.Shared->Counts.ExchangeBytesIn.add(bytesOf(res.getAnswer()));
-    auto got = readSwap(res.getAnswer());
-    KJ_REQUIRE(static_cast<bool>(got), "malformed swap");
-    ExchangeNews news;
-    const auto more = closeSwap(Held, got.value(), monotonicNow(), news);
-    note(news);
-    if (!more)
-      return kj::READY_NOW;
-    return push(link, *more);
-  });
+kj::Promise<void> Core::swapOnce(PeerLink &link, const SwapTarget &to) {
+  return connect(link, to.Address)
+      .then([this, &link, zone = to.Zone] {
+        return send(link, openSwap(State, zone, monotonicNow()));
+      })
+      .then(
+          [this, &link](SwapResponse &&res) { return finishSwap(link, res); });
+}
+
+kj::Promise<void> Core::finishSwap(PeerLink &link, const SwapResponse &res) {
+  const auto in = res.getAnswer();
+  Opt.Shared->Counts.ExchangeBytesIn.add(in.totalSize().wordCount *
+                                         sizeof(capnp::word));
+  auto answer = readSwap(in);
+  if (!answer)
+    return kj::READY_NOW;
+  ExchangeNews news;
+  const auto push = closeSwap(State, *answer, monotonicNow(), news);
+  take(news);
+  if (!push)
+    return kj::READY_NOW;
+  return send(link, *push).ignoreResult();
 }
 
-void Core::swapWith(const SwapTarget &t) {
-  Link &link = Links[t.Address];
-  if (link.Busy || link.Broken)
+void Core::answer(wire::ExchangeSwap::Reader ask,
+                  wire::ExchangeSwap::Builder to) {
+  Opt.Shared->Counts.ExchangeBytesIn.add(ask.totalSize().wordCount *
+                                         sizeof(capnp::word));
+  auto in = readSwap(ask);
+  if (!in)
     return;
-  link.Busy = true;
-  link.Used = monotonicNow();
-  auto work = connect(link, t.Address).then([this, &link, zone = t.Zone] {
-    return ask(link, zone);
-  });
-  Tasks.add(Io.provider->getTimer()
-                .timeoutAfter(CallTimeout, kj::mv(work))
-                .then([&link] { link.Busy = false; },
-                      [&link](kj::Exception &&) {
-                        link.Busy = false;
-                        link.Broken = true;
-                      }));
+  ExchangeNews news;
+  const Swap out = answerSwap(State, *in, monotonicNow(), news);
+  writeSwap(out, selfRecord(State.Members).Said, to);
+  Opt.Shared->Counts.ExchangeBytesOut.add(to.totalSize().wordCount *
+                                          sizeof(capnp::word));
+  take(news);
 }
 
-/// Serves swaps of other agents.
-class SwapServer final : public wire::Exchange::Server {
-public:
-  explicit SwapServer(Core &core) : Core_(core) {}
+void hold(Board &shared, Exchange &ex, const Bundle &next) {
+  if (putInForce(shared.InForce, next) == BundleOrder::Newer)
+    holdBundle(ex, next);
+}
 
-  kj::Promise<void> swap(SwapContext ctx) override {
-    const Swap answer = Core_.onSwap(ctx.getParams().getAsk());
-    auto out = ctx.getResults().initAnswer();
-    writeSwap(answer, Core_.options().Self, out);
-    Core_.options().Shared->Counts.ExchangeBytesOut.add(
-        bytesOf(out.asReader()));
-    return kj::READY_NOW;
+void Core::take(const ExchangeNews &news) {
+  if (news.Bundle) {
+    // A text that doesn't match its digest, or has faults, is left alone; the
+    // table still has the right one.
+    auto next = parseBundle(news.Bundle->Version, news.Bundle->Text);
+    if (next && next->Digest == news.Bundle->Digest)
+      hold(*Opt.Shared, State, *next);
   }
+  if (news.Members || news.Endpoints || news.Moves)
+    publish();
+}
 
-private:
-  Core &Core_;
-};
+void Core::publish() {
+  Board &b = *Opt.Shared;
+  b.Members.publish(publishMembers(State.Members, monotonicNow()));
+  b.Endpoints.publish(publishEndpoints(State, b.Endpoints.copy()));
+  b.Moves.publish(publishMoves(State));
+}
 
 } // namespace
 
 struct ExchangeThread::State {
-  explicit State(ExchangeOptions o) : Opt(std::move(o)) {}
-
-  void run();
-  void serve(kj::AsyncIoContext &io);
-  void runPosted(Exchange &ex);
-
   ExchangeOptions Opt;
-  std::atomic<bool> Stop{false};
-  std::promise<bool> Listening;
-  bool Started = false; // Used on the thread only.
-  std::string Why;      // Set before Listening is false.
-  std::mutex Mutex;
-  std::vector<std::function<void(Exchange &)>> Posted;
+  TaskBox Box;
   std::thread Thread;
 };
 
-void ExchangeThread::State::runPosted(Exchange &ex) {
-  std::vector<std::function<void(Exchange &)>> now;
-  {
-    const std::lock_guard lk(Mutex);
-    now.swap(Posted);
-  }
-  for (const auto &fn : now)
-    fn(ex);
-}
-
-void ExchangeThread::State::serve(kj::AsyncIoContext &io) {
-  Core core(io, Opt);
-  capnp::TwoPartyServer server(kj::heap<SwapServer>(core));
-  auto listener = io.provider->getNetwork()
-                      .parseAddress(Opt.Self.AgentAddress)
-                      .wait(io.waitScope)
-                      ->listen();
-  Started = true;
-  Listening.set_value(true);
-  auto served = server.listen(*listener).eagerlyEvaluate(nullptr);
-  while (!Stop) {
-    io.provider->getTimer().afterDelay(StepPeriod).wait(io.waitScope);
-    runPosted(core.held());
-    core.stepAll();
-  }
-}
-
-void ExchangeThread::State::run() {
-  kj::AsyncIoContext io = kj::setupAsyncIo();
-  try {
-    serve(io);
-  } catch (const kj::Exception &ex) {
-    Why = ex.getDescription().cStr();
-    if (!Started)
-      Listening.set_value(false);
-  }
-}
-
 ExchangeThread::ExchangeThread(std::unique_ptr<State> st) noexcept
     : St(std::move(st)) {}
 ExchangeThread::ExchangeThread(ExchangeThread &&) noexcept = default;
@@ -247,23 +268,41 @@
 ExchangeThread::~ExchangeThread() {
   if (!St)
     return;
-  St->Stop = true;
+  post({});
   St->Thread.join();
 }
 
 Result<ExchangeThread> ExchangeThread::start(ExchangeOptions opt) {
-  auto st = std::make_unique<State>(std::move(opt));
-  st->Thread = std::thread([s = st.get()] { s->run(); });
-  if (st->Listening.get_future().get())
+  auto st = std::make_unique<State>();
+  st->Opt = std::move(opt);
+  std::promise<std::string> listening; // The error, or nothing.
+  auto started = listening.get_future();
+  st->Thread = std::thread([s = st.get(), &listening] {
+    Core core(s->Opt, s->Box);
+    try {
+      core.listen();
+    } catch (const kj::Exception &ex) {
+      listening.set_value(ex.getDescription().cStr());
+      return;
+    }
+    listening.set_value({});
+    core.serve();
+  });
+  const std::string error = started.get();
+  if (error.empty())
     return ExchangeThread(std::move(st));
   st->Thread.join();
-  return fail({ErrorCode::Unavailable, Step::Exchange,
-               st->Opt.Self.AgentAddress, "can't listen: " + st->Why});
+  return fail({ErrorCode::Unavailable, Step::Connect, st->Opt.Address, error});
 }
 
-void ExchangeThread::post(std::function<void(Exchange &)> fn) {
-  const std::lock_guard lk(St->Mutex);
-  St->Posted.push_back(std::move(fn));
+void ExchangeThread::post(Task fn) {
+  St->Box.post(std::make_unique<Task>(std::move(fn)));
+}
+
+void ExchangeThread::offer(Bundle next) {
+  post([&shared = *St->Opt.Shared, next = std::move(next)](Exchange &ex) {
+    hold(shared, ex, next);
+  });
 }
 
 } // namespace zinniagauge
