--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -4,6 +4,7 @@
 #include "zinniagauge/adapt/bundle_routes.h"
 #include "zinniagauge/adapt/bundle_store.h"
 #include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/adapt/control.h"
 #include "zinniagauge/adapt/endpoint_routes.h"
 #include "zinniagauge/adapt/entry_link.h"
 #include "zinniagauge/adapt/exchange_thread.h"
@@ -49,6 +50,7 @@
   TableReading Table;
   std::atomic<bool> Recovered{false};
   std::atomic<bool> Stopping{false};
+  std::optional<Control> Moves; // Ends after Swaps, whose tasks use it.
   std::optional<ExchangeThread> Swaps;
   WorkQueue Poll; // Calls the platform.
   std::optional<EntryLink> Link;
@@ -157,14 +159,31 @@
   a.Poll.post([&a] { pollVmList(a); });
   a.Timers.every(a.Settings.PollPeriod,
                  [&a](Time) { a.Poll.postIfIdle([&a] { pollTable(a); }); });
+  a.Timers.every(a.Settings.MovePeriod, [&a](Time) { a.Moves->step(); });
+  a.Timers.every(a.Settings.EndpointPeriod,
+                 [&a](Time) { a.Moves->pollEndpoints(); });
   a.Timers.every(a.Settings.VmListPeriod,
                  [&a](Time) { a.Poll.post([&a] { pollVmList(a); }); });
 }
 
+ControlOptions controlOptions(Agent &a) {
+  ControlOptions opt;
+  opt.Settings = &a.Settings;
+  opt.Store = &a.Store;
+  opt.Endpoints = httpEndpointClient(a.Settings.EndpointTimeout);
+  opt.Shared = &a.Shared;
+  opt.Report = &a.Report;
+  opt.Incarnation =
+      static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
+  opt.Swaps = &*a.Swaps;
+  return opt;
+}
+
 Result<void> startParts(Agent &a) {
   a.Store = httpPlatform(a.Settings.PlatformUrl, a.Settings.PlatformTimeout);
   BOOST_LEAF_AUTO(swaps, ExchangeThread::start(exchangeOptions(a)));
   a.Swaps.emplace(std::move(swaps));
+  a.Moves.emplace(controlOptions(a));
   a.Link.emplace(EntryLinkOptions{&a.Shared, &a.Report,
                                   a.Settings.EntryRpcAddress,
                                   [&a] { return a.Recovered.load(); }});
@@ -183,6 +202,7 @@
   a.Stopping = true;
   a.Swaps->post([](Exchange &ex) { noteLeaving(ex); });
   std::this_thread::sleep_for(StopNotice);
+  a.Moves->stop();
 }
 
 sigset_t stopSignals() {
