--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -127,6 +127,7 @@
   opt.Self.ZoneName = a.Settings.ZoneName;
   opt.Self.Zone = ZoneId::of(a.Settings.ZoneName);
   opt.Self.EntryAddress = a.Settings.EntryRpcAddress;
+  opt.Self.MetricsAddress = a.Settings.EntryMetricsAddress;
   opt.Self.AgentAddress = a.Settings.RpcAddress;
   opt.Self.Incarnation =
       static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
--- a/src/adapt/settings_table.cpp
+++ b/src/adapt/settings_table.cpp
@@ -101,10 +101,25 @@
   return it == specs.end() ? nullptr : &*it;
 }
 
+/// Whether \p a and \p b differ by one letter left out, added or replaced.
+bool nearlySame(std::string_view a, std::string_view b) {
+  if (a == b)
+    return true;
+  if (a.size() > b.size())
+    std::swap(a, b);
+  const auto at = std::mismatch(a.begin(), a.end(), b.begin());
+  const auto restb = std::string_view(at.second, b.end()).substr(1);
+  if (b.size() == a.size() + 1)
+    return std::string_view(at.first, a.end()) == restb;
+  return a.size() == b.size() && at.first != a.end() &&
+         std::string_view(at.first, a.end()).substr(1) == restb;
+}
+
 std::string unknownKey(std::span<const SettingSpec> specs,
                        std::string_view key) {
   for (const SettingSpec &spec : specs)
-    if (spec.Key.starts_with(key) || key.starts_with(spec.Key))
+    if (spec.Key.starts_with(key) || key.starts_with(spec.Key) ||
+        nearlySame(key, spec.Key))
       return "unknown setting; did you mean \"" + std::string(spec.Key) + "\"?";
   return "unknown setting; docs/SETTINGS.md lists all";
 }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -79,8 +79,11 @@
       R"({"vm_name": 7, "zone_name": "split-1", "http_address": "localhost:80",
           "rpc_address": "127.0.0.1:70000", "io_threads": 0,
           "worker_threads": 2.5, "idle_timeout": 5, "colour": "red",
-          "log_level": "loud"})");
-  CHECK(faults.size() == 9);
+          "log_level": "loud", "metrics_adress": "127.0.0.1:1"})");
+  CHECK(faults.size() == 10);
+  REQUIRE(at(faults, "/metrics_adress"));
+  CHECK(at(faults, "/metrics_adress")->Detail ==
+        "unknown setting; did you mean \"metrics_address\"?");
   REQUIRE(at(faults, "/vm_name"));
   REQUIRE(at(faults, "/http_address"));
   REQUIRE(at(faults, "/rpc_address"));
