--- a/tests/standins/standin-engine.cpp
+++ b/tests/standins/standin-engine.cpp
@@ -581,9 +581,9 @@
   if (job.Stream && eng.Resumable.size() < MostResumable)
     eng.Resumable[job.Id] = {job.Version, job.PromptTokens, job.CachedTokens,
                              job.OutputTokens};
-  const bool atOnce = job.PrefillLeft <= 0 && job.Begins <= now &&
-                      (!eng.IsEngine || eng.Opt.TokensPerSecond == 0);
-  if (atOnce) {
+  const bool instant = job.PrefillLeft <= 0 && job.Begins <= now &&
+                       (!eng.IsEngine || eng.Opt.TokensPerSecond == 0);
+  if (instant) {
     job.Generated = job.OutputTokens;
     answer(eng, job);
     return;
@@ -800,13 +800,13 @@
 /// Cancels what a caller that has left was waiting for.
 void onGone(Engine &eng, std::uint64_t connection) {
   const std::lock_guard lk(eng.Mutex);
-  const auto isOf = [&](const Job &job) {
+  const auto own = [&](const Job &job) {
     return job.Request.Connection == connection;
   };
-  std::erase_if(eng.Unanswered, isOf);
+  std::erase_if(eng.Unanswered, own);
   if (!eng.IsEngine)
     return; // A plain service runs what it took to its end.
-  eng.Cancelled += eraseJobs(eng, isOf);
+  eng.Cancelled += eraseJobs(eng, own);
 }
 
 CommandLine commandLine(Options &opt) {
