Let operators take a move back, and say unknown of a key in doubt

Cause: 'zinniactl move take-back' called a route that no agent had. And a call whose key could not be claimed was told not_run: true of that call, but an earlier one with the key may have run, and a caller who hears not_run may take a new key and have a permit issued twice. Change: POST /v1/take-backs/NAME marks the move bad with the operator's name, which spreads by exchange; its leader ends it as taken back. An unclaimed key is answered unknown; its row is freed as before. Ruled out: forgetting which calls of a key came first, since no VM sees them all.

--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -11,6 +11,7 @@
 #include "zinniagauge/adapt/http_client.h"
 #include "zinniagauge/adapt/log.h"
 #include "zinniagauge/adapt/metrics.h"
+#include "zinniagauge/adapt/move_routes.h"
 #include "zinniagauge/adapt/operator_api.h"
 #include "zinniagauge/adapt/platform.h"
 #include "zinniagauge/adapt/settings.h"
@@ -118,6 +119,7 @@
   all.push_back(statusRoute({&a.Settings, &a.Shared, &a.Report,
                              [&a] { return a.Table.Reached.load(); }}));
   all.push_back(drainRoute(a.Shared, *a.Swaps));
+  all.push_back(takeBackRoute(a.Shared, *a.Swaps));
   return all;
 }
 
--- a/src/adapt/bundle_store.cpp
+++ b/src/adapt/bundle_store.cpp
@@ -218,7 +218,7 @@
                  "the head is version " + std::to_string(head.Head.Version) +
                      ", not " + std::to_string(parent) +
                      ": look at the difference and propose again"});
-  const Proposal prop{bundle.Digest, parent, by, wallNow()};
+  Proposal prop{bundle.Digest, parent, by, wallNow()};
   BOOST_LEAF_CHECK(p.PutObject(objectName(prop.Digest), text));
   BOOST_LEAF_CHECK(p.Transact(
       {{{TableOpKind::Put, proposalRow(prop.Digest), encode(prop), 0}}, true}));
--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -177,11 +177,11 @@
 
 /// Closes the connection once \p written is on its way.
 void closeAfter(Pistache::Async::Promise<ssize_t> written,
-                std::weak_ptr<Pistache::Tcp::Peer> to) {
+                const std::shared_ptr<Pistache::Tcp::Peer> &peer) {
   written.then(
-      [to](ssize_t /*bytes*/) {
-        if (const auto peer = to.lock())
-          ::shutdown(peer->fd(), SHUT_WR);
+      [to = std::weak_ptr(peer)](ssize_t /*bytes*/) {
+        if (const auto left = to.lock())
+          ::shutdown(left->fd(), SHUT_WR);
       },
       [](const std::exception_ptr &) {});
 }
--- /dev/null
+++ b/src/adapt/move_routes.cpp
@@ -0,0 +1,52 @@
+#include "zinniagauge/adapt/move_routes.h"
+
+#include "zinniagauge/adapt/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+namespace {
+
+/// The order to take the move called \p name back. Fails with NotFound if the
+/// bundle in force has no such move, with Conflict if it has ended.
+Result<MoveState> takeBackOf(const Board &shared, const std::string &name,
+                             const std::string &by) {
+  const ReadGuard guard;
+  MoveState order;
+  order.Id = MoveId::of(name);
+  order.Bad = true;
+  order.Evidence = "taken back by " + by;
+  const auto isit = [&](const auto &m) { return m.Id == order.Id; };
+  const auto &specs = shared.InForce.read(guard).Moves;
+  if (std::none_of(specs.begin(), specs.end(), isit))
+    return fail({ErrorCode::NotFound,
+                 Step::Move,
+                 {},
+                 "the bundle in force has no version move called " + name});
+  const auto &states = shared.Moves.read(guard).Moves;
+  const auto it = std::find_if(states.begin(), states.end(), isit);
+  if (it != states.end() && isFinal(it->Stage))
+    return fail({ErrorCode::Conflict,
+                 Step::Move,
+                 {},
+                 "the version move called " + name + " has ended"});
+  return order;
+}
+
+} // namespace
+
+OperatorRoute takeBackRoute(const Board &shared, ExchangeThread &swaps) {
+  return {
+      "POST", "/v1/take-backs/",
+      [&shared, &swaps](const OperatorCall &call) -> Result<std::string> {
+        BOOST_LEAF_AUTO(order, takeBackOf(shared, call.Tail, call.Operator));
+        swaps.post([order](Exchange &ex) { noteMove(ex, order); });
+        logChange({LogLevel::Info, Step::Move, call.Tail, order.Evidence});
+        return nlohmann::json{{"move", call.Tail}, {"taken_back", true}}.dump();
+      }};
+}
+
+} // namespace zinniagauge
--- a/src/adapt/operator_commands.cpp
+++ b/src/adapt/operator_commands.cpp
@@ -201,10 +201,10 @@
 
 CommandResult diff(const CommandOptions &opt, const std::string &before,
                    const std::string &after) {
-  const CommandResult a = textOf(opt, before);
+  CommandResult a = textOf(opt, before);
   if (a.Exit != ExitCode::Ok)
     return a;
-  const CommandResult b = textOf(opt, after);
+  CommandResult b = textOf(opt, after);
   if (b.Exit != ExitCode::Ok)
     return b;
   std::string text;
--- a/src/decide/dispatch.cpp
+++ b/src/decide/dispatch.cpp
@@ -462,11 +462,16 @@
   endAttempt(d, w, AttemptEnd::Unsent, now, out);
   FinishRequest fin;
   if (res.Status == ClaimStatus::Unreadable) {
-    fin.Result = Outcome::NotRun;
+    // This call did not run, so its row may go; but an earlier one with the key
+    // may have run, and who hears not_run may take a new key.
+    out.emplace_back(RecordOutcome{d.Work.Id, Outcome::NotRun});
+    d.ClaimAsked = false;
+    fin.Result = Outcome::Unknown;
     fin.Err = Error{ErrorCode::Unavailable,
                     Step::Claim,
                     {},
-                    "the key can't be claimed now; this call did not run"};
+                    "the key can't be claimed now; this call did not run, an "
+                    "earlier one may have: repeat it with the same key"};
     return finish(d, std::move(fin), out);
   }
   d.ClaimAsked = false;
--- a/tests/process/at_most_once_test.cpp
+++ b/tests/process/at_most_once_test.cpp
@@ -250,7 +250,7 @@
   REQUIRE(t.Platform.faults(R"({"service": "table", "outage": true})"));
   const HttpAnswer keyed = t.fire(0, "cue-1");
   CHECK(keyed.Status == 503);
-  CHECK(outcomeOf(keyed) == "not_run");
+  CHECK(outcomeOf(keyed) == "unknown");
   CHECK(json::parse(keyed.Body).at("step") == "claim");
   CHECK(t.fire(0, ticket).Status == 200);
   const HttpAnswer again = t.fire(0, ticket);
@@ -331,6 +331,62 @@
   t.checkRuns();
 }
 
+TEST_CASE("a planned stop cuts no request in progress", "[process][once]") {
+  constexpr int Running = 6;
+  Theatre t(json::object(), {"--service-ms", "1500"});
+  t.warmUp();
+  const auto runs = [&] { return t.Desk.runs().at("total").get<int>(); };
+  const int before = runs();
+  std::vector<HttpAnswer> ans(Running);
+  std::vector<std::thread> callers;
+  for (int n = 0; n < Running; ++n)
+    callers.emplace_back([&, n] {
+      ans[static_cast<std::size_t>(n)] = t.fire(0, "cue-" + std::to_string(n));
+    });
+  CHECK(waitUntil([&] { return runs() == before + Running; }));
+  t.Nodes[0].Entry->signal(SIGTERM);
+  t.Nodes[0].Agent->signal(SIGTERM);
+  for (std::thread &it : callers)
+    it.join();
+  for (const HttpAnswer &it : ans) {
+    INFO(it.Body);
+    CHECK(it.Status == 200);
+    CHECK(outcomeOf(it) == "completed");
+  }
+  CHECK(t.Nodes[0].Entry->wait() == 0);
+  CHECK(t.Nodes[0].Agent->wait() == 0);
+  CHECK(waitUntil([&] { return t.fire(1, {}).Status == 200; }));
+  t.checkRuns();
+}
+
+TEST_CASE("an operator takes a version move back", "[process][once]") {
+  const Theatre t;
+  json val = bundleJson(t.Desk.Port, t.Engine.Port, 8);
+  val["moves"] = {{{"name", "to-v2"},
+                   {"pool", "surtitle"},
+                   {"from", "v1"},
+                   {"to", "v2"},
+                   {"shares_permille", {100, 1000}},
+                   {"step_time_s", 600},
+                   {"deadline", "2099-01-01T00:00:00Z"}}};
+  t.approve(t.Folder.write("moving.json", val.dump()));
+  const auto order = [&] {
+    return ctl(t.Nodes[0], Bin, FirstOperatorKey,
+               {"move", "take-back", "to-v2"})
+        .Exit;
+  };
+  CHECK(ctl(t.Nodes[0], Bin, FirstOperatorKey, {"move", "take-back", "none"})
+            .Exit == 1);
+  CHECK(waitUntil([&] { return order() == 0; }));
+  // The other VM hears of it, and the row ends as taken back.
+  CHECK(waitUntil([&] {
+    const ProgramResult got = ctl(t.Nodes[1], Bin, FirstOperatorKey,
+                                  {"--json", "move", "status", "to-v2"});
+    return got.Output.find("taken back by marija") != std::string::npos &&
+           got.Output.find("taken_back") != std::string::npos;
+  }));
+}
+
 TEST_CASE("a scheduler's VM that is killed loses no request",
           "[process][once]") {
   constexpr int Waiting = 8;
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -220,7 +220,8 @@
   }
   SECTION("unreadable") {
     onClaim(b.One, b.Worker, {ClaimStatus::Unreadable, {}, {}}, b.Now, b.Out);
-    CHECK(b.One.Result == Outcome::NotRun);
+    CHECK(b.One.Result == Outcome::Unknown);
+    CHECK(b.count<SendRequest>() == 0);
     CHECK(b.last<RecordOutcome>().Result == Outcome::NotRun);
   }
 }
