--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 SEED ?= 1
 STEPS ?= 1000000
 soak: build
-	for part in $(BUILD)/soak-*; do $$part --seed $(SEED) --steps $(STEPS) || exit 1; done
+	for part in $(BUILD)/soak-*; do $$part --seed=$(SEED) --steps=$(STEPS) || exit 1; done
 
 demo: build
 	tools/demo $(BUILD)
--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -16,12 +16,12 @@
 #include "zinniagauge/adapt/platform.h"
 #include "zinniagauge/adapt/settings.h"
 #include "zinniagauge/adapt/status_route.h"
+#include "zinniagauge/adapt/stop_signal.h"
 #include "zinniagauge/adapt/work_queue.h"
 #include "zinniagauge/decide/bundle_spread.h"
 #include "zinniagauge/time/timer_service.h"
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
 #include <optional>
 #include <random>
@@ -208,18 +208,8 @@
   a.Moves->stop();
 }
 
-sigset_t stopSignals() {
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  return set;
-}
-
 ExitCode serve(AgentSettings settings) {
-  const sigset_t stop = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &stop, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  holdStopSignals();
   Agent a;
   a.Settings = std::move(settings);
   return handle(
@@ -230,8 +220,7 @@
       },
       [&] {
         logChange({LogLevel::Info, Step::Settings, {}, "serving"});
-        int sig = 0;
-        sigwait(&stop, &sig);
+        waitForStop();
         logChange({LogLevel::Info, Step::Settings, {}, "stopping"});
         stopParts(a);
         logChange({LogLevel::Info, Step::Settings, {}, "stopped"});
--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -9,11 +9,11 @@
 #include "zinniagauge/adapt/metrics.h"
 #include "zinniagauge/adapt/rpc_thread.h"
 #include "zinniagauge/adapt/settings.h"
+#include "zinniagauge/adapt/stop_signal.h"
 #include "zinniagauge/adapt/worker.h"
 #include "zinniagauge/decide/evidence_sum.h"
 #include "zinniagauge/time/timer_service.h"
 
-#include <csignal>
 #include <cstdio>
 #include <random>
 #include <thread>
@@ -182,18 +182,8 @@
     w.finish();
 }
 
-sigset_t stopSignals() {
-  sigset_t set;
-  sigemptyset(&set);
-  sigaddset(&set, SIGTERM);
-  sigaddset(&set, SIGINT);
-  return set;
-}
-
 ExitCode serve(EntrySettings settings) {
-  const sigset_t stop = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &stop, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  holdStopSignals();
   Entry e;
   e.Settings = std::move(settings);
   e.Incarnation =
@@ -207,8 +197,7 @@
       },
       [&] {
         logChange({LogLevel::Info, Step::Settings, {}, "serving"});
-        int sig = 0;
-        sigwait(&stop, &sig);
+        waitForStop();
         logChange({LogLevel::Info, Step::Settings, {}, "stopping"});
         stopParts(e);
         logChange({LogLevel::Info, Step::Settings, {}, "stopped"});
--- a/src/adapt/bundle_routes.cpp
+++ b/src/adapt/bundle_routes.cpp
@@ -97,9 +97,11 @@
 }
 
 Result<std::string> runShow(const Platform &p, const OperatorCall &call) {
-  BOOST_LEAF_AUTO(head, findHead(p, call.Tail));
-  BOOST_LEAF_AUTO(text, readText(p, head.Digest));
-  json out = headJson(head);
+  Result<BundleHead> head = findHead(p, call.Tail);
+  if (!head)
+    return head.error();
+  BOOST_LEAF_AUTO(text, readText(p, head->Digest));
+  json out = headJson(*head);
   out["text"] = text;
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
