--- a/tests/unit/endpoint_client_test.cpp
+++ b/tests/unit/endpoint_client_test.cpp
@@ -43,11 +43,12 @@
 TEST_CASE("a refused order is told from a failed one", "[endpoint_client]") {
   int status = 200;
   std::string seen;
-  auto srv = HttpServer::start({}, {[&](HttpRequest req, HttpReply reply) {
-                                      seen = req.Path + " " + req.Body;
-                                      reply.send(status, {}, "{}");
-                                    },
-                                    {}});
+  auto srv =
+      HttpServer::start({}, {[&](const HttpRequest &req, HttpReply reply) {
+                               seen = req.Path + " " + req.Body;
+                               reply.send(status, {}, "{}");
+                             },
+                             {}});
   REQUIRE(srv);
   EndpointSpec ep;
   ep.Host = "127.0.0.1";
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -39,7 +39,8 @@
   int Count = 0;
 };
 
-HttpServer startServer(HttpHandlers handlers, HttpServerOptions opt = {}) {
+HttpServer startServer(HttpHandlers handlers,
+                       const HttpServerOptions &opt = {}) {
   auto res = HttpServer::start(opt, std::move(handlers));
   REQUIRE(res);
   return std::move(*res);
@@ -68,7 +69,7 @@
   }
 
   /// Reads until \p mark has come, or to the end if it is empty.
-  std::string readUntil(std::string_view mark) const {
+  [[nodiscard]] std::string readUntil(std::string_view mark) const {
     std::string all;
     char buf[4096];
     while (mark.empty() || all.find(mark) == std::string::npos) {
@@ -116,12 +117,13 @@
 TEST_CASE("an answer carries its headers, and the connection stays",
           "[http_server]") {
   std::vector<std::uint64_t> conns;
-  const HttpServer srv = startServer({[&](HttpRequest req, HttpReply reply) {
-                                        conns.push_back(req.Connection);
-                                        const HttpHeader h{"Zinnia-Test", "a"};
-                                        reply.send(201, {&h, 1}, "hello");
-                                      },
-                                      {}});
+  const HttpServer srv =
+      startServer({[&](const HttpRequest &req, HttpReply reply) {
+                     conns.push_back(req.Connection);
+                     const HttpHeader h{"Zinnia-Test", "a"};
+                     reply.send(201, {&h, 1}, "hello");
+                   },
+                   {}});
   for (int i = 0; i < 2; ++i) {
     const auto ans = callTo(srv);
     REQUIRE(ans);
@@ -142,7 +144,7 @@
   HttpServerOptions opt;
   opt.HeaderTimeout = opt.BodyTimeout = opt.KeepAlive = ShortTime;
   const HttpServer srv =
-      startServer({[&](HttpRequest, HttpReply reply) {
+      startServer({[&](const HttpRequest &, HttpReply reply) {
                      auto kept = std::make_shared<HttpReply>(std::move(reply));
                      timers.after(10 * ShortTime,
                                   [kept](Time) { kept->send(200, {}, ""); });
@@ -158,7 +160,7 @@
   std::atomic<int> failed{0};
   TimerService timers;
   const HttpServer srv =
-      startServer({[&](HttpRequest, HttpReply reply) {
+      startServer({[&](const HttpRequest &, HttpReply reply) {
                      auto kept = std::make_shared<HttpReply>(std::move(reply));
                      timers.after(std::chrono::milliseconds(1), [kept](Time) {
                        CHECK(kept->start(200, {}));
@@ -182,9 +184,11 @@
 TEST_CASE("callers that leave in mid-stream harm nobody", "[http_server]") {
   Held held;
   CountDown gone;
-  const HttpServer srv = startServer(
-      {[&](HttpRequest, HttpReply reply) { held.keep(std::move(reply)); },
-       [&](std::uint64_t) { gone.add(); }});
+  const HttpServer srv =
+      startServer({[&](const HttpRequest &, HttpReply reply) {
+                     held.keep(std::move(reply));
+                   },
+                   [&](std::uint64_t) { gone.add(); }});
   constexpr int Callers = 20;
   for (int i = 0; i < Callers; ++i) {
     const RawClient client(srv.port());
@@ -204,7 +208,7 @@
 }
 
 TEST_CASE("an aborted stream is not taken for whole", "[http_server]") {
-  const HttpServer srv = startServer({[](HttpRequest, HttpReply reply) {
+  const HttpServer srv = startServer({[](const HttpRequest &, HttpReply reply) {
                                         CHECK(reply.start(200, {}));
                                         CHECK(reply.write("part"));
                                         reply.abort();
@@ -214,7 +218,8 @@
 }
 
 TEST_CASE("a reply that is dropped ends its connection", "[http_server]") {
-  const HttpServer srv = startServer({[](HttpRequest, HttpReply) {}, {}});
+  const HttpServer srv =
+      startServer({[](const HttpRequest &, HttpReply) {}, {}});
   const RawClient client(srv.port());
   client.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
   CHECK(client.readUntil("").empty());
@@ -222,8 +227,11 @@
 
 TEST_CASE("a large answer reaches a slow reader whole", "[http_server]") {
   const std::string large(std::size_t{24} << 20U, 'z');
-  const HttpServer srv = startServer(
-      {[&](HttpRequest, HttpReply reply) { reply.send(200, {}, large); }, {}});
+  const HttpServer srv =
+      startServer({[&](const HttpRequest &, HttpReply reply) {
+                     reply.send(200, {}, large);
+                   },
+                   {}});
   const RawClient client(srv.port());
   client.write("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
   std::this_thread::sleep_for(ShortTime);
@@ -234,13 +242,14 @@
 TEST_CASE("a request sent before the last answer waits for it",
           "[http_server]") {
   Held held;
-  const HttpServer srv = startServer({[&](HttpRequest req, HttpReply reply) {
-                                        if (req.Path == "/1")
-                                          held.keep(std::move(reply));
-                                        else
-                                          reply.send(200, {}, "second");
-                                      },
-                                      {}});
+  const HttpServer srv =
+      startServer({[&](const HttpRequest &req, HttpReply reply) {
+                     if (req.Path == "/1")
+                       held.keep(std::move(reply));
+                     else
+                       reply.send(200, {}, "second");
+                   },
+                   {}});
   const RawClient client(srv.port());
   client.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
   REQUIRE(held.Arrived.reached(1));
@@ -257,26 +266,29 @@
   opt.HeaderTimeout = ShortTime;
   opt.BodyTimeout = ShortTime;
   const HttpServer srv = startServer(
-      {[](HttpRequest, HttpReply reply) { reply.send(200, {}, ""); }, {}}, opt);
-  const auto answerTo = [&](const std::string &text) {
+      {[](const HttpRequest &, HttpReply reply) { reply.send(200, {}, ""); },
+       {}},
+      opt);
+  const auto answerto = [&](const std::string &text) {
     const RawClient client(srv.port());
     client.write(text);
     return client.readUntil("").substr(0, 12);
   };
-  CHECK(answerTo("nonsense /x HTTP/1.1\r\n\r\n") == "HTTP/1.1 400");
-  CHECK(answerTo("POST /x HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" +
+  CHECK(answerto("nonsense /x HTTP/1.1\r\n\r\n") == "HTTP/1.1 400");
+  CHECK(answerto("POST /x HTTP/1.1\r\nContent-Length: 9000\r\n\r\n" +
                  std::string(9000, 'x')) == "HTTP/1.1 413");
-  CHECK(answerTo("GET /x HTTP/1.1\r\nHost:") == "HTTP/1.1 408");
-  CHECK(answerTo("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nab") ==
+  CHECK(answerto("GET /x HTTP/1.1\r\nHost:") == "HTTP/1.1 408");
+  CHECK(answerto("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nab") ==
         "HTTP/1.1 408");
 }
 
 TEST_CASE("callers may close, wait for 100 Continue or be old",
           "[http_server]") {
-  const HttpServer srv = startServer({[](HttpRequest req, HttpReply reply) {
-                                        reply.send(200, {}, "got " + req.Body);
-                                      },
-                                      {}});
+  const HttpServer srv =
+      startServer({[](const HttpRequest &req, HttpReply reply) {
+                     reply.send(200, {}, "got " + req.Body);
+                   },
+                   {}});
   const RawClient close(srv.port());
   close.write("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
   CHECK(close.readUntil("").find("Connection: close") != std::string::npos);
@@ -292,7 +304,8 @@
 }
 
 TEST_CASE("an address in use is told", "[http_server]") {
-  const HttpServer srv = startServer({[](HttpRequest, HttpReply) {}, {}});
+  const HttpServer srv =
+      startServer({[](const HttpRequest &, HttpReply) {}, {}});
   HttpServerOptions opt;
   opt.Port = srv.port();
   CHECK_FALSE(HttpServer::start(opt, {}));
