--- a/include/zinniagauge/adapt/rpc_thread.h
+++ b/include/zinniagauge/adapt/rpc_thread.h
@@ -48,6 +48,9 @@
   /// Hands \p msg to the thread; never waits.
   void post(RpcMessage msg);
 
+  /// Steps the schedulers if the passing of time may change something there.
+  void tick();
+
 private:
   std::unique_ptr<State> St;
 };
--- a/include/zinniagauge/decide/host.h
+++ b/include/zinniagauge/decide/host.h
@@ -29,6 +29,10 @@
 /// The scheduler of \p key, made if there is none yet.
 [[nodiscard]] Scheduler &schedulerOf(SchedulerHost &host, ScheduleKey key);
 
+/// Whether a ticket waits or a grant is open, so that the passing of time alone
+/// may change something.
+[[nodiscard]] bool hasWork(const SchedulerHost &host) noexcept;
+
 /// Steps every scheduler of \p host. Appends to \p out.
 void step(SchedulerHost &host, const ScheduleView &view, Time now,
           ScheduleChanges &out);
--- a/programs/zinnia-agent.cpp
+++ b/programs/zinnia-agent.cpp
@@ -60,11 +60,16 @@
   std::optional<MetricsServer> Metrics;
 };
 
+std::uint64_t versionInForce(const Board &b) noexcept {
+  const ReadGuard guard;
+  return b.InForce.read(guard).Version;
+}
+
 Result<void> readTable(Agent &a) {
   BOOST_LEAF_AUTO(head, readHead(a.Store));
   a.Table.Head = head.Head.Version;
   a.Table.Known = true;
-  if (head.Head.Version <= a.Shared.InForce.copy().Version)
+  if (head.Head.Version <= versionInForce(a.Shared))
     return {};
   BOOST_LEAF_AUTO(next, fetchBundle(a.Store, head.Head));
   a.Swaps->offer(std::move(next));
--- a/programs/zinnia-entry.cpp
+++ b/programs/zinnia-entry.cpp
@@ -165,7 +165,7 @@
     e.Workers.push_back(WorkerThread::start(workerOptions(e)));
   BOOST_LEAF_AUTO(rpc, RpcThread::start(rpcOptions(e)));
   e.Rpc.emplace(std::move(rpc));
-  e.Timers.every(SchedulerPeriod, [&e](Time) { e.Rpc->post(SchedulerTick{}); });
+  e.Timers.every(SchedulerPeriod, [&e](Time) { e.Rpc->tick(); });
   BOOST_LEAF_AUTO(http, startFront(frontOptions(e)));
   e.Http.emplace(std::move(http));
   BOOST_LEAF_AUTO(metrics, serveMetrics(metricsOptions(e)));
--- a/src/adapt/control.cpp
+++ b/src/adapt/control.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace zinniagauge {
 
@@ -182,11 +183,16 @@
 }
 
 void Control::State::pollAll() {
-  const Bundle b = Opt.Shared->InForce.copy();
   const VmId self = VmId::of(Opt.Settings->VmName);
-  for (const EndpointSpec &ep : b.Endpoints)
-    if (isPoller(*Opt.Shared, self, ep))
-      pollEndpoint(ep);
+  std::vector<EndpointSpec> mine; // Copies, since a poll waits for its answer.
+  {
+    const ReadGuard guard;
+    for (const EndpointSpec &ep : Opt.Shared->InForce.read(guard).Endpoints)
+      if (isPoller(*Opt.Shared, self, ep))
+        mine.push_back(ep);
+  }
+  for (const EndpointSpec &ep : mine)
+    pollEndpoint(ep);
 }
 
 Control::Control(ControlOptions opt)
--- a/src/adapt/rpc_thread.cpp
+++ b/src/adapt/rpc_thread.cpp
@@ -13,6 +13,7 @@
 #include <kj/async-io.h>
 #include <kj/async-unix.h>
 
+#include <atomic>
 #include <future>
 #include <map>
 #include <thread>
@@ -43,7 +44,7 @@
 /// All that lives on the RPC thread.
 class Core final : kj::TaskSet::ErrorHandler {
 public:
-  Core(const RpcOptions &opt, RpcBox &box);
+  Core(const RpcOptions &opt, RpcBox &box, std::atomic<bool> &busy);
 
   /// Listens at the address of the settings; throws kj::Exception if it is
   /// taken.
@@ -83,6 +84,7 @@
 
   const RpcOptions &Opt;
   RpcBox &Box;
+  std::atomic<bool> &Busy; // The schedulers have work.
   VmId Self;
   ZoneId Zone;
   kj::AsyncIoContext Io;
@@ -172,8 +174,8 @@
   Core &At;
 };
 
-Core::Core(const RpcOptions &opt, RpcBox &box)
-    : Opt(opt), Box(box), Self(VmId::of(opt.VmName)),
+Core::Core(const RpcOptions &opt, RpcBox &box, std::atomic<bool> &busy)
+    : Opt(opt), Box(box), Busy(busy), Self(VmId::of(opt.VmName)),
       Zone(ZoneId::of(opt.ZoneName)), Io(kj::setupAsyncIo()),
       BoxReady(Io.unixEventPort, box.fd(),
                kj::UnixEventPort::FdObserver::OBSERVE_READ),
@@ -381,6 +383,7 @@
     deliver(g);
   for (const Refusal &r : out.Refusals)
     deliver(r);
+  Busy.store(hasWork(Host), std::memory_order_relaxed);
 }
 
 void Core::deliver(const Grant &g) {
@@ -461,6 +464,7 @@
 struct RpcThread::State {
   RpcOptions Opt;
   RpcBox Box;
+  std::atomic<bool> Busy{false};
   std::thread Thread;
 };
 
@@ -481,7 +485,7 @@
   std::promise<std::string> listening; // The error, or nothing.
   auto started = listening.get_future();
   st->Thread = std::thread([s = st.get(), &listening] {
-    Core core(s->Opt, s->Box);
+    Core core(s->Opt, s->Box, s->Busy);
     try {
       core.listen();
     } catch (const kj::Exception &ex) {
@@ -498,6 +502,11 @@
   return fail({ErrorCode::Unavailable, Step::Connect, st->Opt.Address, error});
 }
 
+void RpcThread::tick() {
+  if (St->Busy.load(std::memory_order_relaxed))
+    post(SchedulerTick{});
+}
+
 void RpcThread::post(RpcMessage msg) {
   St->Box.post(std::make_unique<RpcMessage>(std::move(msg)));
 }
--- a/src/decide/host.cpp
+++ b/src/decide/host.cpp
@@ -1,5 +1,7 @@
 #include "zinniagauge/decide/host.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 Scheduler &schedulerOf(SchedulerHost &host, ScheduleKey key) {
@@ -13,6 +15,14 @@
   return it->second;
 }
 
+bool hasWork(const SchedulerHost &host) noexcept {
+  return std::any_of(host.Schedulers.begin(), host.Schedulers.end(),
+                     [](const auto &it) {
+                       const Scheduler &s = it.second;
+                       return size(s.Queue) > 0 || !s.Open.empty();
+                     });
+}
+
 void step(SchedulerHost &host, const ScheduleView &view, Time now,
           ScheduleChanges &out) {
   for (auto &it : host.Schedulers)
