--- /dev/null
+++ b/tests/unit/front_test.cpp
@@ -0,0 +1,152 @@
+#include "zinniagauge/adapt/digest.h"
+#include "zinniagauge/adapt/front.h"
+#include "zinniagauge/adapt/problem.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+using namespace zinniagauge;
+
+namespace {
+
+constexpr std::string_view Key = "caller-key";
+
+Bundle smallBundle() {
+  Bundle b;
+  b.Version = 1;
+  b.Tiers = {{"cue", {0}, std::chrono::seconds(5), {}, 0.99},
+             {"act", {1}, std::chrono::seconds(60), {}, 0.9}};
+  WorkspaceSpec ws;
+  ws.Name = "archivo";
+  ws.Id = WorkspaceId::of(ws.Name);
+  ws.KeyDigests = {sha256Hex(Key)};
+  ws.HighestTier = {1};
+  b.Workspaces = {ws};
+  RouteSpec model;
+  model.Name = model.Model = "surtitle";
+  model.Pool = PoolId::of("surtitle");
+  RouteSpec desk;
+  desk.Name = "fire-cue";
+  desk.PathPrefix = "/desk/fire-cue";
+  desk.Pool = PoolId::of("desk");
+  desk.DefaultTier = {1};
+  desk.Idempotent = false;
+  b.Routes = {model, desk};
+  indexBundle(b);
+  return b;
+}
+
+/// A front end whose worker answers each admitted request at once.
+struct Fixture {
+  Board Shared;
+  std::atomic<int> Admitted{0};
+  Admission Last;
+  Result<HttpServer> Server = startFront(options());
+
+  FrontOptions options() {
+    FrontOptions opt;
+    opt.Shared = &Shared;
+    opt.Http.MaxBodyBytes = 4096;
+    opt.ToWorker = [this](Arrival msg) {
+      Last = msg.Admitted;
+      ++Admitted;
+      msg.Reply.send(200, {}, "done");
+    };
+    opt.OnGone = [](std::uint64_t) {};
+    opt.Stopping = [] { return false; };
+    return opt;
+  }
+
+  HttpAnswer call(std::string_view path, std::string_view body,
+                  std::vector<HttpHeader> headers = {}) const {
+    if (headers.empty() || headers[0].Name != "Authorization")
+      headers.push_back({"Authorization", "Bearer " + std::string(Key)});
+    const std::string url =
+        "http://127.0.0.1:" + std::to_string(Server->port()) +
+        std::string(path);
+    HttpCall req;
+    req.Method = "POST";
+    req.Url = url;
+    req.Headers = headers;
+    req.Body = body;
+    return handle([&] { return httpCall(req); },
+                  [](const HttpAnswer &ans) { return ans; },
+                  [](const Error &) { return HttpAnswer{}; });
+  }
+
+  /// Checks that the call is refused as \p status at \p step, not run.
+  void refuses(int status, std::string_view step, const HttpAnswer &ans) const {
+    const auto body = nlohmann::json::parse(ans.Body, nullptr, false);
+    INFO(ans.Body);
+    REQUIRE(body.is_object());
+    CHECK(ans.Status == status);
+    CHECK(body.value("step", "") == step);
+    CHECK(body.value("outcome", "") == "not_run");
+    CHECK(parseRequestId(body.value("request_id", "")));
+    CHECK(Admitted == 0);
+  }
+};
+
+constexpr std::string_view Chat = "/v1/chat/completions";
+
+} // namespace
+
+TEST_CASE("without a bundle nothing is served", "[front]") {
+  const Fixture f;
+  f.refuses(503, "bundle", f.call(Chat, R"({"model": "surtitle"})"));
+}
+
+TEST_CASE("bad requests are refused with their step", "[front]") {
+  Fixture f;
+  f.Shared.InForce.publish(smallBundle());
+  f.refuses(400, "receive", f.call(Chat, "{"));
+  f.refuses(400, "receive", f.call(Chat, "[]"));
+  f.refuses(400, "receive", f.call(Chat, R"({"model": 7})"));
+  f.refuses(400, "receive",
+            f.call(Chat, R"({"model": "surtitle", "max_tokens": -1})"));
+  f.refuses(400, "receive",
+            f.call(Chat, R"({"model": "surtitle", "stream": "yes"})"));
+  f.refuses(400, "receive",
+            f.call("/desk/fire-cue", "", {{"Zinnia-Timeout-Ms", "soon"}}));
+  f.refuses(404, "route", f.call(Chat, R"({"model": "other"})"));
+  f.refuses(404, "route", f.call("/desk/fire-cues", ""));
+  f.refuses(400, "route",
+            f.call("/desk/fire-cue", "", {{"Zinnia-Tier", "none"}}));
+}
+
+TEST_CASE("callers without the right are refused", "[front]") {
+  Fixture f;
+  f.Shared.InForce.publish(smallBundle());
+  f.refuses(401, "authorise",
+            f.call("/desk/fire-cue", "", {{"Authorization", "Bearer wrong"}}));
+  f.refuses(401, "authorise",
+            f.call("/desk/fire-cue", "", {{"Authorization", "Basic x"}}));
+  f.refuses(401, "authorise",
+            f.call("/desk/fire-cue", "", {{"Zinnia-Tier", "cue"}}));
+}
+
+TEST_CASE("a body over the limit is refused before it is read", "[front]") {
+  Fixture f;
+  f.Shared.InForce.publish(smallBundle());
+  CHECK(f.call(Chat, std::string(9000, 'x')).Status == 413);
+  CHECK(f.Admitted == 0);
+}
+
+TEST_CASE("an admitted request carries what scheduling needs", "[front]") {
+  Fixture f;
+  f.Shared.InForce.publish(smallBundle());
+  const std::string_view body =
+      R"({"model": "surtitle", "max_tokens": 9, "stream": true,)"
+      R"( "messages": [{"role": "user", "content": "twelve bytes"}]})";
+  CHECK(f.call(Chat, body).Body == "done");
+  CHECK(f.Last.Pool == PoolId::of("surtitle"));
+  CHECK(f.Last.Rank.Rank == 1); // Its workspace may not go higher.
+  CHECK(f.Last.OutputTokens == 9);
+  CHECK(f.Last.Stream);
+  CHECK(f.call("/desk/fire-cue/7", "{}").Body == "done");
+  CHECK_FALSE(f.Last.Idempotent);
+}
