--- a/src/adapt/move_routes.cpp
+++ b/src/adapt/move_routes.cpp
@@ -42,9 +42,11 @@
   return {
       "POST", "/v1/take-backs/",
       [&shared, &swaps](const OperatorCall &call) -> Result<std::string> {
-        BOOST_LEAF_AUTO(order, takeBackOf(shared, call.Tail, call.Operator));
-        swaps.post([order](Exchange &ex) { noteMove(ex, order); });
-        logChange({LogLevel::Info, Step::Move, call.Tail, order.Evidence});
+        Result<MoveState> order = takeBackOf(shared, call.Tail, call.Operator);
+        if (!order)
+          return order.error();
+        swaps.post([st = *order](Exchange &ex) { noteMove(ex, st); });
+        logChange({LogLevel::Info, Step::Move, call.Tail, order->Evidence});
         return nlohmann::json{{"move", call.Tail}, {"taken_back", true}}.dump();
       }};
 }
