--- a/tests/unit/front_test.cpp
+++ b/tests/unit/front_test.cpp
@@ -61,8 +61,8 @@
     return opt;
   }
 
-  HttpAnswer call(std::string_view path, std::string_view body,
-                  std::vector<HttpHeader> headers = {}) const {
+  [[nodiscard]] HttpAnswer call(std::string_view path, std::string_view body,
+                                std::vector<HttpHeader> headers = {}) const {
     if (headers.empty() || headers[0].Name != "Authorization")
       headers.push_back({"Authorization", "Bearer " + std::string(Key)});
     const std::string url =
