Keep one piece of code for header names and for random numbers

Cause: a read-through of the whole change found the same logic twice: header names were compared and header lines parsed in three adapters, and SplitMix64 stood in three places, two of them functions of one name and signature that one file could not have included together. Change: adapt/http_header.h and decide/random.h serve all; 88 lines go. A header value's leading tab is now trimmed by the blocking client too.

--- a/include/zinniagauge/adapt/http_client.h
+++ b/include/zinniagauge/adapt/http_client.h
@@ -3,6 +3,7 @@
 #ifndef ZINNIAGAUGE_ADAPT_HTTP_CLIENT_H
 #define ZINNIAGAUGE_ADAPT_HTTP_CLIENT_H
 
+#include "zinniagauge/adapt/http_header.h"
 #include "zinniagauge/board/error.h"
 #include "zinniagauge/time/clock.h"
 
@@ -13,12 +14,6 @@
 
 namespace zinniagauge {
 
-/// A header's name and value.
-struct HttpHeader {
-  std::string Name;
-  std::string Value;
-};
-
 /// One call to make.
 struct HttpCall {
   std::string_view Method = "GET";
--- a/include/zinniagauge/decide/retry.h
+++ b/include/zinniagauge/decide/retry.h
@@ -2,6 +2,7 @@
 #ifndef ZINNIAGAUGE_DECIDE_RETRY_H
 #define ZINNIAGAUGE_DECIDE_RETRY_H
 
+#include "zinniagauge/decide/random.h"
 #include "zinniagauge/time/clock.h"
 
 #include <cstdint>
@@ -36,9 +37,6 @@
 [[nodiscard]] Duration backoffWait(const Backoff &bo, std::uint32_t n,
                                    std::uint64_t random) noexcept;
 
-/// The next number of a SplitMix64 sequence, whose state is \p seed.
-[[nodiscard]] std::uint64_t nextRandom(std::uint64_t &seed) noexcept;
-
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_DECIDE_RETRY_H
--- a/src/adapt/http_client.cpp
+++ b/src/adapt/http_client.cpp
@@ -24,18 +24,9 @@
 }
 
 std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *to) {
-  std::string_view line(data, size * n);
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos)
-    return line.size();
-  std::string_view val = line.substr(colon + 1);
-  while (!val.empty() && val.front() == ' ')
-    val.remove_prefix(1);
-  while (!val.empty() && (val.back() == '\r' || val.back() == '\n'))
-    val.remove_suffix(1);
-  static_cast<std::vector<HttpHeader> *>(to)->push_back(
-      {std::string(line.substr(0, colon)), std::string(val)});
-  return line.size();
+  if (auto header = readHeaderLine({data, size * n}))
+    static_cast<std::vector<HttpHeader> *>(to)->push_back(std::move(*header));
+  return size * n;
 }
 
 Slist headerList(std::span<const HttpHeader> headers) {
--- a/src/adapt/http_server.cpp
+++ b/src/adapt/http_server.cpp
@@ -7,7 +7,6 @@
 #include <pistache/peer.h>
 #include <pistache/transport.h>
 
-#include <strings.h>
 #include <sys/socket.h>
 #include <sys/timerfd.h>
 
@@ -83,11 +82,7 @@
 } // namespace
 
 std::string_view HttpRequest::header(std::string_view name) const noexcept {
-  for (const HttpHeader &h : Headers)
-    if (h.Name.size() == name.size() &&
-        ::strncasecmp(h.Name.data(), name.data(), name.size()) == 0)
-      return h.Value;
-  return {};
+  return headerOf(Headers, name);
 }
 
 namespace {
--- a/src/adapt/transfer.cpp
+++ b/src/adapt/transfer.cpp
@@ -43,14 +43,6 @@
   tr.Fns->OnEvent(ev);
 }
 
-std::string_view trimmed(std::string_view s) noexcept {
-  while (!s.empty() && (s.front() == ' ' || s.front() == '\t'))
-    s.remove_prefix(1);
-  while (!s.empty() && (s.back() == '\r' || s.back() == '\n'))
-    s.remove_suffix(1);
-  return s;
-}
-
 std::size_t onHeader(char *data, std::size_t size, std::size_t n, void *to) {
   auto &tr = *static_cast<Transfer *>(to);
   const std::string_view line(data, size * n);
@@ -59,22 +51,11 @@
     tr.Headers.clear();
     return line.size();
   }
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos)
-    return line.size();
-  tr.Headers.push_back({std::string(line.substr(0, colon)),
-                        std::string(trimmed(line.substr(colon + 1)))});
+  if (auto header = readHeaderLine(line))
+    tr.Headers.push_back(std::move(*header));
   return line.size();
 }
 
-bool sameName(std::string_view a, std::string_view b) noexcept {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-           return std::tolower(static_cast<unsigned char>(x)) ==
-                  std::tolower(static_cast<unsigned char>(y));
-         });
-}
-
 /// Whether the answer tells where it ends. One that ends when its connection
 /// closes can't be told from one that was cut short.
 bool isDelimited(const Transfer &tr) noexcept {
--- a/src/adapt/worker.cpp
+++ b/src/adapt/worker.cpp
@@ -47,21 +47,6 @@
   return n < 0 ? 0 : static_cast<std::uint64_t>(n);
 }
 
-bool sameName(std::string_view a, std::string_view b) noexcept {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
-    return std::tolower(static_cast<unsigned char>(x)) ==
-           std::tolower(static_cast<unsigned char>(y));
-  });
-}
-
-std::string_view headerOf(std::span<const HttpHeader> headers,
-                          std::string_view name) noexcept {
-  for (const HttpHeader &h : headers)
-    if (sameName(h.Name, name))
-      return h.Value;
-  return {};
-}
-
 AnswerHead readHead(const TransferEvent &ev) {
   AnswerHead head;
   head.Status = ev.Status;
--- a/src/decide/assign.cpp
+++ b/src/decide/assign.cpp
@@ -1,27 +1,16 @@
 #include "zinniagauge/decide/assign.h"
 
+#include "zinniagauge/decide/random.h"
+
 #include <algorithm>
 
 namespace zinniagauge {
 
-namespace {
-
-/// The finaliser of SplitMix64: spreads every input bit over the output.
-constexpr std::uint64_t mix(std::uint64_t x) noexcept {
-  x ^= x >> 30U;
-  x *= 0xBF58476D1CE4E5B9U;
-  x ^= x >> 27U;
-  x *= 0x94D049BB133111EBU;
-  return x ^ (x >> 31U);
-}
-
-} // namespace
-
 std::uint64_t roleWeight(VmId vm, SchedulerRole role) noexcept {
-  std::uint64_t x = mix(vm.Value);
-  x = mix(x ^ role.Zone.Value);
-  x = mix(x ^ role.Pool.Value);
-  return mix(x ^ role.Shard);
+  std::uint64_t x = mix64(vm.Value);
+  x = mix64(x ^ role.Zone.Value);
+  x = mix64(x ^ role.Pool.Value);
+  return mix64(x ^ role.Shard);
 }
 
 const Member *schedulerFor(std::span<const Member> members, SchedulerRole role,
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -26,12 +26,4 @@
                              random % static_cast<std::uint64_t>(half + 1)));
 }
 
-std::uint64_t nextRandom(std::uint64_t &seed) noexcept {
-  seed += 0x9E3779B97F4A7C15U;
-  std::uint64_t x = seed;
-  x = (x ^ (x >> 30U)) * 0xBF58476D1CE4E5B9U;
-  x = (x ^ (x >> 27U)) * 0x94D049BB133111EBU;
-  return x ^ (x >> 31U);
-}
-
 } // namespace zinniagauge
