--- /dev/null
+++ b/include/zinniagauge/board/demand.h
@@ -0,0 +1,40 @@
+// What workspaces ask of processes, and what each process may spend for them.
+#ifndef ZINNIAGAUGE_BOARD_DEMAND_H
+#define ZINNIAGAUGE_BOARD_DEMAND_H
+
+#include "zinniagauge/board/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace zinniagauge {
+
+/// What one workspace lately asked of one process.
+struct Demand {
+  WorkspaceId Workspace;
+  double CostPerSecond = 0;
+
+  bool operator==(const Demand &) const = default;
+};
+
+/// The demand section of the board, sorted by workspace.
+struct DemandList {
+  std::vector<Demand> List;
+};
+
+/// Which part of a workspace's limit this process may spend.
+struct AllowanceShare {
+  WorkspaceId Workspace;
+  double Share = 0; // 0 to 1.
+};
+
+/// The shares section of the board, sorted by workspace.
+struct AllowanceShares {
+  std::vector<AllowanceShare> List;
+  double Default = 0;          // Of a workspace that isn't listed.
+  std::uint32_t Processes = 1; // That are known to live.
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_BOARD_DEMAND_H
--- /dev/null
+++ b/include/zinniagauge/board/front_board.h
@@ -0,0 +1,36 @@
+// The blackboard of a front: the request loop and the controllers read and
+// write it, and know nothing of each other.
+#ifndef ZINNIAGAUGE_BOARD_FRONT_BOARD_H
+#define ZINNIAGAUGE_BOARD_FRONT_BOARD_H
+
+#include "zinniagauge/board/backend.h"
+#include "zinniagauge/board/cell.h"
+#include "zinniagauge/board/demand.h"
+#include "zinniagauge/board/load.h"
+#include "zinniagauge/board/traffic_plan.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace zinniagauge {
+
+/// What one front knows. Each section has one writing thread; any thread may
+/// read any section at any time without waiting.
+struct FrontBoard {
+  Cell<TrafficPlan> Plan;       // Written by the plan controller.
+  Cell<BackendList> Backends;   // Written by the discovery controller.
+  Cell<AllowanceShares> Shares; // Written by the peer controller.
+  Cell<LoadList> PeerLoads;     // Written by the peer controller.
+  Cell<LoadList> OwnLoads;      // Written by the request loop.
+  Cell<DemandList> Demands;     // Written by the request loop.
+
+  /// When the newest reading was asked for that proved the plan to be the
+  /// latest: nanoseconds of bootNow; zero before the first.
+  std::atomic<std::int64_t> PlanProven{0};
+  std::atomic<std::uint64_t> PlanVersion{0};
+  std::atomic<bool> Stopping{false}; // Written by whoever stops the process.
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_BOARD_FRONT_BOARD_H
--- a/include/zinniagauge/board/table.h
+++ b/include/zinniagauge/board/table.h
@@ -46,6 +46,23 @@
   std::vector<TableOpResult> Ops;
 };
 
+/// One row of a table as it was read.
+struct TableRow {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Version = 0;
+  bool Deleted = false; // Of a change: the row is gone.
+};
+
+/// Rows of one table, as of one moment.
+struct TableReading {
+  std::vector<TableRow> Rows;
+  std::uint64_t Version = 0;  // The newest of all tables.
+  std::int64_t ServiceMs = 0; // The service's steady clock.
+  bool More = false;          // Rows follow after the last key.
+  bool HistoryGone = false;   // Changes asked for are no longer known.
+};
+
 /// One VM of the platform's list.
 struct VmEntry {
   std::string Name;
--- /dev/null
+++ b/include/zinniagauge/decide/allowance.h
@@ -0,0 +1,89 @@
+// Allowances of workspaces: a limit over all processes, of which each spends a
+// share that follows its part of the demand.
+#ifndef ZINNIAGAUGE_DECIDE_ALLOWANCE_H
+#define ZINNIAGAUGE_DECIDE_ALLOWANCE_H
+
+#include "zinniagauge/board/demand.h"
+#include "zinniagauge/board/traffic_plan.h"
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace zinniagauge {
+
+/// What a process published of itself.
+struct PeerDemand {
+  std::string Name;
+  std::uint64_t Life = 0; // Random; another life is another process.
+  std::uint64_t Beat = 0; // Rises with each publication.
+  std::vector<Demand> Demands;
+};
+
+/// The part of a limit that is split evenly, so that demand that moves to a
+/// process finds something there; the rest follows demand.
+inline constexpr double EvenPart = 0.25;
+
+/// How long a process that publishes nothing still counts: it may spend until
+/// its proof of the configuration is too old to serve keys (FreshnessLimits),
+/// and one beat longer.
+inline constexpr Duration PeerMemory = std::chrono::seconds(6);
+
+/// Peers as they were last read.
+struct PeerBook {
+  struct Entry {
+    PeerDemand Last;
+    Time Changed; // When its beat or life was first seen.
+  };
+  std::map<std::string, Entry> Peers;
+};
+
+/// Takes in a whole reading of what processes published.
+void takePeers(PeerBook &book, std::span<const PeerDemand> read, Time now);
+
+/// This process's shares. \p self is its name; \p own counts only until its
+/// own row was read.
+[[nodiscard]] AllowanceShares sharesOf(const PeerBook &book,
+                                       std::string_view self,
+                                       std::span<const Demand> own);
+
+/// How a limit is judged: over any span of Window, what is spent may exceed
+/// the rate and the burst by Overage and Slack.
+struct AllowanceMargin {
+  Duration Window = std::chrono::seconds(8);
+  double Overage = 0; // Of rate and burst.
+  double Slack = 0;
+};
+
+/// Part of what the judgement leaves beyond the rate that buckets may hold; the
+/// rest covers shares that don't add up to one while they move.
+inline constexpr double UsedMargin = 0.85;
+
+/// The size of the bucket that all processes together have for \p ws: what
+/// may be spent at once so that a window's limit holds.
+[[nodiscard]] double bucketSize(const PlanWorkspace &ws,
+                                const AllowanceMargin &margin) noexcept;
+
+/// A token bucket of one workspace in one process.
+struct AllowanceBucket {
+  double Level = 0;
+  Time Filled;
+  bool Started = false;
+};
+
+/// Takes \p cost from the bucket. Nothing if it fits, else after how long it
+/// would.
+[[nodiscard]] std::optional<Duration>
+takeAllowance(AllowanceBucket &bucket, const PlanWorkspace &ws, double share,
+              const AllowanceMargin &margin, double cost, Time now) noexcept;
+
+/// Returns \p cost that wasn't spent.
+void giveBack(AllowanceBucket &bucket, double cost) noexcept;
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_ALLOWANCE_H
--- /dev/null
+++ b/include/zinniagauge/decide/backend_track.h
@@ -0,0 +1,56 @@
+// Which back ends may be used, from readings of the discovery list.
+#ifndef ZINNIAGAUGE_DECIDE_BACKEND_TRACK_H
+#define ZINNIAGAUGE_DECIDE_BACKEND_TRACK_H
+
+#include "zinniagauge/board/backend.h"
+#include "zinniagauge/time/clock.h"
+
+#include <compare>
+#include <map>
+#include <span>
+#include <string>
+
+namespace zinniagauge {
+
+/// How long an entry may be missing after the list could be read again: its
+/// owner had no way to renew it meanwhile. The platform states two seconds.
+inline constexpr Duration RenewalGrace = std::chrono::milliseconds(2200);
+
+/// A gap between two readings that counts as an outage of the list.
+inline constexpr Duration ListOutage = std::chrono::milliseconds(2500);
+
+/// One life of a back end.
+struct BackendLife {
+  std::string Name;
+  std::uint64_t Born = 0;
+
+  auto operator<=>(const BackendLife &) const = default;
+};
+
+/// What is remembered of a life.
+struct BackendSeen {
+  Backend Last;
+  bool Listed = true; // In the latest reading.
+};
+
+/// The back ends of one process. A life that was once seen to leave stays so.
+struct BackendTrack {
+  std::map<BackendLife, BackendSeen> Lives;
+  std::map<BackendLife, Time> Left; // Since when a life is known to leave.
+  Time LastRead;                    // When the latest reading was asked for.
+  Time GraceEnds; // Until then missing entries aren't taken as gone.
+  bool Read = false;
+};
+
+/// Takes in a whole reading of the list that was asked for at \p asked and
+/// arrived at \p now. True if the usable back ends may have changed.
+[[nodiscard]] bool takeReading(BackendTrack &track,
+                               std::span<const Backend> listed, Time asked,
+                               Time now);
+
+/// The back ends as of the latest reading, sorted by id.
+[[nodiscard]] BackendList usable(const BackendTrack &track);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_BACKEND_TRACK_H
--- /dev/null
+++ b/include/zinniagauge/decide/outlier.h
@@ -0,0 +1,48 @@
+// Telling a back end that fails from one that is merely loaded: its results are
+// held against those of its pool, and it is passed over for a while.
+#ifndef ZINNIAGAUGE_DECIDE_OUTLIER_H
+#define ZINNIAGAUGE_DECIDE_OUTLIER_H
+
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+
+namespace zinniagauge {
+
+/// When a back end is passed over.
+struct OutlierLimits {
+  double Weight = 0.12;        // Of one result in the averages.
+  double ExcessFailures = 0.3; // Above the pool's share of failures.
+  std::uint32_t LeastResults = 6;
+  std::uint32_t LostInRow = 2; // Connections lost or refused in a row.
+  Duration FirstPause = std::chrono::milliseconds(1500);
+  Duration MostPause = std::chrono::seconds(8);
+  double MostPassedOver = 0.5; // Of a pool's back ends.
+};
+
+/// What one process has seen of one back end, or of a pool as a whole.
+struct ResultRecord {
+  double Failures = 0; // Average share, recent results.
+  std::uint32_t Results = 0;
+  std::uint32_t LostInRow = 0;
+  Time PassedOverUntil;
+  Duration Pause = Duration::zero(); // Doubles while it goes on failing.
+};
+
+/// Whether a back end is to be passed over at \p now.
+[[nodiscard]] constexpr bool isPassedOver(const ResultRecord &rec,
+                                          Time now) noexcept {
+  return now < rec.PassedOverUntil;
+}
+
+/// Takes in a call that was answered in full. True: pass the back end over
+/// from now on.
+bool noteResult(ResultRecord &rec, ResultRecord &pool, bool failed,
+                const OutlierLimits &lim, Time now) noexcept;
+
+/// Takes in a call whose connection was refused, reset, or stayed silent.
+bool noteLost(ResultRecord &rec, const OutlierLimits &lim, Time now) noexcept;
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_OUTLIER_H
--- /dev/null
+++ b/include/zinniagauge/decide/retry_window.h
@@ -0,0 +1,39 @@
+// The budget of repeated sends, kept as a sliding window by each process.
+#ifndef ZINNIAGAUGE_DECIDE_RETRY_WINDOW_H
+#define ZINNIAGAUGE_DECIDE_RETRY_WINDOW_H
+
+#include "zinniagauge/time/clock.h"
+
+#include <array>
+#include <cstdint>
+
+namespace zinniagauge {
+
+/// What repeats are allowed over all processes.
+struct RetryAllowance {
+  double Ratio = 0.2; // Of the first sends in a window.
+  double Slack = 0;   // Of this process, beyond that.
+  Duration Window = std::chrono::seconds(10);
+};
+
+/// Counts of one pool. Sends are counted in slices of the window.
+struct RetryWindow {
+  static constexpr std::size_t Slices = 20;
+  struct Slice {
+    std::int64_t Number = -1;
+    std::uint32_t Calls = 0;
+    std::uint32_t Repeats = 0;
+  };
+  std::array<Slice, Slices> Ring{};
+};
+
+/// Notes a call's first send.
+void noteCall(RetryWindow &win, const RetryAllowance &al, Time now) noexcept;
+
+/// Whether one more repeat fits; it is counted if so.
+[[nodiscard]] bool takeRepeat(RetryWindow &win, const RetryAllowance &al,
+                              Time now) noexcept;
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_DECIDE_RETRY_WINDOW_H
--- /dev/null
+++ b/include/zinniagauge/front/call.h
@@ -0,0 +1,109 @@
+// One call of a caller, from its arrival to its end.
+#ifndef ZINNIAGAUGE_FRONT_CALL_H
+#define ZINNIAGAUGE_FRONT_CALL_H
+
+#include "zinniagauge/decide/call_order.h"
+#include "zinniagauge/decide/next_step.h"
+#include "zinniagauge/net/http1.h"
+#include "zinniagauge/net/loop.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace zinniagauge {
+
+struct BackendLink;
+struct Caller;
+struct RequestLoop;
+
+/// Where a call is in its life.
+enum class CallPhase : std::uint8_t {
+  Waiting, ///< For a back end with room.
+  Sent,    ///< At a back end, or on its way there.
+  Over,    ///< Its caller was answered or has left.
+};
+
+/// How a call ended, for logs and metrics.
+enum class CallEnd : std::uint8_t {
+  Served,        ///< A back end's success, whole.
+  BackendFailed, ///< A back end's own failure, passed on.
+  Refused,       ///< It hasn't run.
+  Unknown,       ///< It may have run; no answer came.
+  TimedOut,      ///< Its time was over.
+  BrokenOff,     ///< Its stream ended early.
+  CallerLeft,    ///< The caller closed its connection first.
+};
+inline constexpr std::size_t CallEndCount = 7;
+
+[[nodiscard]] std::string_view toString(CallEnd end) noexcept;
+
+/// What the plan says of a call.
+struct CallPlan {
+  std::uint64_t Version = 0;
+  std::string Route;
+  PoolId Pool;
+  Duration Timeout = Duration::zero();
+  Duration Target = Duration::zero();
+  Duration GapTarget = Duration::zero();
+  std::uint32_t Priority = 0;
+  std::uint32_t Lower = 0;
+  bool Keyed = false;
+  WorkspaceId Workspace;
+  std::string WorkspaceName;
+  double Cost = 0; // Taken from the workspace's allowance.
+};
+
+/// What a call says of its work.
+struct CallWork {
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t OutputTokens = 0;
+  std::uint64_t Affinity = 0; // Of its session; zero: none.
+};
+
+/// The stream that a caller gets.
+struct StreamState {
+  std::optional<std::uint64_t> LastId; // Of the events passed on.
+  std::uint32_t Events = 0;
+  std::string Tail; // The start of an event that isn't whole.
+  Time FirstAt;
+  Time LastAt;
+  Duration LongestGap = Duration::zero();
+};
+
+/// A call. Its caller and its link hold it together.
+struct Call {
+  Call() = default;
+  Call(const Call &) = delete;
+  Call &operator=(const Call &) = delete;
+  ~Call() = default;
+
+  RequestLoop *Owner = nullptr;
+  MessageHead Head;
+  std::string Body;
+  std::string Id;
+  std::uint64_t Draw = 0; // Random; decides between weighted pools.
+  Time Arrived;
+  Time Due; // Answered by then, one way or the other.
+
+  CallPlan Plan;
+  CallWork Work;
+  CallFacts Facts;
+  CallPhase Phase = CallPhase::Waiting;
+  CallRank Rank;
+  bool Queued = false;
+  Time QueuedSince;
+  Duration QueueTime = Duration::zero();
+  std::vector<EndpointId> Tried;
+  EndpointId At; // Where it was sent last.
+
+  Caller *From = nullptr; // Null once it has left.
+  BackendLink *Link = nullptr;
+  LoopTimer Timer;
+  StreamState Stream;
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_FRONT_CALL_H
--- /dev/null
+++ b/include/zinniagauge/front/request_loop.h
@@ -0,0 +1,247 @@
+// The request loop: callers' and back ends' connections and the calls between
+// them, all on one thread. It reads the board and never waits for it.
+#ifndef ZINNIAGAUGE_FRONT_REQUEST_LOOP_H
+#define ZINNIAGAUGE_FRONT_REQUEST_LOOP_H
+
+#include "zinniagauge/board/front_board.h"
+#include "zinniagauge/decide/allowance.h"
+#include "zinniagauge/decide/backend_choice.h"
+#include "zinniagauge/decide/freshness.h"
+#include "zinniagauge/decide/outlier.h"
+#include "zinniagauge/decide/retry_window.h"
+#include "zinniagauge/front/call.h"
+#include "zinniagauge/front/dialect.h"
+#include "zinniagauge/front/front_settings.h"
+#include "zinniagauge/net/channel.h"
+#include "zinniagauge/net/http1.h"
+#include "zinniagauge/observe/event_log.h"
+#include "zinniagauge/observe/front_metrics.h"
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace zinniagauge {
+
+/// A caller's connection.
+struct Caller {
+  Channel Ch;
+  RequestLoop *Owner = nullptr;
+  MessageParser Parser;
+  std::string Body;
+  bool SaidContinue = false;
+  std::shared_ptr<Call> Active;
+  LoopTimer Timer; // Of the header, or of an idle connection.
+};
+
+struct BackendState;
+
+/// A connection to a back end.
+struct BackendLink {
+  Channel Ch;
+  RequestLoop *Owner = nullptr;
+  BackendState *To = nullptr;
+  std::shared_ptr<Call> For; // Null while idle.
+  MessageParser Parser;
+  std::string Body;
+  bool HeadSeen = false;
+  bool Skipping = false; // The answer is another call's.
+  bool Streaming = false;
+  bool Spent = false; // Not to be used again.
+  std::uint32_t Uses = 0;
+  Time IdleSince;
+  Duration KeepFor = Duration::zero();
+  LoopTimer OpenTimer;
+};
+
+/// What the request loop knows of one back end.
+struct BackendState {
+  Backend Info;
+  bool Listed = true;
+  bool WrongLife = false;    // Something else answers at its address.
+  std::uint32_t Running = 0; // Calls of this process there.
+  ResultRecord Results;
+  std::vector<BackendLink *> Idle; // The one used last is at the back.
+  std::uint32_t Links = 0;
+};
+
+/// What the request loop keeps of one pool.
+struct PoolState {
+  std::vector<BackendState *> Backends;
+  std::set<std::pair<CallRank, Call *>> Queue;
+  RetryWindow Retries;
+  ResultRecord Results;
+};
+
+/// Where a session's prompt was sent last.
+struct SessionPlace {
+  EndpointId Backend;
+  Time At;
+};
+
+/// The state of the loop's thread.
+struct RequestLoop {
+  RequestLoop(FrontBoard &board, const Dialect &dialect, FrontSettings settings,
+              EventLog &log, FrontMetrics &metrics);
+  RequestLoop(const RequestLoop &) = delete;
+  RequestLoop &operator=(const RequestLoop &) = delete;
+  ~RequestLoop();
+
+  FrontBoard &Board;
+  const Dialect &Names;
+  FrontSettings Settings;
+  EventLog &Log;
+  FrontMetrics &Metrics;
+  Loop Lp;
+  Watch Listener;
+  CallerLimits Limits; // Of the plan in force.
+  std::unordered_map<Caller *, std::shared_ptr<Caller>> Callers;
+  std::unordered_map<BackendLink *, std::shared_ptr<BackendLink>> Links;
+  std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Backends;
+  std::unordered_map<PoolId, PoolState> Pools;
+  std::unordered_map<WorkspaceId, AllowanceBucket> Allowances;
+  std::unordered_map<WorkspaceId, double> Asked; // Cost since the last report.
+  std::unordered_map<std::uint64_t, SessionPlace> Sessions;
+  OutlierLimits Outliers;
+  ChoiceWeights Weights;
+  std::vector<Candidate> Scratch;
+  std::uint64_t Random = 0;
+  std::uint64_t NextRank = 0;
+  std::size_t Active = 0; // Calls that aren't over.
+  LoopTimer PumpTimer;
+  LoopTimer ReportTimer;
+  LoopTimer HouseTimer;
+  LoopTimer StopTimer;
+  Time StopBegan;
+  Time LastReport;
+};
+
+// Callers ------------------------------------------------------------------
+
+/// Starts to accept callers. Fails with Unavailable.
+[[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
+
+/// Answers the caller of \p c with \p status and the reason \p why. A
+/// \p retryafter above zero tells when to come back. \p drop ends the
+/// connection after it.
+void answerOwn(Caller &c, int status, std::string_view why,
+               Duration retryafter = Duration::zero(), bool drop = false);
+
+/// Passes on a back end's whole answer.
+void answerWhole(Caller &c, const MessageHead &head, std::string_view body,
+                 std::string_view method);
+
+/// Starts a streamed answer, with its first events.
+void answerStream(Caller &c, const MessageHead &head, std::string_view events);
+
+/// Passes on more events.
+void answerEvents(Caller &c, std::string_view events);
+
+/// Ends a streamed answer as whole.
+void answerStreamEnd(Caller &c);
+
+/// The call of \p c is over; its connection serves the next or ends.
+void callerDone(Caller &c);
+
+/// Ends the connection once all has left. A streamed answer that isn't whole
+/// lacks its last chunk then, so the caller sees that.
+void finishCaller(Caller &c);
+
+/// Ends the connection at once; \p c is gone after this turn of the loop.
+void dropCaller(Caller &c);
+
+/// Ends the connections that wait for a request; their callers open new ones
+/// elsewhere.
+void dropIdleCallers(RequestLoop &rl);
+
+// Links ----------------------------------------------------------------------
+
+/// Sends \p call to \p to, over a kept connection or a new one. False if no
+/// socket could be had.
+[[nodiscard]] bool sendCall(RequestLoop &rl, const std::shared_ptr<Call> &call,
+                            BackendState &to);
+
+/// Stops the transfer of \p call by closing its connection.
+void cutLink(Call &call);
+
+/// Closes links that were idle too long or whose back end is gone.
+void reapLinks(RequestLoop &rl, Time now);
+
+// Pools ----------------------------------------------------------------------
+
+/// Takes over the back ends of the board.
+void refreshBackends(RequestLoop &rl);
+
+/// The best back end with room for \p call, or null.
+[[nodiscard]] BackendState *pickBackend(RequestLoop &rl, const Call &call);
+
+/// Has \p call wait for room.
+void enqueue(RequestLoop &rl, Call &call);
+
+/// Takes \p call out of its queue.
+void dequeue(RequestLoop &rl, Call &call);
+
+/// Sends waiting calls for which there is room.
+void pump(RequestLoop &rl, PoolId pool);
+
+/// A connection to \p to was refused, reset or stayed silent.
+void noteLost(RequestLoop &rl, BackendState &to);
+
+/// \p to answered a call in full.
+void noteAnswer(RequestLoop &rl, BackendState &to, bool failed);
+
+// Calls ----------------------------------------------------------------------
+
+/// A whole request has arrived.
+void startCall(Caller &c, MessageHead head, std::string body);
+
+/// Finds a place for \p call, or has it wait, or refuses it.
+void place(const std::shared_ptr<Call> &call);
+
+/// The caller has left.
+void onCallerGone(const std::shared_ptr<Call> &call);
+
+/// An attempt of \p call ended without an answer to pass on.
+void onAttemptEnd(const std::shared_ptr<Call> &call, AttemptEnd end,
+                  std::string_view why);
+
+/// A back end's answer is whole.
+void onWholeAnswer(const std::shared_ptr<Call> &call, const MessageHead &head,
+                   std::string_view body);
+
+/// Part of a streamed answer has arrived. False if the stream must end: its
+/// events don't follow those that were passed on.
+[[nodiscard]] bool onEvents(const std::shared_ptr<Call> &call,
+                            const MessageHead &head, std::string_view part);
+
+/// A streamed answer is whole.
+void onStreamEnd(const std::shared_ptr<Call> &call, const MessageHead &head);
+
+/// Writes down that the call is over, after its caller was answered; \p why is
+/// empty or says why it wasn't served.
+void endCall(const std::shared_ptr<Call> &call, CallEnd end, int status,
+             std::string_view why);
+
+// The loop -------------------------------------------------------------------
+
+/// Opens the loop and starts its timers. Fails with Unavailable.
+[[nodiscard]] Result<void> startRequestLoop(RequestLoop &rl);
+
+/// What the board's plan and its proof allow now.
+[[nodiscard]] Freshness freshness(const RequestLoop &rl);
+
+/// Stops by plan: no longer ready at once, serving on until callers have gone
+/// elsewhere, and ended before the process is killed.
+void beginStop(RequestLoop &rl);
+
+/// Whether a stream that begins now may end before the process does.
+[[nodiscard]] bool takesStreams(const RequestLoop &rl);
+
+/// Whether the process takes new connections.
+[[nodiscard]] bool isReady(const RequestLoop &rl);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_FRONT_REQUEST_LOOP_H
--- /dev/null
+++ b/include/zinniagauge/observe/event_log.h
@@ -0,0 +1,79 @@
+// Structured event lines on standard output, one JSON object each. Writers
+// never wait: a thread of the log's own writes out what they gathered, and what
+// doesn't fit is dropped, counted and said.
+#ifndef ZINNIAGAUGE_OBSERVE_EVENT_LOG_H
+#define ZINNIAGAUGE_OBSERVE_EVENT_LOG_H
+
+#include "zinniagauge/board/error.h"
+#include "zinniagauge/time/clock.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace zinniagauge {
+
+/// What is logged.
+enum class EventLevel : std::uint8_t {
+  Calls,   ///< Every decision that touches a call.
+  Changes, ///< Only changes of what the process believes.
+};
+
+/// One line that is being built.
+struct EventLine {
+  std::string Text;
+};
+
+/// Starts a line about \p event.
+[[nodiscard]] EventLine eventLine(std::string_view event);
+
+/// Adds a field. Text is escaped.
+void add(EventLine &line, std::string_view key, std::string_view val);
+void add(EventLine &line, std::string_view key, std::int64_t val);
+void add(EventLine &line, std::string_view key, Duration val); // In ms.
+
+/// Adds the fields of \p err.
+void add(EventLine &line, const Error &err);
+
+/// The log of a process.
+class EventLog {
+public:
+  /// Starts the writing thread.
+  EventLog(std::string node, EventLevel level);
+  EventLog(const EventLog &) = delete;
+  EventLog &operator=(const EventLog &) = delete;
+  /// Writes out what is left.
+  ~EventLog();
+
+  /// Whether lines about single calls are wanted.
+  [[nodiscard]] bool wantsCalls() const noexcept {
+    return Level.load(std::memory_order_relaxed) == EventLevel::Calls;
+  }
+  void setLevel(EventLevel level) noexcept { Level = level; }
+
+  /// Takes a finished line. Any thread may call it.
+  void write(const EventLine &line);
+
+  /// Lines dropped so far.
+  [[nodiscard]] std::uint64_t dropped() const noexcept { return Dropped; }
+
+private:
+  void run();
+
+  std::string Node;
+  std::atomic<EventLevel> Level;
+  std::atomic<std::uint64_t> Dropped{0};
+  std::mutex Mutex;
+  std::condition_variable Stopped;
+  std::string Pending;
+  bool Ending = false;
+  std::thread Thread;
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_OBSERVE_EVENT_LOG_H
--- /dev/null
+++ b/include/zinniagauge/store/store_dialect.h
@@ -0,0 +1,47 @@
+// How the table service is asked and its rows are read: functions that an
+// adapter provides, so that controllers know neither its calls nor its names.
+#ifndef ZINNIAGAUGE_STORE_STORE_DIALECT_H
+#define ZINNIAGAUGE_STORE_STORE_DIALECT_H
+
+#include "zinniagauge/board/backend.h"
+#include "zinniagauge/board/table.h"
+#include "zinniagauge/board/traffic_plan.h"
+#include "zinniagauge/store/store_link.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace zinniagauge {
+
+/// The tables that controllers use.
+enum class StoreTable : std::uint8_t {
+  Operators, ///< What operators write: the plan and version moves.
+  Backends,  ///< What back ends write of themselves.
+  Fronts,    ///< What fronts write of themselves.
+  Outcomes,  ///< What operators read: how version moves stand.
+};
+
+/// The functions of one service.
+struct StoreDialect {
+  /// Rows of \p table from key \p from on (empty: from the start).
+  StoreAsk (*Read)(StoreTable table, std::string_view from);
+  /// Changes of \p table after \p version, waiting for the first one.
+  StoreAsk (*Changes)(StoreTable table, std::uint64_t version, Duration wait);
+  /// Applies \p tx to \p table, all or nothing. Rows are named by key.
+  StoreAsk (*Write)(StoreTable table, const TableTransaction &tx);
+  /// The answer to Read or Changes. Fails with Unavailable, Overloaded or
+  /// Broken.
+  Result<TableReading> (*Rows)(const StoreAnswer &answer);
+  /// The answer to Write. Committed is false if a condition didn't hold.
+  Result<TableResult> (*Written)(const StoreAnswer &answer);
+  /// The plan in a row of Operators. Fails with NotFound if the row holds
+  /// something else, with Invalid if it can't be read.
+  Result<TrafficPlan> (*Plan)(const TableRow &row);
+  /// The back end in a row of Backends. Fails with Invalid if the row names
+  /// none that can be used.
+  Result<Backend> (*BackendOf)(const TableRow &row);
+};
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_STORE_STORE_DIALECT_H
--- a/include/zinniagauge/time/clock.h
+++ b/include/zinniagauge/time/clock.h
@@ -24,6 +24,10 @@
 /// are handed the time.
 [[nodiscard]] Time monotonicNow() noexcept;
 
+/// Reads the clock that also counts the time for which the machine was
+/// suspended. Ages that permission depends on are measured on it.
+[[nodiscard]] Time bootNow() noexcept;
+
 /// Reads the civil clock. Only programs and adapters call this.
 [[nodiscard]] WallTime wallNow() noexcept;
 
--- /dev/null
+++ b/programs/zinnia-front.cpp
@@ -0,0 +1,181 @@
+// zinnia-front: one process of a machine that stands between callers and back
+// ends. A request loop serves calls; controllers on a second thread follow the
+// table service.
+
+#include "zinniagauge/adapt/command_line.h"
+#include "zinniagauge/front/request_loop.h"
+#include "zinniagauge/front/status_port.h"
+#include "zinniagauge/store/controllers.h"
+
+#include "../platform/platform.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+#include <thread>
+
+using namespace zinniagauge;
+
+namespace {
+
+/// The parts of the process, in the order in which they start.
+struct Front {
+  explicit Front(const FrontSettings &set)
+      : Log(set.Node, set.Level),
+        Requests(Board, platform::headerNames(), set, Log, Metrics),
+        Control(Board, platform::storeDialect(), set, Log, Metrics) {}
+
+  EventLog Log;
+  FrontMetrics Metrics;
+  FrontBoard Board;
+  RequestLoop Requests;
+  Controllers Control;
+  StatusPort Ready;
+  StatusPort Numbers;
+};
+
+/// Set by the handlers of signals; the loop is woken after it.
+volatile std::sig_atomic_t StopAsked = 0;
+volatile std::sig_atomic_t ReloadAsked = 0;
+Loop *SignalLoop = nullptr;
+
+void onSignal(int sig) {
+  if (sig == SIGHUP)
+    ReloadAsked = 1;
+  else
+    StopAsked = 1;
+  if (SignalLoop)
+    wakeLoop(*SignalLoop);
+}
+
+void takeSignals(Loop &lp) {
+  SignalLoop = &lp;
+  struct sigaction act {};
+  act.sa_handler = onSignal;
+  ::sigaction(SIGTERM, &act, nullptr);
+  ::sigaction(SIGINT, &act, nullptr);
+  ::sigaction(SIGHUP, &act, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+/// Takes over those settings that may change while the process runs; keeps the
+/// last good ones if the file can't be read.
+void reload(Front &f, const std::string &path) {
+  handle([&] { return loadFrontSettings(path); },
+         [&](const FrontSettings &set) {
+           FrontSettings &now = f.Requests.Settings;
+           now.Fresh = set.Fresh;
+           now.Retries = set.Retries;
+           now.Margin = set.Margin;
+           now.StopTime = set.StopTime;
+           now.Level = set.Level;
+           f.Log.setLevel(set.Level);
+           f.Log.write(eventLine("settings_reloaded"));
+           return 0;
+         },
+         [&](const Error &err) {
+           EventLine line = eventLine("settings_kept");
+           add(line, err);
+           f.Log.write(line);
+           return 0;
+         });
+}
+
+Result<void> start(Front &f, const std::string &path) {
+  const FrontSettings &set = f.Requests.Settings;
+  BOOST_LEAF_CHECK(startRequestLoop(f.Requests));
+  takeSignals(f.Requests.Lp);
+  const auto onboard = f.Requests.Lp.OnWake;
+  f.Requests.Lp.OnWake = [&f, path, onboard] {
+    if (StopAsked != 0)
+      beginStop(f.Requests);
+    if (ReloadAsked != 0) {
+      ReloadAsked = 0;
+      reload(f, path);
+    }
+    onboard();
+  };
+  f.Control.OnChange = [&f] { wakeLoop(f.Requests.Lp); };
+  const auto ready = [&f](std::string_view asked) -> StatusText {
+    if (asked != f.Requests.Names.ReadyPath)
+      return {404, {}};
+    return {isReady(f.Requests) ? 200 : 503, {}};
+  };
+  const auto numbers = [&f](std::string_view asked) -> StatusText {
+    if (asked != "/metrics")
+      return {404, {}};
+    return {200, metricsText(f.Metrics)};
+  };
+  BOOST_LEAF_CHECK(serveStatus(f.Ready, f.Requests.Lp, set.Status, ready));
+  BOOST_LEAF_CHECK(serveStatus(f.Numbers, f.Requests.Lp, set.Metrics, numbers));
+  return startControllers(f.Control);
+}
+
+void logStart(Front &f) {
+  EventLine line = eventLine("started");
+  add(line, "callers", toString(f.Requests.Settings.Callers));
+  add(line, "table", toString(f.Requests.Settings.Table));
+  f.Log.write(line);
+}
+
+ExitCode serve(const FrontSettings &settings, const std::string &path) {
+  Front f(settings);
+  return handle([&] { return start(f, path); },
+                [&] {
+                  logStart(f);
+                  std::thread control([&f] { run(f.Control.Lp); });
+                  run(f.Requests.Lp);
+                  f.Control.Lp.Ended = true;
+                  wakeLoop(f.Control.Lp);
+                  control.join();
+                  f.Log.write(eventLine("stopped"));
+                  return ExitCode::Ok;
+                },
+                [](const Error &err) {
+                  std::fprintf(stderr, "zinnia-front: %s\n",
+                               describe(err).c_str());
+                  return ExitCode::Failed;
+                });
+}
+
+CommandLine commandLine(bool &checkonly, std::string &settings) {
+  CommandLine line;
+  line.Program = "zinnia-front";
+  line.Arguments = "[SETTINGS.json]";
+  line.Summary = "Serves callers on one machine and sends their calls to back\n"
+                 "ends. Without a file named, ZINNIAGAUGE_CONFIG names it.";
+  line.Options = {{"check-settings", "", "Check the settings and end",
+                   OptionTarget(&checkonly)}};
+  line.Ends = {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage};
+  if (const char *env = std::getenv("ZINNIAGAUGE_CONFIG"))
+    settings = env;
+  return line;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  bool checkonly = false;
+  std::string path;
+  const CommandLine line = commandLine(checkonly, path);
+  const ParsedCommand cmd = parseCommandLine(line, argc, argv);
+  if (cmd.Exit)
+    return toInt(*cmd.Exit);
+  if (!cmd.Arguments.empty())
+    path = cmd.Arguments[0];
+  if (path.empty() || cmd.Arguments.size() > 1) {
+    std::fputs(helpText(line).c_str(), stderr);
+    return toInt(ExitCode::Usage);
+  }
+  const ExitCode end = handle(
+      [&] { return loadFrontSettings(path); },
+      [&](FrontSettings set) {
+        return checkonly ? ExitCode::Ok : serve(std::move(set), path);
+      },
+      [&](const Error &err) {
+        std::fprintf(stderr, "zinnia-front: %s\n", describe(err).c_str());
+        return ExitCode::Usage;
+      });
+  return toInt(end);
+}
--- a/src/adapt/json_reader.cpp
+++ b/src/adapt/json_reader.cpp
@@ -165,6 +165,14 @@
     if (!find(key))
       continue;
     ++given;
+    if (const json *val = find(key); val->is_number_float()) {
+      out = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double, std::nano>(
+              val->get<double>() * static_cast<double>(unit.Length.count())));
+      if (out <= Duration::zero() || out > MaxDuration)
+        fault(key, "is out of range");
+      continue;
+    }
     const auto most = static_cast<std::uint64_t>(MaxDuration / unit.Length);
     out = unit.Length * number(key.c_str(), 1, most);
   }
--- /dev/null
+++ b/src/board/load.cpp
@@ -0,0 +1,14 @@
+#include "zinniagauge/board/load.h"
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+std::uint32_t loadOf(const LoadList &loads, EndpointId id) noexcept {
+  const auto it = std::lower_bound(
+      loads.List.begin(), loads.List.end(), id,
+      [](const BackendLoad &l, EndpointId key) { return l.Id < key; });
+  return it != loads.List.end() && it->Id == id ? it->Running : 0;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/board/traffic_plan.cpp
@@ -0,0 +1,69 @@
+#include "zinniagauge/board/traffic_plan.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace zinniagauge {
+
+namespace {
+
+/// \p host without its port, in lower case.
+std::string plainHost(std::string_view host) {
+  std::string out(host.substr(0, host.find(':')));
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return out;
+}
+
+} // namespace
+
+void indexPlan(TrafficPlan &plan) {
+  plan.ByHost.clear();
+  for (std::size_t n = 0; n < plan.Routes.size(); ++n)
+    plan.ByHost[plainHost(plan.Routes[n].Host)].push_back(n);
+  for (auto &[host, list] : plan.ByHost)
+    std::stable_sort(
+        list.begin(), list.end(), [&](std::size_t a, std::size_t b) {
+          return plan.Routes[a].Prefix.size() > plan.Routes[b].Prefix.size();
+        });
+}
+
+const PlanRoute *findRoute(const TrafficPlan &plan, std::string_view host,
+                           std::string_view path) {
+  const auto it = plan.ByHost.find(plainHost(host));
+  if (it == plan.ByHost.end())
+    return nullptr;
+  for (const std::size_t n : it->second)
+    if (path.starts_with(plan.Routes[n].Prefix))
+      return &plan.Routes[n];
+  return nullptr;
+}
+
+const PlanWorkspace *findKey(const TrafficPlan &plan, std::string_view key) {
+  const auto it = plan.ByKey.find(std::string(key));
+  return it == plan.ByKey.end() ? nullptr : &plan.Workspaces[it->second];
+}
+
+const PlanPool *findPool(const TrafficPlan &plan, PoolId id) noexcept {
+  const auto it = std::find_if(plan.Pools.begin(), plan.Pools.end(),
+                               [&](const PlanPool &p) { return p.Id == id; });
+  return it == plan.Pools.end() ? nullptr : &*it;
+}
+
+PoolId drawPool(const PlanRoute &route, std::uint64_t draw) noexcept {
+  std::uint64_t sum = 0;
+  for (const PoolWeight &w : route.Pools)
+    sum += w.Weight;
+  if (sum == 0)
+    return route.Pools.empty() ? PoolId{} : route.Pools.front().Pool;
+  std::uint64_t at = draw % sum;
+  for (const PoolWeight &w : route.Pools) {
+    if (at < w.Weight)
+      return w.Pool;
+    at -= w.Weight;
+  }
+  return route.Pools.back().Pool;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/decide/retry_window.cpp
@@ -0,0 +1,41 @@
+#include "zinniagauge/decide/retry_window.h"
+
+namespace zinniagauge {
+
+namespace {
+
+std::int64_t sliceNumber(const RetryAllowance &al, Time now) noexcept {
+  const Duration len = al.Window / static_cast<int>(RetryWindow::Slices);
+  return now.time_since_epoch() / len;
+}
+
+RetryWindow::Slice &sliceAt(RetryWindow &win, std::int64_t number) noexcept {
+  auto &sl = win.Ring[static_cast<std::size_t>(number) % RetryWindow::Slices];
+  if (sl.Number != number)
+    sl = {number, 0, 0};
+  return sl;
+}
+
+} // namespace
+
+void noteCall(RetryWindow &win, const RetryAllowance &al, Time now) noexcept {
+  ++sliceAt(win, sliceNumber(al, now)).Calls;
+}
+
+bool takeRepeat(RetryWindow &win, const RetryAllowance &al, Time now) noexcept {
+  const std::int64_t number = sliceNumber(al, now);
+  double calls = 0;
+  double repeats = 0;
+  for (const RetryWindow::Slice &sl : win.Ring) {
+    if (number - sl.Number >= static_cast<std::int64_t>(RetryWindow::Slices))
+      continue;
+    calls += sl.Calls;
+    repeats += sl.Repeats;
+  }
+  if (repeats + 1 > calls * al.Ratio + al.Slack)
+    return false;
+  ++sliceAt(win, number).Repeats;
+  return true;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/front/calls.cpp
@@ -0,0 +1,553 @@
+#include "zinniagauge/front/request_loop.h"
+
+#include "zinniagauge/decide/event_cut.h"
+#include "zinniagauge/decide/random.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace zinniagauge {
+
+namespace {
+
+/// Bytes that may wait for a slow caller before its back end is held up.
+constexpr std::size_t MostBuffered = std::size_t{128} << 10U;
+
+/// When a refused caller is told to come back: about the time in which a
+/// running call ends.
+constexpr Duration ComeBack = std::chrono::milliseconds(400);
+
+/// When it is told to come back if another front will serve it at once.
+constexpr Duration ComeBackElsewhere = std::chrono::milliseconds(20);
+
+/// Sessions that are remembered.
+constexpr std::size_t MostSessions = 8192;
+
+/// Why a call isn't admitted.
+struct Denial {
+  int Status = 503;
+  std::string_view Why;
+  Duration RetryAfter = Duration::zero();
+};
+
+std::optional<std::uint64_t> numberOf(std::string_view text) noexcept {
+  std::uint64_t val = 0;
+  const auto res = std::from_chars(text.data(), text.data() + text.size(), val);
+  if (res.ec != std::errc())
+    return std::nullopt;
+  return val;
+}
+
+/// "prompt,output" of the tokens header, and the session of the prompt's parts.
+CallWork workOf(const Call &call, const Dialect &names) {
+  CallWork work;
+  const auto tokens = findField(call.Head.Fields, names.Tokens);
+  if (tokens) {
+    const std::size_t comma = tokens->find(',');
+    work.PromptTokens = numberOf(*tokens).value_or(0);
+    if (comma != std::string_view::npos)
+      work.OutputTokens = numberOf(tokens->substr(comma + 1)).value_or(0);
+  }
+  const auto parts = findField(call.Head.Fields, names.PromptParts);
+  if (parts && !parts->empty()) {
+    const std::size_t last = parts->rfind(',');
+    std::string_view part =
+        last == std::string_view::npos ? *parts : parts->substr(last + 1);
+    while (part.starts_with(' '))
+      part.remove_prefix(1);
+    work.Affinity = nameHash(part.substr(0, part.find(':')));
+  }
+  return work;
+}
+
+std::string_view pathOf(const Call &call) {
+  const std::string_view target = call.Head.Target;
+  return target.substr(0, target.find('?'));
+}
+
+/// Fills in what the plan says of the call.
+void fillPlan(Call &call, const TrafficPlan &plan, const PlanRoute &route,
+              const PlanWorkspace *ws) {
+  CallPlan &cp = call.Plan;
+  cp.Version = plan.Version;
+  cp.Route = route.Name;
+  cp.Pool = drawPool(route, call.Draw);
+  cp.Timeout = route.Timeout;
+  cp.Target = route.Target;
+  cp.GapTarget = route.GapTarget;
+  cp.Priority = ws && ws->HasPriority ? ws->Priority : route.Priority;
+  cp.Lower = route.Priority;
+  cp.Keyed = ws != nullptr;
+  if (ws) {
+    cp.Workspace = ws->Id;
+    cp.WorkspaceName = ws->Name;
+  }
+  call.Facts.Kind = route.Kind;
+  call.Facts.Resumable = route.Resumable;
+  call.Facts.MostAttempts = std::max(route.MostAttempts, 1U);
+}
+
+/// Whether the plan in force allows the call; fills in what it says of it.
+std::optional<Denial> routeCall(RequestLoop &rl, Call &call) {
+  const ReadGuard guard;
+  const TrafficPlan &plan = rl.Board.Plan.read(guard);
+  if (plan.Version == 0)
+    return Denial{503, "no plan yet", ComeBack};
+  const Freshness fresh = freshness(rl);
+  const auto host = findField(call.Head.Fields, "Host").value_or("");
+  const PlanRoute *route = findRoute(plan, host, pathOf(call));
+  if (!route)
+    return fresh.MayDeny ? Denial{404, "no such route", {}}
+                         : Denial{503, "plan may be outdated", ComeBack};
+  const PlanWorkspace *ws = nullptr;
+  if (plan.NeedsKeys) {
+    const auto key = findField(call.Head.Fields, rl.Names.Credential);
+    ws = key ? findKey(plan, *key) : nullptr;
+    if (!route->Anonymous && !fresh.MayServe)
+      return Denial{503, "plan may be outdated", ComeBack};
+    if (!route->Anonymous && !ws)
+      return fresh.MayDeny ? Denial{401, "unknown key", {}}
+                           : Denial{503, "plan may be outdated", ComeBack};
+    if (!fresh.MayServe)
+      ws = nullptr;
+  }
+  if (route->Kind == CallKind::Stream && !call.Facts.Begun && !takesStreams(rl))
+    return Denial{503, "stopping", ComeBackElsewhere};
+  fillPlan(call, plan, *route, ws);
+  return std::nullopt;
+}
+
+double shareOf(RequestLoop &rl, WorkspaceId id) {
+  const ReadGuard guard;
+  const AllowanceShares &sh = rl.Board.Shares.read(guard);
+  const auto it =
+      std::lower_bound(sh.List.begin(), sh.List.end(), id,
+                       [](const AllowanceShare &a, WorkspaceId key) {
+                         return a.Workspace < key;
+                       });
+  return it != sh.List.end() && it->Workspace == id ? it->Share : sh.Default;
+}
+
+void logSpent(RequestLoop &rl, const Call &call, const PlanWorkspace &ws,
+              double cost) {
+  if (!rl.Log.wantsCalls())
+    return;
+  constexpr double Permille = 1000;
+  EventLine line = eventLine("allowance_spent");
+  add(line, "call", call.Id);
+  add(line, "workspace", ws.Name);
+  add(line, "cost", static_cast<std::int64_t>(cost));
+  add(line, "level", static_cast<std::int64_t>(rl.Allowances[ws.Id].Level));
+  add(line, "rate_per_s", static_cast<std::int64_t>(ws.RatePerSecond));
+  add(line, "share_permille",
+      static_cast<std::int64_t>(shareOf(rl, ws.Id) * Permille));
+  rl.Log.write(line);
+}
+
+/// Takes the call's cost from its workspace's allowance.
+std::optional<Denial> chargeCall(RequestLoop &rl, Call &call) {
+  if (!call.Plan.Keyed)
+    return std::nullopt;
+  const ReadGuard guard;
+  const TrafficPlan &plan = rl.Board.Plan.read(guard);
+  const auto it = std::find_if(
+      plan.Workspaces.begin(), plan.Workspaces.end(),
+      [&](const PlanWorkspace &w) { return w.Id == call.Plan.Workspace; });
+  if (it == plan.Workspaces.end() || it->RatePerSecond <= 0)
+    return std::nullopt;
+  const std::uint64_t tokens = call.Work.PromptTokens + call.Work.OutputTokens;
+  const double cost =
+      !it->CountsTokens
+          ? 1.0
+          : static_cast<double>(tokens > 0 ? tokens : it->PlainCost);
+  rl.Asked[it->Id] += cost;
+  const auto wait =
+      takeAllowance(rl.Allowances[it->Id], *it, shareOf(rl, it->Id),
+                    rl.Settings.Margin, cost, rl.Lp.Now);
+  if (wait) {
+    logSpent(rl, call, *it, cost);
+    return Denial{429, "allowance spent", *wait};
+  }
+  call.Plan.Cost = cost;
+  return std::nullopt;
+}
+
+BackendState *backendOf(RequestLoop &rl, const Call &call) {
+  const auto it = rl.Backends.find(call.At);
+  return it == rl.Backends.end() ? nullptr : it->second.get();
+}
+
+/// Answers with a status of our own and ends the call.
+void endOwn(const std::shared_ptr<Call> &call, CallEnd end, int status,
+            std::string_view why, Duration retryafter = Duration::zero()) {
+  Caller *from = call->From;
+  if (from)
+    answerOwn(*from, status, why, retryafter);
+  endCall(call, end, status, why);
+  if (from)
+    callerDone(*from);
+}
+
+void refuse(const std::shared_ptr<Call> &call, std::string_view why,
+            Duration retryafter = ComeBack) {
+  // Only what surely hasn't run is said not to have run.
+  if (call->Facts.MayHaveRun)
+    endOwn(call, CallEnd::Unknown, 502, why);
+  else
+    endOwn(call, CallEnd::Refused, 503, why, retryafter);
+}
+
+void breakOff(const std::shared_ptr<Call> &call, std::string_view why) {
+  Caller *from = call->From;
+  endCall(call, CallEnd::BrokenOff, 0, why);
+  if (from)
+    finishCaller(*from);
+}
+
+void onDue(void *ctx, Time /*now*/) {
+  Call &c = *static_cast<Call *>(ctx);
+  const std::shared_ptr<Call> call =
+      c.From ? c.From->Active : (c.Link ? c.Link->For : nullptr);
+  if (!call)
+    return;
+  if (call->Phase == CallPhase::Waiting && !call->Facts.Begun) {
+    refuse(call, "no back end had room in time");
+    return;
+  }
+  cutLink(*call);
+  if (call->Facts.Begun)
+    breakOff(call, "time is over");
+  else
+    endOwn(call, CallEnd::TimedOut, 504, "time is over");
+}
+
+/// How long a stream that broke may wait to go on elsewhere; callers leave a
+/// silent stream after some two seconds.
+constexpr Duration ResumeWait = std::chrono::milliseconds(1500);
+
+/// How long a call may wait for room: beyond its target it earns little, and
+/// another front may have room.
+Time queueDue(const Call &call, Time now) {
+  if (call.Facts.Begun)
+    return std::min(call.Due, now + ResumeWait);
+  return std::max(now, std::min(call.Due, call.Arrived + call.Plan.Target));
+}
+
+void rememberSession(RequestLoop &rl, const Call &call) {
+  if (call.Work.Affinity == 0)
+    return;
+  if (rl.Sessions.size() >= MostSessions)
+    rl.Sessions.erase(rl.Sessions.begin());
+  rl.Sessions[call.Work.Affinity] = {call.At, rl.Lp.Now};
+}
+
+void logAttemptEnd(RequestLoop &rl, const Call &call, AttemptEnd end,
+                   std::string_view why, bool again) {
+  countAttempt(rl.Metrics, toString(end));
+  if (!rl.Log.wantsCalls())
+    return;
+  const BackendState *b = backendOf(rl, call);
+  EventLine line = eventLine("attempt_end");
+  add(line, "call", call.Id);
+  add(line, "backend", b ? b->Info.Name : std::string_view("gone"));
+  add(line, "result", toString(end));
+  add(line, "why", why);
+  add(line, "again", std::int64_t{again ? 1 : 0});
+  add(line, "sent", std::int64_t{call.Facts.Sent});
+  add(line, "most", std::int64_t{call.Facts.MostAttempts});
+  add(line, "left_ms", call.Due - rl.Lp.Now);
+  rl.Log.write(line);
+}
+
+/// Takes one more attempt from the limits, if they allow it.
+bool takeAgain(RequestLoop &rl, const Call &call, AttemptEnd end) {
+  if (!call.From || !mayTryAgain(call.Facts, end))
+    return false;
+  return end == AttemptEnd::NotSent ||
+         takeRepeat(rl.Pools[call.Plan.Pool].Retries, rl.Settings.Retries,
+                    rl.Lp.Now);
+}
+
+/// Whether a back end's failure may reach the caller with its own status: those
+/// below would promise that the call hasn't run.
+bool promisesNotRun(int status) noexcept {
+  constexpr std::array<int, 4> Promises = {408, 421, 429, 503};
+  return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+}
+
+void passFailure(const std::shared_ptr<Call> &call, const MessageHead &head,
+                 std::string_view body) {
+  if (promisesNotRun(head.Status)) {
+    endOwn(call, CallEnd::Unknown, 502, "back end failed");
+    return;
+  }
+  Caller *from = call->From;
+  if (from)
+    answerWhole(*from, head, body, call->Head.Method);
+  endCall(call, CallEnd::BackendFailed, head.Status, "back end failed");
+  if (from)
+    callerDone(*from);
+}
+
+/// A failure that the back end itself answered.
+void onFailure(const std::shared_ptr<Call> &call, const MessageHead &head,
+               std::string_view body) {
+  RequestLoop &rl = *call->Owner;
+  call->Facts.MayHaveRun = true;
+  const bool again = takeAgain(rl, *call, AttemptEnd::Failed);
+  logAttemptEnd(rl, *call, AttemptEnd::Failed, std::to_string(head.Status),
+                again);
+  if (again)
+    place(call);
+  else
+    passFailure(call, head, body);
+}
+
+} // namespace
+
+std::string_view toString(CallEnd end) noexcept {
+  constexpr std::array<std::string_view, CallEndCount> Names = {
+      "served",    "backend_failed", "refused",    "unknown",
+      "timed_out", "broken_off",     "caller_left"};
+  return Names[static_cast<std::size_t>(end)];
+}
+
+void startCall(Caller &c, MessageHead head, std::string body) {
+  RequestLoop &rl = *c.Owner;
+  auto call = std::make_shared<Call>();
+  call->Owner = &rl;
+  call->Head = std::move(head);
+  call->Body = std::move(body);
+  call->Id = findField(call->Head.Fields, rl.Names.CallId).value_or("");
+  call->Draw = nextRandom(rl.Random);
+  call->Arrived = rl.Lp.Now;
+  call->From = &c;
+  call->Timer.Fn = onDue;
+  call->Timer.Ctx = call.get();
+  call->Work = workOf(*call, rl.Names);
+  c.Active = call;
+  ++rl.Active;
+  std::optional<Denial> no = routeCall(rl, *call);
+  if (!no)
+    no = chargeCall(rl, *call);
+  if (no) {
+    endOwn(call, CallEnd::Refused, no->Status, no->Why, no->RetryAfter);
+    return;
+  }
+  call->Due = call->Arrived + call->Plan.Timeout;
+  const auto left = findField(call->Head.Fields, rl.Names.TimeLeft);
+  if (const auto ms = left ? numberOf(*left) : std::nullopt)
+    call->Due =
+        std::min(call->Due, call->Arrived + std::chrono::milliseconds(*ms));
+  noteCall(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries, rl.Lp.Now);
+  place(call);
+}
+
+void place(const std::shared_ptr<Call> &call) {
+  RequestLoop &rl = *call->Owner;
+  call->Phase = CallPhase::Waiting;
+  if (call->Plan.Version !=
+      rl.Board.PlanVersion.load(std::memory_order_acquire)) {
+    if (const auto no = routeCall(rl, *call)) {
+      if (call->Facts.Begun)
+        breakOff(call, no->Why);
+      else if (call->Facts.MayHaveRun)
+        refuse(call, no->Why);
+      else
+        endOwn(call, CallEnd::Refused, no->Status, no->Why, no->RetryAfter);
+      return;
+    }
+  }
+  BackendState *to = pickBackend(rl, *call);
+  if (!to) {
+    enqueue(rl, *call);
+    arm(rl.Lp, call->Timer, queueDue(*call, rl.Lp.Now));
+    return;
+  }
+  call->At = to->Info.Id;
+  call->Tried.push_back(call->At);
+  if (!sendCall(rl, call, *to)) {
+    refuse(call, "no socket left");
+    return;
+  }
+  call->Phase = CallPhase::Sent;
+  ++call->Facts.Sent;
+  rememberSession(rl, *call);
+  arm(rl.Lp, call->Timer, call->Due);
+}
+
+void onCallerGone(const std::shared_ptr<Call> &call) {
+  call->From = nullptr;
+  if (call->Phase == CallPhase::Over)
+    return;
+  // What may not be repeated is left to finish: cutting it off would leave its
+  // outcome open.
+  if (call->Phase == CallPhase::Sent && call->Facts.Kind == CallKind::Unsafe)
+    return;
+  cutLink(*call);
+  endCall(call, CallEnd::CallerLeft, 0, "caller left");
+}
+
+void onAttemptEnd(const std::shared_ptr<Call> &call, AttemptEnd end,
+                  std::string_view why) {
+  RequestLoop &rl = *call->Owner;
+  if (call->Phase == CallPhase::Over)
+    return;
+  CallFacts &facts = call->Facts;
+  if (end == AttemptEnd::Lost)
+    facts.MayHaveRun = true;
+  if (end == AttemptEnd::NotSent) {
+    --facts.Sent;
+    ++facts.Unreached;
+  }
+  facts.TimeLeft = rl.Lp.Now < call->Due;
+  call->Stream.Tail.clear();
+  const bool again = takeAgain(rl, *call, end);
+  logAttemptEnd(rl, *call, end, why, again);
+  if (!call->From) {
+    endCall(call, CallEnd::CallerLeft, 0, why);
+    return;
+  }
+  switch (nextStep(facts, end, again)) {
+  case NextStep::Again:
+    place(call);
+    break;
+  case NextStep::Refuse:
+    refuse(call, why);
+    break;
+  case NextStep::BreakOff:
+    breakOff(call, why);
+    break;
+  case NextStep::PassOn:
+  case NextStep::GiveUp:
+    endOwn(call, CallEnd::Unknown, 502, why);
+    break;
+  }
+}
+
+void onWholeAnswer(const std::shared_ptr<Call> &call, const MessageHead &head,
+                   std::string_view body) {
+  RequestLoop &rl = *call->Owner;
+  BackendState *b = backendOf(rl, *call);
+  if (findField(head.Fields, rl.Names.NotRun) || head.Status == 421) {
+    if (b && head.Status == 421)
+      b->WrongLife = true;
+    onAttemptEnd(call, AttemptEnd::NotRun, std::to_string(head.Status));
+    pump(rl, call->Plan.Pool);
+    return;
+  }
+  const bool good = head.Status / 100 == 2;
+  const bool sound = !good || (findField(head.Fields, rl.Names.Seal) &&
+                               !findField(head.Fields, "Content-Encoding"));
+  const bool failed = head.Status >= 500 || promisesNotRun(head.Status);
+  if (b)
+    noteAnswer(rl, *b, failed || !sound);
+  if (!sound) {
+    onAttemptEnd(call, AttemptEnd::Lost, "answer without its proof");
+  } else if (failed && call->Phase != CallPhase::Over) {
+    onFailure(call, head, body);
+  } else {
+    countAttempt(rl.Metrics, "answered");
+    Caller *from = call->From;
+    if (from) {
+      answerWhole(*from, head, body, call->Head.Method);
+      timeFirst(rl.Metrics, call->Facts.Kind, rl.Lp.Now - call->Arrived);
+    }
+    endCall(call, good ? CallEnd::Served : CallEnd::BackendFailed, head.Status,
+            good ? "" : "back end's own answer");
+    if (from)
+      callerDone(*from);
+  }
+  pump(rl, call->Plan.Pool);
+}
+
+bool onEvents(const std::shared_ptr<Call> &call, const MessageHead &head,
+              std::string_view part) {
+  RequestLoop &rl = *call->Owner;
+  StreamState &st = call->Stream;
+  st.Tail.append(part);
+  const EventCut cut = cutEvents(st.Tail);
+  if (cut.Bytes == 0 || !call->From)
+    return true;
+  if (st.LastId && cut.FirstId && *cut.FirstId <= *st.LastId)
+    return false;
+  const std::string_view whole = std::string_view(st.Tail).substr(0, cut.Bytes);
+  if (call->Facts.Begun) {
+    answerEvents(*call->From, whole);
+    st.LongestGap = std::max(st.LongestGap, rl.Lp.Now - st.LastAt);
+  } else {
+    answerStream(*call->From, head, whole);
+    call->Facts.Begun = true;
+    st.FirstAt = rl.Lp.Now;
+    timeFirst(rl.Metrics, CallKind::Stream, rl.Lp.Now - call->Arrived);
+  }
+  st.LastAt = rl.Lp.Now;
+  st.Events += cut.Count;
+  if (cut.LastId)
+    st.LastId = cut.LastId;
+  st.Tail.erase(0, cut.Bytes);
+  if (call->Link && waiting(call->From->Ch) > MostBuffered)
+    pause(call->Link->Ch, true);
+  return true;
+}
+
+void onStreamEnd(const std::shared_ptr<Call> &call, const MessageHead &head) {
+  RequestLoop &rl = *call->Owner;
+  if (BackendState *b = backendOf(rl, *call))
+    noteAnswer(rl, *b, false);
+  countAttempt(rl.Metrics, "answered");
+  Caller *from = call->From;
+  if (from) {
+    if (!call->Facts.Begun)
+      answerStream(*from, head, call->Stream.Tail);
+    else if (!call->Stream.Tail.empty())
+      answerEvents(*from, call->Stream.Tail);
+    answerStreamEnd(*from);
+  }
+  timeGap(rl.Metrics, call->Stream.LongestGap);
+  endCall(call, from ? CallEnd::Served : CallEnd::CallerLeft, head.Status, "");
+  if (from)
+    callerDone(*from);
+  pump(rl, call->Plan.Pool);
+}
+
+void endCall(const std::shared_ptr<Call> &call, CallEnd end, int status,
+             std::string_view why) {
+  RequestLoop &rl = *call->Owner;
+  if (call->Phase == CallPhase::Over)
+    return;
+  dequeue(rl, *call);
+  call->Phase = CallPhase::Over;
+  disarm(rl.Lp, call->Timer);
+  --rl.Active;
+  if (end == CallEnd::Refused && call->Plan.Cost > 0)
+    giveBack(rl.Allowances[call->Plan.Workspace], call->Plan.Cost);
+  countCall(rl.Metrics, call->Facts.Kind, toString(end), status);
+  timeQueue(rl.Metrics, call->Facts.Kind, call->QueueTime);
+  if (!rl.Log.wantsCalls())
+    return;
+  const BackendState *b = backendOf(rl, *call);
+  EventLine line = eventLine("call_end");
+  add(line, "call", call->Id);
+  add(line, "end", toString(end));
+  add(line, "status", std::int64_t{status});
+  add(line, "why", why);
+  add(line, "route", call->Plan.Route);
+  add(line, "workspace", call->Plan.WorkspaceName);
+  add(line, "backend", b ? b->Info.Name : std::string_view());
+  add(line, "sent", std::int64_t{call->Facts.Sent});
+  add(line, "queue_ms", call->QueueTime);
+  add(line, "total_ms", rl.Lp.Now - call->Arrived);
+  add(line, "plan", static_cast<std::int64_t>(call->Plan.Version));
+  add(line, "proof_ms", bootNow() - fromNanos(rl.Board.PlanProven));
+  add(line, "tokens", static_cast<std::int64_t>(call->Work.PromptTokens));
+  if (call->Stream.Events > 0) {
+    add(line, "events", std::int64_t{call->Stream.Events});
+    add(line, "first_ms", call->Stream.FirstAt - call->Arrived);
+    add(line, "gap_ms", call->Stream.LongestGap);
+  }
+  rl.Log.write(line);
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/front/pools.cpp
@@ -0,0 +1,205 @@
+#include "zinniagauge/front/request_loop.h"
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How often waiting calls are looked at though nothing else happens: loads of
+/// other processes change, and targets pass.
+constexpr Duration PumpPeriod = std::chrono::milliseconds(20);
+
+/// Waiting calls that one pump tries to place though the first find no room.
+constexpr std::size_t MostSkipped = 8;
+
+/// How long an engine is taken to keep the prompt of a session.
+constexpr Duration SessionMemory = std::chrono::seconds(30);
+
+PoolState &poolOf(RequestLoop &rl, PoolId id) { return rl.Pools[id]; }
+
+/// Whether too many of a pool are passed over for one more to be.
+bool passingOver(const PoolState &pool, const OutlierLimits &lim, Time now) {
+  const auto out = std::count_if(
+      pool.Backends.begin(), pool.Backends.end(),
+      [&](const BackendState *b) { return isPassedOver(b->Results, now); });
+  return static_cast<double>(out) <=
+         lim.MostPassedOver * static_cast<double>(pool.Backends.size());
+}
+
+bool isUsable(const BackendState &b) {
+  return b.Listed && !b.Info.Leaving && !b.WrongLife;
+}
+
+double cachedShare(const RequestLoop &rl, const Call &call,
+                   const BackendState &b) {
+  const auto it = rl.Sessions.find(call.Work.Affinity);
+  return call.Work.Affinity != 0 && it != rl.Sessions.end() &&
+                 it->second.Backend == b.Info.Id &&
+                 rl.Lp.Now - it->second.At < SessionMemory
+             ? 1.0
+             : 0.0;
+}
+
+/// Fills Scratch with the back ends of \p pool.
+void listCandidates(RequestLoop &rl, const PoolState &pool, const Call &call,
+                    bool passover, bool avoidtried) {
+  const ReadGuard guard;
+  const LoadList &peers = rl.Board.PeerLoads.read(guard);
+  const ZoneId zone = ZoneId::of(rl.Settings.Zone);
+  rl.Scratch.clear();
+  for (const BackendState *b : pool.Backends) {
+    Candidate c;
+    c.Id = b->Info.Id;
+    c.Running = b->Running + loadOf(peers, b->Info.Id);
+    c.Slots = std::max(b->Info.Slots, 1U);
+    const bool tried =
+        avoidtried && std::find(call.Tried.begin(), call.Tried.end(),
+                                b->Info.Id) != call.Tried.end();
+    c.Usable = isUsable(*b) && !tried &&
+               !(passover && isPassedOver(b->Results, rl.Lp.Now));
+    c.SameZone = b->Info.Zone == zone;
+    c.CachedShare = cachedShare(rl, call, *b);
+    rl.Scratch.push_back(c);
+  }
+}
+
+bool anyUsable(const RequestLoop &rl) {
+  return std::any_of(rl.Scratch.begin(), rl.Scratch.end(),
+                     [](const Candidate &c) { return c.Usable; });
+}
+
+/// Moves calls whose target has passed behind those that can still meet it.
+void rerank(RequestLoop &rl, PoolState &pool) {
+  while (!pool.Queue.empty()) {
+    Call *call = pool.Queue.begin()->second;
+    if (call->Rank.Late != 0 || rl.Lp.Now < call->Arrived + call->Plan.Target)
+      return;
+    pool.Queue.erase(pool.Queue.begin());
+    call->Rank.Late = 1;
+    pool.Queue.emplace(call->Rank, call);
+  }
+}
+
+} // namespace
+
+void refreshBackends(RequestLoop &rl) {
+  const ReadGuard guard;
+  const BackendList &list = rl.Board.Backends.read(guard);
+  for (auto &[id, st] : rl.Backends)
+    st->Listed = false;
+  for (const Backend &b : list.List) {
+    auto &st = rl.Backends[b.Id];
+    if (!st)
+      st = std::make_unique<BackendState>();
+    st->Info = b;
+    st->Listed = true;
+  }
+  for (auto &[id, pool] : rl.Pools)
+    pool.Backends.clear();
+  for (auto it = rl.Backends.begin(); it != rl.Backends.end();) {
+    BackendState &st = *it->second;
+    if (st.Listed)
+      poolOf(rl, st.Info.Pool).Backends.push_back(&st);
+    if (!st.Listed && st.Links == 0)
+      it = rl.Backends.erase(it);
+    else
+      ++it;
+  }
+  for (auto &[id, pool] : rl.Pools)
+    std::sort(pool.Backends.begin(), pool.Backends.end(),
+              [](const BackendState *a, const BackendState *b) {
+                return a->Info.Id < b->Info.Id;
+              });
+}
+
+BackendState *pickBackend(RequestLoop &rl, const Call &call) {
+  const PoolState &pool = poolOf(rl, call.Plan.Pool);
+  listCandidates(rl, pool, call, true, true);
+  if (!anyUsable(rl))
+    listCandidates(rl, pool, call, false, true);
+  if (!anyUsable(rl))
+    listCandidates(rl, pool, call, false, false);
+  const ChoiceWork work{call.Work.Affinity,
+                        static_cast<double>(call.Work.PromptTokens)};
+  const auto at = chooseBackend(rl.Scratch, work, rl.Weights);
+  return at ? rl.Backends[rl.Scratch[*at].Id].get() : nullptr;
+}
+
+void enqueue(RequestLoop &rl, Call &call) {
+  call.Rank.Priority = call.Plan.Priority;
+  call.Rank.Lower = call.Plan.Lower;
+  call.Rank.Late = rl.Lp.Now >= call.Arrived + call.Plan.Target ? 1 : 0;
+  call.Rank.Since = call.Arrived;
+  call.Rank.Number = ++rl.NextRank;
+  call.Queued = true;
+  call.QueuedSince = rl.Lp.Now;
+  poolOf(rl, call.Plan.Pool).Queue.emplace(call.Rank, &call);
+  if (!rl.PumpTimer.Hook.is_linked())
+    arm(rl.Lp, rl.PumpTimer, rl.Lp.Now + PumpPeriod);
+}
+
+void dequeue(RequestLoop &rl, Call &call) {
+  if (!call.Queued)
+    return;
+  poolOf(rl, call.Plan.Pool).Queue.erase({call.Rank, &call});
+  call.Queued = false;
+  call.QueueTime += rl.Lp.Now - call.QueuedSince;
+}
+
+void pump(RequestLoop &rl, PoolId id) {
+  PoolState &pool = poolOf(rl, id);
+  if (pool.Queue.empty())
+    return;
+  rerank(rl, pool);
+  std::size_t skipped = 0;
+  // One call at a time: each that leaves takes room from the next.
+  while (skipped < MostSkipped) {
+    auto it = pool.Queue.begin();
+    std::advance(it, std::min(skipped, pool.Queue.size()));
+    if (it == pool.Queue.end())
+      break;
+    Call &call = *it->second;
+    if (!pickBackend(rl, call)) {
+      ++skipped;
+      continue;
+    }
+    dequeue(rl, call);
+    if (call.From) {
+      const std::shared_ptr<Call> held = call.From->Active;
+      place(held);
+    }
+  }
+  if (!pool.Queue.empty() && !rl.PumpTimer.Hook.is_linked())
+    arm(rl.Lp, rl.PumpTimer, rl.Lp.Now + PumpPeriod);
+}
+
+void noteLost(RequestLoop &rl, BackendState &to) {
+  PoolState &pool = poolOf(rl, to.Info.Pool);
+  if (!passingOver(pool, rl.Outliers, rl.Lp.Now))
+    return;
+  if (noteLost(to.Results, rl.Outliers, rl.Lp.Now)) {
+    EventLine line = eventLine("backend_passed_over");
+    add(line, "backend", to.Info.Name);
+    add(line, "why", "connections lost in a row");
+    add(line, "for_ms", to.Results.Pause);
+    rl.Log.write(line);
+  }
+}
+
+void noteAnswer(RequestLoop &rl, BackendState &to, bool failed) {
+  PoolState &pool = poolOf(rl, to.Info.Pool);
+  if (!passingOver(pool, rl.Outliers, rl.Lp.Now))
+    return;
+  if (noteResult(to.Results, pool.Results, failed, rl.Outliers, rl.Lp.Now)) {
+    EventLine line = eventLine("backend_passed_over");
+    add(line, "backend", to.Info.Name);
+    add(line, "why", "fails more than its pool");
+    add(line, "pool_failures_permille",
+        static_cast<std::int64_t>(pool.Results.Failures * 1000));
+    add(line, "for_ms", to.Results.Pause);
+    rl.Log.write(line);
+  }
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/front/request_loop.cpp
@@ -0,0 +1,142 @@
+#include "zinniagauge/front/request_loop.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How often own loads are put on the board, for other processes to know.
+constexpr Duration LoadPeriod = std::chrono::milliseconds(100);
+
+/// How often demands are put on the board.
+constexpr int LoadsPerDemand = 5;
+
+/// How often idle connections are looked at.
+constexpr Duration HousePeriod = std::chrono::seconds(1);
+
+/// Weight of the latest period in a demand's average.
+constexpr double DemandWeight = 0.35;
+
+LoadList ownLoads(const RequestLoop &rl) {
+  LoadList out;
+  for (const auto &[id, st] : rl.Backends)
+    if (st->Running > 0)
+      out.List.push_back({id, st->Running});
+  std::sort(
+      out.List.begin(), out.List.end(),
+      [](const BackendLoad &a, const BackendLoad &b) { return a.Id < b.Id; });
+  return out;
+}
+
+void reportDemand(RequestLoop &rl, Duration span) {
+  const double secs = std::chrono::duration<double>(span).count();
+  DemandList list = rl.Board.Demands.copy();
+  for (Demand &d : list.List) {
+    const auto it = rl.Asked.find(d.Workspace);
+    const double now = it == rl.Asked.end() ? 0 : it->second / secs;
+    if (it != rl.Asked.end())
+      rl.Asked.erase(it);
+    d.CostPerSecond += DemandWeight * (now - d.CostPerSecond);
+  }
+  for (const auto &[id, cost] : rl.Asked)
+    list.List.push_back({id, cost / secs});
+  rl.Asked.clear();
+  std::sort(list.List.begin(), list.List.end(),
+            [](const Demand &a, const Demand &b) {
+              return a.Workspace < b.Workspace;
+            });
+  rl.Board.Demands.publish(std::move(list));
+}
+
+void onReport(void *ctx, Time now) {
+  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  LoadList loads = ownLoads(rl);
+  {
+    const ReadGuard guard;
+    if (rl.Board.OwnLoads.read(guard).List == loads.List)
+      loads.List.clear();
+    else
+      rl.Board.OwnLoads.publish(std::move(loads));
+  }
+  if (now - rl.LastReport >= LoadPeriod * LoadsPerDemand) {
+    reportDemand(rl, now - rl.LastReport);
+    rl.LastReport = now;
+  }
+  arm(rl.Lp, rl.ReportTimer, now + LoadPeriod);
+}
+
+void onHouse(void *ctx, Time now) {
+  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  reapLinks(rl, now);
+  setGauge(rl.Metrics, "calls_active", static_cast<double>(rl.Active));
+  setGauge(rl.Metrics, "callers", static_cast<double>(rl.Callers.size()));
+  setGauge(rl.Metrics, "links", static_cast<double>(rl.Links.size()));
+  setGauge(rl.Metrics, "log_lines_dropped",
+           static_cast<double>(rl.Log.dropped()));
+  arm(rl.Lp, rl.HouseTimer, now + HousePeriod);
+}
+
+void onPump(void *ctx, Time /*now*/) {
+  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  for (auto &[id, pool] : rl.Pools)
+    pump(rl, id);
+}
+
+/// A controller has changed the board.
+void onBoardChanged(RequestLoop &rl) {
+  {
+    const ReadGuard guard;
+    rl.Limits = rl.Board.Plan.read(guard).Limits;
+  }
+  refreshBackends(rl);
+  onPump(&rl, rl.Lp.Now);
+}
+
+void setTimer(RequestLoop &rl, LoopTimer &t, void (*fn)(void *, Time)) {
+  t.Fn = fn;
+  t.Ctx = &rl;
+}
+
+} // namespace
+
+RequestLoop::RequestLoop(FrontBoard &board, const Dialect &dialect,
+                         FrontSettings settings, EventLog &log,
+                         FrontMetrics &metrics)
+    : Board(board), Names(dialect), Settings(std::move(settings)), Log(log),
+      Metrics(metrics), Random(std::random_device{}()) {}
+
+RequestLoop::~RequestLoop() {
+  if (Listener.Fd >= 0)
+    ::close(Listener.Fd);
+  // Calls hold timers of the loop; they go first.
+  Callers.clear();
+  Links.clear();
+}
+
+Result<void> startRequestLoop(RequestLoop &rl) {
+  BOOST_LEAF_CHECK(openLoop(rl.Lp));
+  rl.Lp.OnWake = [&rl] { onBoardChanged(rl); };
+  setTimer(rl, rl.PumpTimer, onPump);
+  setTimer(rl, rl.ReportTimer, onReport);
+  setTimer(rl, rl.HouseTimer, onHouse);
+  rl.LastReport = rl.Lp.Now;
+  arm(rl.Lp, rl.ReportTimer, rl.Lp.Now + LoadPeriod);
+  arm(rl.Lp, rl.HouseTimer, rl.Lp.Now + HousePeriod);
+  return listenForCallers(rl);
+}
+
+Freshness freshness(const RequestLoop &rl) {
+  const Time proven = fromNanos(rl.Board.PlanProven.load());
+  return freshnessAt(rl.Settings.Fresh, proven, bootNow());
+}
+
+bool isReady(const RequestLoop &rl) {
+  return !rl.Board.Stopping && rl.Board.PlanVersion > 0 &&
+         freshness(rl).MayServe;
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/net/http1.cpp
@@ -0,0 +1,262 @@
+#include "zinniagauge/net/http1.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <variant>
+
+namespace zinniagauge {
+
+namespace http = boost::beast::http;
+using BeastView = boost::beast::string_view;
+using BeastError = boost::beast::error_code;
+
+namespace {
+
+std::string_view plain(BeastView v) noexcept { return {v.data(), v.size()}; }
+
+BeastView beast(std::string_view v) noexcept { return {v.data(), v.size()}; }
+
+/// What a parser has read so far.
+struct Reading {
+  MessageHead Head;
+  bool HeadDone = false;
+  std::string *Body = nullptr;
+};
+
+/// Beast's parser calls these as it reads.
+template <bool IsRequest>
+class BeastParser final : public http::basic_parser<IsRequest> {
+public:
+  explicit BeastParser(Reading &rd) noexcept : Rd(rd) {}
+
+private:
+  void on_request_impl(http::verb /*verb*/, BeastView method, BeastView target,
+                       int /*version*/, BeastError & /*ec*/) override {
+    Rd.Head.Method = plain(method);
+    Rd.Head.Target = plain(target);
+  }
+  void on_response_impl(int status, BeastView /*reason*/, int /*version*/,
+                        BeastError & /*ec*/) override {
+    Rd.Head.Status = status;
+  }
+  void on_field_impl(http::field /*field*/, BeastView name, BeastView value,
+                     BeastError & /*ec*/) override {
+    if (!Rd.HeadDone) // Trailer fields aren't passed on.
+      addField(Rd.Head.Fields, plain(name), plain(value));
+  }
+  void on_header_impl(BeastError & /*ec*/) override { Rd.HeadDone = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                         BeastError & /*ec*/) override {}
+  std::size_t on_body_impl(BeastView body, BeastError & /*ec*/) override {
+    Rd.Body->append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, BeastView /*extensions*/,
+                            BeastError & /*ec*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastView body,
+                                 BeastError & /*ec*/) override {
+    Rd.Body->append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(BeastError & /*ec*/) override {}
+
+  Reading &Rd;
+};
+
+ParseState failureOf(const BeastError &ec) noexcept {
+  if (ec == http::error::header_limit)
+    return ParseState::HeadTooLarge;
+  if (ec == http::error::body_limit)
+    return ParseState::BodyTooLarge;
+  return ParseState::Malformed;
+}
+
+} // namespace
+
+namespace impl {
+
+struct ParserState {
+  Reading Rd;
+  std::variant<BeastParser<true>, BeastParser<false>> Parser;
+  ParseState State = ParseState::InHead;
+  bool Begun = false;
+
+  explicit ParserState(bool request)
+      : Parser(std::in_place_type<BeastParser<true>>, Rd) {
+    if (!request)
+      Parser.emplace<BeastParser<false>>(Rd);
+  }
+};
+
+void ParserStateDelete::operator()(ParserState *st) const noexcept {
+  delete st;
+}
+
+} // namespace impl
+
+namespace {
+
+void noteHead(impl::ParserState &st) {
+  std::visit(
+      [&](auto &p) {
+        st.Rd.Head.KeepAlive = p.keep_alive();
+        st.Rd.Head.EndsWithChannel = p.need_eof();
+      },
+      st.Parser);
+}
+
+/// Whether the body has a transfer coding other than chunked. Its length can't
+/// be known, and two readers may disagree on where the next message begins.
+bool hasOtherCoding(const impl::ParserState &st) {
+  const bool chunked =
+      std::visit([](const auto &p) { return p.chunked(); }, st.Parser);
+  return !chunked && findField(st.Rd.Head.Fields, "Transfer-Encoding");
+}
+
+} // namespace
+
+using impl::ParserState;
+
+void addField(HeaderList &list, std::string_view name, std::string_view value) {
+  list.Spans.push_back({static_cast<std::uint32_t>(list.Text.size()),
+                        static_cast<std::uint32_t>(name.size()),
+                        static_cast<std::uint32_t>(value.size())});
+  list.Text.append(name).append(value);
+}
+
+HeaderField fieldAt(const HeaderList &list, std::size_t n) noexcept {
+  const HeaderList::Span &sp = list.Spans[n];
+  const std::string_view text = list.Text;
+  return {text.substr(sp.Name, sp.NameBytes),
+          text.substr(sp.Name + sp.NameBytes, sp.ValueBytes)};
+}
+
+std::optional<std::string_view> findField(const HeaderList &list,
+                                          std::string_view name) noexcept {
+  for (std::size_t n = 0; n < list.Spans.size(); ++n) {
+    const HeaderField f = fieldAt(list, n);
+    if (sameText(f.Name, name))
+      return f.Value;
+  }
+  return std::nullopt;
+}
+
+bool sameText(std::string_view a, std::string_view b) noexcept {
+  return a.size() == b.size() && boost::beast::iequals(beast(a), beast(b));
+}
+
+void beginMessage(MessageParser &p, MessageKind kind, std::size_t mosthead,
+                  std::uint64_t mostbody) {
+  p.St.reset(new ParserState(kind == MessageKind::Request));
+  std::visit(
+      [&](auto &parser) {
+        parser.eager(true);
+        parser.header_limit(static_cast<std::uint32_t>(mosthead));
+        parser.body_limit(mostbody);
+        if (kind == MessageKind::AnswerToHead)
+          parser.skip(true);
+      },
+      p.St->Parser);
+}
+
+std::size_t readMessage(MessageParser &p, std::string_view part,
+                        std::string &body) {
+  ParserState &st = *p.St;
+  st.Rd.Body = &body;
+  std::size_t taken = 0;
+  while (taken < part.size() &&
+         (st.State == ParseState::InHead || st.State == ParseState::InBody)) {
+    st.Begun = true;
+    BeastError ec;
+    const std::size_t n = std::visit(
+        [&](auto &parser) {
+          return parser.put(
+              boost::asio::buffer(part.data() + taken, part.size() - taken),
+              ec);
+        },
+        st.Parser);
+    taken += n;
+    if (ec && ec != http::error::need_more) {
+      st.State = failureOf(ec);
+      break;
+    }
+    if (st.State == ParseState::InHead && st.Rd.HeadDone) {
+      noteHead(st);
+      st.State = ParseState::InBody;
+      if (hasOtherCoding(st)) {
+        st.State = ParseState::Malformed;
+        break;
+      }
+    }
+    if (std::visit([](auto &parser) { return parser.is_done(); }, st.Parser))
+      st.State = ParseState::Done;
+    if (ec == http::error::need_more || n == 0)
+      break;
+  }
+  return taken;
+}
+
+void endOfInput(MessageParser &p) {
+  ParserState &st = *p.St;
+  if (st.State != ParseState::InBody)
+    return;
+  BeastError ec;
+  std::visit([&](auto &parser) { parser.put_eof(ec); }, st.Parser);
+  st.State = ec ? ParseState::Malformed : ParseState::Done;
+}
+
+ParseState stateOf(const MessageParser &p) noexcept { return p.St->State; }
+
+const MessageHead &headOf(const MessageParser &p) noexcept {
+  return p.St->Rd.Head;
+}
+
+bool hasBegun(const MessageParser &p) noexcept { return p.St && p.St->Begun; }
+
+bool isHopField(std::string_view name, std::string_view connection) noexcept {
+  constexpr std::array<std::string_view, 8> Hop = {
+      "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate",
+      "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+  if (std::any_of(Hop.begin(), Hop.end(),
+                  [&](std::string_view h) { return sameText(h, name); }))
+    return true;
+  return !connection.empty() &&
+         http::token_list(beast(connection)).exists(beast(name));
+}
+
+void writeField(std::string &out, std::string_view name,
+                std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void writeField(std::string &out, std::string_view name, std::uint64_t value) {
+  std::array<char, 24> buf{};
+  const auto res = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  writeField(out, name,
+             std::string_view(buf.data(),
+                              static_cast<std::size_t>(res.ptr - buf.data())));
+}
+
+void writeStatus(std::string &out, int status) {
+  const auto code = static_cast<unsigned>(status);
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  out.append(plain(http::obsolete_reason(http::int_to_status(code))));
+  out.append("\r\n");
+}
+
+void writeChunk(std::string &out, std::string_view part) {
+  std::array<char, 20> buf{};
+  const auto res =
+      std::to_chars(buf.data(), buf.data() + buf.size(), part.size(), 16);
+  out.append(buf.data(), static_cast<std::size_t>(res.ptr - buf.data()));
+  out.append("\r\n").append(part).append("\r\n");
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/observe/event_log.cpp
@@ -0,0 +1,118 @@
+#include "zinniagauge/observe/event_log.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <algorithm>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How often lines are written out: seldom enough that the thread costs little
+/// next to the calls, often enough that a killed process lacks few.
+constexpr Duration FlushPeriod = std::chrono::milliseconds(200);
+
+/// Bytes that wait at most; with FlushPeriod it bounds the volume to 480 KB/s.
+constexpr std::size_t MostPending = std::size_t{96} << 10U;
+
+bool needsEscape(std::string_view text) noexcept {
+  return std::any_of(text.begin(), text.end(), [](unsigned char c) {
+    return c < 0x20 || c == '"' || c == '\\' || c >= 0x7f;
+  });
+}
+
+void appendText(std::string &out, std::string_view text) {
+  if (needsEscape(text)) {
+    out += nlohmann::json(text).dump(-1, ' ', true,
+                                     nlohmann::json::error_handler_t::replace);
+    return;
+  }
+  out.append("\"").append(text).append("\"");
+}
+
+} // namespace
+
+EventLine eventLine(std::string_view event) {
+  EventLine line;
+  constexpr std::size_t UsualBytes = 240;
+  line.Text.reserve(UsualBytes);
+  add(line, "event", event);
+  return line;
+}
+
+void add(EventLine &line, std::string_view key, std::string_view val) {
+  line.Text.append(",\"").append(key).append("\":");
+  appendText(line.Text, val);
+}
+
+void add(EventLine &line, std::string_view key, std::int64_t val) {
+  line.Text.append(",\"").append(key).append("\":");
+  line.Text.append(std::to_string(val));
+}
+
+void add(EventLine &line, std::string_view key, Duration val) {
+  add(line, key,
+      std::int64_t{
+          std::chrono::duration_cast<std::chrono::milliseconds>(val).count()});
+}
+
+void add(EventLine &line, const Error &err) {
+  add(line, "step", toString(err.At));
+  add(line, "peer", err.Peer);
+  add(line, "code", toString(err.Code));
+  add(line, "detail", err.Detail);
+}
+
+EventLog::EventLog(std::string node, EventLevel level)
+    : Node(std::move(node)), Level(level), Thread([this] { run(); }) {}
+
+EventLog::~EventLog() {
+  {
+    const std::lock_guard<std::mutex> lk(Mutex);
+    Ending = true;
+  }
+  Stopped.notify_one();
+  Thread.join();
+}
+
+void EventLog::write(const EventLine &line) {
+  const std::int64_t ms = wallNow().time_since_epoch().count();
+  const std::lock_guard<std::mutex> lk(Mutex);
+  if (Pending.size() + line.Text.size() > MostPending) {
+    ++Dropped;
+    return;
+  }
+  Pending.append("{\"ms\":").append(std::to_string(ms));
+  Pending.append(",\"node\":\"").append(Node).append("\"");
+  Pending.append(line.Text).append("}\n");
+}
+
+void EventLog::run() {
+  spdlog::sinks::stdout_sink_st sink;
+  sink.set_pattern("%v");
+  std::uint64_t said = 0;
+  std::unique_lock<std::mutex> lk(Mutex);
+  for (;;) {
+    Stopped.wait_for(lk, FlushPeriod, [this] { return Ending; });
+    std::string out;
+    out.swap(Pending);
+    const bool end = Ending;
+    lk.unlock();
+    if (const std::uint64_t lost = Dropped; lost != said) {
+      out += "{\"node\":\"" + Node + "\",\"event\":\"log_lines_dropped\"," +
+             "\"count\":" + std::to_string(lost - said) + "}\n";
+      said = lost;
+    }
+    if (!out.empty()) {
+      out.pop_back(); // The sink ends each record with a line break.
+      sink.log(spdlog::details::log_msg("", spdlog::level::info, out));
+      sink.flush();
+    }
+    if (end)
+      return;
+    lk.lock();
+  }
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/observe/front_metrics.cpp
@@ -0,0 +1,128 @@
+#include "zinniagauge/observe/front_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+
+namespace zinniagauge {
+
+namespace impl {
+
+/// The families; prometheus-cpp guards each by a lock of its own.
+struct FrontMetricsState {
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Counter> &Calls =
+      prometheus::BuildCounter()
+          .Name("zinnia_calls_total")
+          .Help("Calls that are over, by kind, end and status.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Attempts =
+      prometheus::BuildCounter()
+          .Name("zinnia_attempts_total")
+          .Help("Sends to back ends, by how they ended.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Links =
+      prometheus::BuildCounter()
+          .Name("zinnia_links_opened_total")
+          .Help("Connections opened to back ends.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Counter> &Table =
+      prometheus::BuildCounter()
+          .Name("zinnia_table_calls_total")
+          .Help("Calls to the table service, by call and result.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &First =
+      prometheus::BuildHistogram()
+          .Name("zinnia_first_seconds")
+          .Help("Time to the answer or its first event.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &Queue =
+      prometheus::BuildHistogram()
+          .Name("zinnia_queue_seconds")
+          .Help("Time spent waiting for a back end.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Histogram> &Gap =
+      prometheus::BuildHistogram()
+          .Name("zinnia_longest_gap_seconds")
+          .Help("Longest pause between two events of a stream.")
+          .Register(Registry);
+  prometheus::Family<prometheus::Gauge> &Gauges =
+      prometheus::BuildGauge()
+          .Name("zinnia_state")
+          .Help("What the process believes, by name.")
+          .Register(Registry);
+};
+
+void FrontMetricsDelete::operator()(FrontMetricsState *st) const noexcept {
+  delete st;
+}
+
+} // namespace impl
+
+namespace {
+
+std::string nameOf(CallKind kind) {
+  constexpr std::array<const char *, 3> Names = {"safe", "unsafe", "stream"};
+  return Names[static_cast<std::size_t>(kind)];
+}
+
+/// Bounds in seconds, from a short hop to a long wait.
+const prometheus::Histogram::BucketBoundaries Bounds = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+double seconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+FrontMetrics::FrontMetrics() : St(new impl::FrontMetricsState) {}
+
+void countCall(FrontMetrics &m, CallKind kind, std::string_view end,
+               int status) {
+  m.St->Calls
+      .Add({{"kind", nameOf(kind)},
+            {"end", std::string(end)},
+            {"status", std::to_string(status)}})
+      .Increment();
+}
+
+void timeFirst(FrontMetrics &m, CallKind kind, Duration span) {
+  m.St->First.Add({{"kind", nameOf(kind)}}, Bounds).Observe(seconds(span));
+}
+
+void timeQueue(FrontMetrics &m, CallKind kind, Duration span) {
+  m.St->Queue.Add({{"kind", nameOf(kind)}}, Bounds).Observe(seconds(span));
+}
+
+void timeGap(FrontMetrics &m, Duration longest) {
+  m.St->Gap.Add({}, Bounds).Observe(seconds(longest));
+}
+
+void countAttempt(FrontMetrics &m, std::string_view result) {
+  m.St->Attempts.Add({{"result", std::string(result)}}).Increment();
+}
+
+void countLink(FrontMetrics &m) { m.St->Links.Add({}).Increment(); }
+
+void countTable(FrontMetrics &m, std::string_view call,
+                std::string_view result) {
+  m.St->Table
+      .Add({{"call", std::string(call)}, {"result", std::string(result)}})
+      .Increment();
+}
+
+void setGauge(FrontMetrics &m, std::string_view name, double val) {
+  m.St->Gauges.Add({{"name", std::string(name)}}).Set(val);
+}
+
+std::string metricsText(const FrontMetrics &m) {
+  return prometheus::TextSerializer().Serialize(m.St->Registry.Collect());
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/src/store/peer_keeper.cpp
@@ -0,0 +1,129 @@
+#include "zinniagauge/store/controllers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How often this front is published and the others are read. Shares of
+/// allowances follow demand at this pace.
+constexpr Duration BeatPeriod = std::chrono::milliseconds(1500);
+
+constexpr Duration AnswerTime = std::chrono::milliseconds(700);
+
+using nlohmann::json;
+
+std::string rowText(const PeerKeeper &pk, const DemandList &demands) {
+  json list = json::array();
+  for (const Demand &d : demands.List)
+    list.push_back({d.Workspace.Value, static_cast<std::uint64_t>(
+                                           std::max(d.CostPerSecond, 0.0))});
+  const json doc = {{"life", pk.Life},
+                    {"beat", pk.Beat},
+                    {"address", toString(pk.Owner->Settings.Peers)},
+                    {"demands", std::move(list)}};
+  return doc.dump();
+}
+
+/// The row of another front; nothing if it can't be read.
+std::optional<PeerDemand> peerOf(const TableRow &row) {
+  const json doc = json::parse(row.Value, nullptr, false);
+  if (!doc.is_object())
+    return std::nullopt;
+  const auto life = doc.find("life");
+  const auto beat = doc.find("beat");
+  const auto list = doc.find("demands");
+  if (life == doc.end() || !life->is_number_unsigned() || beat == doc.end() ||
+      !beat->is_number_unsigned() || list == doc.end() || !list->is_array())
+    return std::nullopt;
+  PeerDemand out{
+      row.Key, life->get<std::uint64_t>(), beat->get<std::uint64_t>(), {}};
+  for (const json &d : *list)
+    if (d.is_array() && d.size() == 2 && d[0].is_number_unsigned() &&
+        d[1].is_number())
+      out.Demands.push_back({{d[0].get<std::uint64_t>()}, d[1].get<double>()});
+  return out;
+}
+
+void takeRows(PeerKeeper &pk, const TableReading &rd) {
+  Controllers &ct = *pk.Owner;
+  std::vector<PeerDemand> peers;
+  for (const TableRow &row : rd.Rows) {
+    if (auto p = peerOf(row))
+      peers.push_back(std::move(*p));
+    else
+      countTable(ct.Metrics, "front_row", "unreadable");
+  }
+  takePeers(pk.Book, peers, ct.Lp.Now);
+  AllowanceShares shares =
+      sharesOf(pk.Book, ct.Settings.Node, ct.Board.Demands.copy().List);
+  const std::uint32_t before = ct.Board.Shares.copy().Processes;
+  if (before != shares.Processes) {
+    EventLine line = eventLine("fronts");
+    add(line, "living", std::int64_t{shares.Processes});
+    add(line, "before", std::int64_t{before});
+    ct.Log.write(line);
+  }
+  ct.Board.Shares.publish(std::move(shares));
+}
+
+void failed(PeerKeeper &pk, const Error &err) {
+  noteStore(*pk.Owner, pk.Lost, "fronts", &err);
+  arm(pk.Owner->Lp, pk.Timer, pk.Owner->Lp.Now + BeatPeriod);
+}
+
+void onRead(void *ctx, const StoreAnswer &answer) {
+  PeerKeeper &pk = *static_cast<PeerKeeper *>(ctx);
+  handle([&] { return pk.Owner->Names.Rows(answer); },
+         [&](const TableReading &rd) {
+           noteStore(*pk.Owner, pk.Lost, "fronts", nullptr);
+           takeRows(pk, rd);
+           arm(pk.Owner->Lp, pk.Timer, pk.Owner->Lp.Now + BeatPeriod);
+           return 0;
+         },
+         [&](const Error &err) {
+           failed(pk, err);
+           return 0;
+         });
+}
+
+void onWritten(void *ctx, const StoreAnswer &answer) {
+  PeerKeeper &pk = *static_cast<PeerKeeper *>(ctx);
+  handle([&] { return pk.Owner->Names.Written(answer); },
+         [&](const TableResult & /*res*/) {
+           ask(pk.Link, pk.Owner->Names.Read(StoreTable::Fronts, {}),
+               AnswerTime, onRead, &pk);
+           return 0;
+         },
+         [&](const Error &err) {
+           failed(pk, err);
+           return 0;
+         });
+}
+
+void onBeat(void *ctx, Time /*now*/) {
+  PeerKeeper &pk = *static_cast<PeerKeeper *>(ctx);
+  ++pk.Beat;
+  TableTransaction tx;
+  tx.Ops.push_back({TableOpKind::Put, pk.Owner->Settings.Node,
+                    rowText(pk, pk.Owner->Board.Demands.copy()), 0});
+  ask(pk.Link, pk.Owner->Names.Write(StoreTable::Fronts, tx), AnswerTime,
+      onWritten, &pk);
+}
+
+} // namespace
+
+void startPeers(PeerKeeper &pk) {
+  std::random_device dev;
+  pk.Life = (std::uint64_t{dev()} << 32U) | dev();
+  setUp(pk.Link, pk.Owner->Lp, pk.Owner->Settings.Table);
+  pk.Timer.Fn = onBeat;
+  pk.Timer.Ctx = &pk;
+  onBeat(&pk, pk.Owner->Lp.Now);
+}
+
+} // namespace zinniagauge
--- /dev/null
+++ b/tests/unit/allowance_test.cpp
@@ -0,0 +1,110 @@
+#include "zinniagauge/decide/allowance.h"
+#include "zinniagauge/decide/random.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <deque>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+PlanWorkspace workspace(double rate, double burst) {
+  PlanWorkspace w;
+  w.Name.push_back('w'); // An assignment trips GCC 12's -Wrestrict.
+  w.Id = WorkspaceId::of(w.Name);
+  w.CountsTokens = true;
+  w.RatePerSecond = rate;
+  w.Burst = burst;
+  return w;
+}
+
+PeerDemand peer(const char *name, std::uint64_t beat, double cost) {
+  return {name, 1, beat, {{WorkspaceId::of("w"), cost}}};
+}
+
+double shareIn(const AllowanceShares &sh) {
+  return sh.List.empty() ? sh.Default : sh.List.front().Share;
+}
+
+} // namespace
+
+TEST_CASE("shares of all processes add up to one", "[allowance]") {
+  PeerBook book;
+  const std::vector<PeerDemand> read = {peer("a", 1, 100), peer("b", 1, 0),
+                                        peer("c", 1, 300)};
+  takePeers(book, read, Time(seconds(1)));
+  double sum = 0;
+  for (const char *name : {"a", "b", "c"})
+    // What a process asks right now doesn't count until all have read it.
+    sum += shareIn(sharesOf(book, name,
+                            std::vector<Demand>{{WorkspaceId::of("w"), 9999}}));
+  CHECK(sum == Approx(1.0));
+}
+
+TEST_CASE("a process without demand keeps a part of its even share",
+          "[allowance]") {
+  PeerBook book;
+  const std::vector<PeerDemand> read = {peer("a", 1, 100), peer("b", 1, 0)};
+  takePeers(book, read, Time(seconds(1)));
+  CHECK(shareIn(sharesOf(book, "b", {})) == Approx(EvenPart / 2));
+}
+
+TEST_CASE("a silent process counts until it can't serve keys any more",
+          "[allowance]") {
+  PeerBook book;
+  takePeers(book, std::vector{peer("a", 1, 1), peer("b", 1, 1)},
+            Time(seconds(1)));
+  takePeers(book, std::vector{peer("a", 2, 1), peer("b", 1, 1)},
+            Time(seconds(6)));
+  CHECK(sharesOf(book, "a", {}).Processes == 2);
+  takePeers(book, std::vector{peer("a", 3, 1), peer("b", 1, 1)},
+            Time(seconds(8)));
+  CHECK(sharesOf(book, "a", {}).Processes == 1);
+}
+
+TEST_CASE("no window of a bucket exceeds what is allowed", "[allowance]") {
+  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  const double limit = (90'000.0 * 8 + 90'000) * 1.1 + 140'000;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    std::uint64_t rnd = seed;
+    AllowanceBucket bucket;
+    std::deque<std::pair<Time, double>> spent;
+    double sum = 0;
+    Time now(seconds(10));
+    for (int n = 0; n < 4000; ++n) {
+      now += milliseconds(pickBelow(rnd, 40));
+      const double cost = 200.0 + static_cast<double>(pickBelow(rnd, 30'000));
+      if (takeAllowance(bucket, ws, 1.0, margin, cost, now))
+        continue;
+      spent.emplace_back(now, cost);
+      sum += cost;
+      while (now - spent.front().first > margin.Window) {
+        sum -= spent.front().second;
+        spent.pop_front();
+      }
+      REQUIRE(sum <= limit);
+    }
+  }
+}
+
+TEST_CASE("what is within the limit isn't refused", "[allowance]") {
+  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceBucket bucket;
+  Time now(seconds(10));
+  for (int n = 0; n < 2000; ++n) {
+    now += milliseconds(100);
+    REQUIRE_FALSE(takeAllowance(bucket, ws, 1.0, margin, 9'000, now));
+  }
+}
+
+TEST_CASE("a workspace without a limit is never refused", "[allowance]") {
+  AllowanceBucket bucket;
+  CHECK_FALSE(
+      takeAllowance(bucket, workspace(0, 0), 0, {}, 1e9, Time(seconds(1))));
+}
--- /dev/null
+++ b/tests/unit/backend_track_test.cpp
@@ -0,0 +1,76 @@
+#include "zinniagauge/decide/backend_track.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Backend backend(const char *name, std::uint64_t born = 1,
+                bool leaving = false) {
+  Backend b;
+  b.Name = name;
+  b.Born = born;
+  b.Id = EndpointId::of(b.Name + std::to_string(born));
+  b.Leaving = leaving;
+  return b;
+}
+
+/// Readings of one second apart.
+struct Reader {
+  BackendTrack Track;
+  Time Now = Time(seconds(100));
+
+  bool read(std::vector<Backend> list, Duration after = seconds(1)) {
+    Now += after;
+    return takeReading(Track, list, Now, Now);
+  }
+  [[nodiscard]] bool usableNow(const char *name) const {
+    for (const Backend &b : usable(Track).List)
+      if (b.Name == name && !b.Leaving)
+        return true;
+    return false;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an entry that vanishes is gone at once", "[backends]") {
+  Reader rd;
+  CHECK(rd.read({backend("a"), backend("b")}));
+  CHECK(rd.usableNow("b"));
+  CHECK(rd.read({backend("a")}));
+  CHECK_FALSE(rd.usableNow("b"));
+}
+
+TEST_CASE("after an outage missing entries have two seconds", "[backends]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a")}));
+  static_cast<void>(rd.read({}, seconds(6)));
+  CHECK(rd.usableNow("a"));
+  static_cast<void>(rd.read({}, seconds(1)));
+  CHECK(rd.usableNow("a"));
+  static_cast<void>(rd.read({}, milliseconds(1300)));
+  CHECK_FALSE(rd.usableNow("a"));
+}
+
+TEST_CASE("a life that was seen to leave stays so", "[backends]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a", 1, true)}));
+  CHECK_FALSE(rd.usableNow("a"));
+  // An old copy of the entry, or one written late.
+  static_cast<void>(rd.read({backend("a", 1, false)}));
+  CHECK_FALSE(rd.usableNow("a"));
+  static_cast<void>(rd.read({}));
+  static_cast<void>(rd.read({backend("a", 1, false)}));
+  CHECK_FALSE(rd.usableNow("a"));
+}
+
+TEST_CASE("another life of the same name may be used", "[backends]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a", 1, true)}));
+  static_cast<void>(rd.read({backend("a", 2)}));
+  CHECK(rd.usableNow("a"));
+}
--- /dev/null
+++ b/tests/unit/platform_rows_test.cpp
@@ -0,0 +1,106 @@
+#include "platform.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+
+namespace {
+
+/// Nothing if \p res failed.
+template <typename Fn> auto valueOf(Fn &&fn) {
+  using Value = std::decay_t<decltype(fn().value())>;
+  return handle([&] { return fn(); },
+                [](Value val) { return std::optional<Value>(std::move(val)); },
+                [](const Error &) { return std::optional<Value>(); });
+}
+
+constexpr const char *Config =
+    R"({"version":7,"routes":[{"name":"r1","host":"h.example","prefix":"/a/",
+"kind":"streaming","timeout_ms":12000,"target_latency_ms":1000,"priority":0,
+"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+"max_attempts":2,"allow_anonymous":false,"resume_streams":true,
+"target_gap_ms":500}],"services":[{"name":"s1","connection_limit":360,
+"engine":{"kv_cache_tokens":395317}}],"limits":{"max_header_bytes":16384,
+"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"tokens",
+"plain_tokens":200,"rate_per_s":230017,"burst":230017}]})";
+
+std::optional<Backend> entry(const std::string &text) {
+  return valueOf([&] { return platform::backendOf({"i-1", text, 1, false}); });
+}
+
+} // namespace
+
+TEST_CASE("a config is read into a plan", "[platform]") {
+  const auto plan = valueOf([] {
+    return platform::planOf({"config", Config, 1, false});
+  });
+  REQUIRE(plan);
+  CHECK(plan->Version == 7);
+  const PlanRoute *r = findRoute(*plan, "h.example", "/a/b");
+  REQUIRE(r);
+  CHECK(r->Kind == CallKind::Stream);
+  CHECK(r->Resumable);
+  CHECK(r->Pools.size() == 2);
+  CHECK(findKey(*plan, "k2")->Name == "t");
+  CHECK(findKey(*plan, "k3") == nullptr);
+  CHECK(plan->Workspaces.front().CountsTokens);
+}
+
+TEST_CASE("a config that can't be read is an error, not an empty plan",
+          "[platform]") {
+  for (const char *text : {"", "{", "[]", R"({"version":7})"})
+    CHECK_FALSE(valueOf([&] {
+      return platform::planOf({"config", text, 1, false});
+    }));
+}
+
+TEST_CASE("an entry of another writer names no back end", "[platform]") {
+  CHECK(entry(R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+      "version":"v1","slots":8,"state":"ready","sequence":4,"born":17})"));
+  for (const char *text : {"", "[1]", "\xff\xfe",
+                           R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+            "version":"v1","slots":"8","state":"ready","sequence":4})",
+                           R"({"service":"s","address":"nowhere","zone":"z",
+            "version":"v1","slots":8,"state":"ready","sequence":4})",
+                           R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+            "version":"v1","slots":8,"state":"odd","sequence":4})",
+                           R"({"service":7,"address":"10.0.0.1:80","zone":"z",
+            "version":"v1","slots":8,"state":"ready","sequence":4})"})
+    CHECK_FALSE(entry(text));
+}
+
+TEST_CASE("values of rows survive the store's encoding", "[platform]") {
+  const StoreDialect &st = platform::storeDialect();
+  TableTransaction tx;
+  tx.Ops.push_back({TableOpKind::Put, "n", "node-1", 0});
+  const StoreAsk ask = st.Write(StoreTable::Fronts, tx);
+  CHECK(ask.Body.find("\"bm9kZS0x\"") != std::string::npos);
+  for (const char *text : {"", "a", "ab", "abc", "abcd"}) {
+    TableTransaction one;
+    one.Ops.push_back({TableOpKind::Put, "n", text, 0});
+    const std::string body = st.Write(StoreTable::Fronts, one).Body;
+    const std::size_t at = body.find("\"value\":\"") + 9;
+    const std::string coded = body.substr(at, body.find('"', at) - at);
+    StoreAnswer answer;
+    answer.Status = 200;
+    answer.Body = R"({"rows":[{"table":"t","part":"","key":"n","value":")" +
+                  coded + R"(","schema_version":3}],"schema_version":9,
+                  "now_ms":5,"has_more":false})";
+    const auto rows = valueOf([&] { return st.Rows(answer); });
+    REQUIRE(rows);
+    CHECK(rows->Rows.front().Value == text);
+  }
+}
+
+TEST_CASE("answers of the store that aren't rows are errors", "[platform]") {
+  const StoreDialect &st = platform::storeDialect();
+  for (const int status : {0, 429, 500, 503}) {
+    StoreAnswer answer;
+    answer.Status = status;
+    CHECK_FALSE(valueOf([&] { return st.Rows(answer); }));
+  }
+  StoreAnswer gone;
+  gone.Status = 410;
+  CHECK(valueOf([&] { return st.Rows(gone); })->HistoryGone);
+}
--- /dev/null
+++ b/tests/unit/retry_window_test.cpp
@@ -0,0 +1,50 @@
+#include "zinniagauge/decide/retry_window.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("repeats are a share of the calls of the window", "[retry]") {
+  RetryWindow win;
+  const RetryAllowance al{0.2, 1, seconds(10)};
+  const Time now(seconds(100));
+  for (int n = 0; n < 50; ++n)
+    noteCall(win, al, now);
+  int taken = 0;
+  while (takeRepeat(win, al, now))
+    ++taken;
+  CHECK(taken == 11);
+}
+
+TEST_CASE("calls count no longer than a window", "[retry]") {
+  RetryWindow win;
+  const RetryAllowance al{0.2, 0, seconds(10)};
+  for (int n = 0; n < 50; ++n)
+    noteCall(win, al, Time(seconds(100)));
+  CHECK(takeRepeat(win, al, Time(seconds(109))));
+  CHECK_FALSE(takeRepeat(win, al, Time(seconds(111))));
+}
+
+TEST_CASE("no span of the window's length holds more repeats than allowed",
+          "[retry]") {
+  RetryWindow win;
+  const RetryAllowance al{0.2, 5, seconds(10)};
+  std::vector<Time> repeats;
+  Time now(seconds(100));
+  for (int n = 0; n < 3000; ++n) {
+    now += milliseconds(20);
+    noteCall(win, al, now);
+    if (takeRepeat(win, al, now))
+      repeats.push_back(now);
+  }
+  for (std::size_t n = 0; n < repeats.size(); ++n) {
+    std::size_t in = 0;
+    while (n + in < repeats.size() &&
+           repeats[n + in] < repeats[n] + seconds(10))
+      ++in;
+    // 500 calls a window; a slice of it may count on either side.
+    REQUIRE(static_cast<double>(in) <= 500 * 0.2 + 5 + 500 * 0.2 / 20);
+  }
+}
--- /dev/null
+++ b/tests/unit/traffic_plan_test.cpp
@@ -0,0 +1,48 @@
+#include "zinniagauge/board/traffic_plan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+
+namespace {
+
+TrafficPlan
+planWith(std::initializer_list<std::pair<const char *, const char *>>
+             hostsandprefixes) {
+  TrafficPlan plan;
+  for (const auto &[host, prefix] : hostsandprefixes) {
+    PlanRoute r;
+    r.Name = std::string(host) + prefix;
+    r.Host = host;
+    r.Prefix = prefix;
+    plan.Routes.push_back(std::move(r));
+  }
+  indexPlan(plan);
+  return plan;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins", "[plan]") {
+  const TrafficPlan plan = planWith(
+      {{"a.example", "/x/"}, {"a.example", "/x/y/"}, {"b.example", "/"}});
+  CHECK(findRoute(plan, "a.example", "/x/y/z")->Prefix == "/x/y/");
+  CHECK(findRoute(plan, "A.example:80", "/x/z")->Prefix == "/x/");
+  CHECK(findRoute(plan, "b.example", "/x/z")->Host == "b.example");
+}
+
+TEST_CASE("a path without a matching prefix has no route", "[plan]") {
+  const TrafficPlan plan = planWith({{"a.example", "/x/"}});
+  CHECK(findRoute(plan, "a.example", "/x") == nullptr);
+  CHECK(findRoute(plan, "a.example", "/xy/") == nullptr);
+  CHECK(findRoute(plan, "c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("weights divide the draws exactly", "[plan]") {
+  PlanRoute r;
+  r.Pools = {{PoolId{1}, 90}, {PoolId{2}, 10}};
+  int second = 0;
+  for (std::uint64_t draw = 0; draw < 1000; ++draw)
+    second += drawPool(r, draw) == PoolId{2} ? 1 : 0;
+  CHECK(second == 100);
+}
