--- a/include/zinniagauge/board/demand.h
+++ b/include/zinniagauge/board/demand.h
@@ -22,6 +22,19 @@
   std::vector<Demand> List;
 };
 
+/// What was spent for one workspace since the process began, or by several.
+struct Spent {
+  WorkspaceId Workspace;
+  std::uint64_t Total = 0;
+
+  bool operator==(const Spent &) const = default;
+};
+
+/// The spent section of the board, sorted by workspace.
+struct SpentList {
+  std::vector<Spent> List;
+};
+
 /// Which part of a workspace's limit this process may spend.
 struct AllowanceShare {
   WorkspaceId Workspace;
--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -20,14 +20,20 @@
   Cell<TrafficPlan> Plan;       // Written by the plan controller.
   Cell<BackendList> Backends;   // Written by the discovery controller.
   Cell<AllowanceShares> Shares; // Written by the peer controller.
-  Cell<LoadList> PeerLoads;     // Written by the peer controller.
+  Cell<LoadList> PeerLoads;     // Written by the gossip controller.
   Cell<LoadList> OwnLoads;      // Written by the request loop.
   Cell<DemandList> Demands;     // Written by the request loop.
+  Cell<SpentList> OwnSpent;     // Written by the request loop.
+  Cell<SpentList> PeerSpent;    // Written by the gossip controller.
 
   /// When the newest reading was asked for that proved the plan to be the
   /// latest: nanoseconds of bootNow; zero before the first.
   std::atomic<std::int64_t> PlanProven{0};
   std::atomic<std::uint64_t> PlanVersion{0};
+
+  /// Since when every living peer has been heard: the least of the times at
+  /// which each was heard last, nanoseconds of monotonicNow.
+  std::atomic<std::int64_t> PeersHeard{0};
   std::atomic<bool> Stopping{false}; // Written by whoever stops the process.
 };
 
--- a/include/zinniagauge/board/load.h
+++ b/include/zinniagauge/board/load.h
@@ -1,4 +1,5 @@
-// How many calls run at back ends, by what one process knows.
+// How many calls run at back ends, and how fast those are, by what one process
+// knows.
 #ifndef ZINNIAGAUGE_BOARD_LOAD_H
 #define ZINNIAGAUGE_BOARD_LOAD_H
 
@@ -13,6 +14,8 @@
 struct BackendLoad {
   EndpointId Id;
   std::uint32_t Running = 0;
+  std::uint32_t PendingTokens = 0; // Of prompts that are still to be read.
+  std::uint32_t EventMicros = 0;   // Time for an event; zero: unknown.
 
   bool operator==(const BackendLoad &) const = default;
 };
@@ -22,9 +25,8 @@
   std::vector<BackendLoad> List;
 };
 
-/// The load of \p id, or zero.
-[[nodiscard]] std::uint32_t loadOf(const LoadList &loads,
-                                   EndpointId id) noexcept;
+/// The load of \p id; one without calls if it isn't listed.
+[[nodiscard]] BackendLoad loadOf(const LoadList &loads, EndpointId id) noexcept;
 
 } // namespace zinniagauge
 
--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -3,6 +3,7 @@
 #ifndef ZINNIAGAUGE_DECIDE_ALLOWANCE_H
 #define ZINNIAGAUGE_DECIDE_ALLOWANCE_H
 
+#include "zinniagauge/board/address.h"
 #include "zinniagauge/board/demand.h"
 #include "zinniagauge/board/traffic_plan.h"
 #include "zinniagauge/time/clock.h"
@@ -19,6 +20,7 @@
 /// What a process published of itself.
 struct PeerDemand {
   std::string Name;
+  PeerAddress Address;    // Of its reports.
   std::uint64_t Life = 0; // Random; another life is another process.
   std::uint64_t Beat = 0; // Rises with each publication.
   std::vector<Demand> Demands;
@@ -26,7 +28,7 @@
 
 /// The part of a limit that is split evenly, so that demand that moves to a
 /// process finds something there; the rest follows demand.
-inline constexpr double EvenPart = 0.25;
+inline constexpr double EvenPart = 0.5;
 
 /// How long a process that publishes nothing still counts: it may spend until
 /// its proof of the configuration is too old to serve keys (FreshnessLimits),
@@ -68,21 +70,41 @@
 [[nodiscard]] double bucketSize(const PlanWorkspace &ws,
                                 const AllowanceMargin &margin) noexcept;
 
-/// A token bucket of one workspace in one process.
+/// A token bucket.
 struct AllowanceBucket {
   double Level = 0;
   Time Filled;
   bool Started = false;
 };
 
-/// Takes \p cost from the bucket. Nothing if it fits, else after how long it
-/// would.
+/// What one process keeps of one workspace: the bucket of its own share, and
+/// the bucket of all processes as far as it knows what the others spent.
+struct AllowanceState {
+  AllowanceBucket Own;
+  AllowanceBucket All;
+  std::uint64_t PeersSeen = 0; // Of what peers spent, taken from All so far.
+  std::uint64_t Total = 0;     // Spent by this process.
+};
+
+/// What is known of the other processes.
+struct PeerSpending {
+  bool Heard = false; // All were heard just now, so All may be relied on.
+  std::uint64_t Total = 0;
+};
+
+/// Until when a peer that was heard counts as heard: some reports may be lost.
+inline constexpr Duration HeardFor = std::chrono::milliseconds(700);
+
+/// Takes \p cost for a call of \p ws. Nothing if it fits, else after how long
+/// it would. While all peers are heard what all have spent decides; without
+/// them only this process's share may be spent.
 [[nodiscard]] std::optional<Duration>
-takeAllowance(AllowanceBucket &bucket, const PlanWorkspace &ws, double share,
-              const AllowanceMargin &margin, double cost, Time now) noexcept;
+takeAllowance(AllowanceState &st, const PlanWorkspace &ws, double share,
+              const PeerSpending &peers, const AllowanceMargin &margin,
+              double cost, Time now) noexcept;
 
 /// Returns \p cost that wasn't spent.
-void giveBack(AllowanceBucket &bucket, double cost) noexcept;
+void giveBack(AllowanceState &st, double cost) noexcept;
 
 } // namespace zinniagauge
 
--- a/include/zinniagauge/decide/backend_choice.h
+++ b/include/zinniagauge/decide/backend_choice.h
@@ -1,4 +1,5 @@
-// Choosing the back end of a call among those of its pool.
+// Choosing the back end of a call among those of its pool, which may differ in
+// speed by several times.
 #ifndef ZINNIAGAUGE_DECIDE_BACKEND_CHOICE_H
 #define ZINNIAGAUGE_DECIDE_BACKEND_CHOICE_H
 
@@ -16,24 +17,30 @@
   EndpointId Id;
   double Running = 0; // Calls there, of all processes, as far as known.
   double Slots = 1;
-  double Speed = 1;   // Relative to the pool's mean; higher is faster.
+  double PendingTokens = 0; // Of prompts that are to be read before.
+  double EventMs = 0;       // Time for an event of a stream, or for an answer.
   bool Usable = true; // Neither leaving nor passed over nor tried already.
   bool SameZone = false;
-  double CachedShare = 0; // Of the prompt that it keeps, as far as known.
 };
 
-/// What a choice weighs, in slots of load.
+/// What a choice weighs.
 struct ChoiceWeights {
-  double Room = 1.0;   // Of its slots that a back end may be given.
-  double Cached = 3.0; // For a whole prompt that is kept.
-  double Home = 0.8;   // For the back end that all processes prefer.
-  double Zone = 0.05;  // For one in the own zone.
+  double Room = 1.0;    // Of its slots that a back end may be given.
+  double Rest = 0.5;    // Of the time after the first event, against before.
+  double Crowd = 1.0;   // Slowdown of a full back end against an empty one.
+  double ZoneMs = 1.0;  // For one in another zone.
+  double LateMs = 3000; // For a first event after its target.
+  double UnendedMs = 20000; // For an answer that ends after the caller's time.
+  double SlotPrice = 0.5;   // Of a fast back end's slot, as part of its gain.
 };
 
 /// What is to be placed.
 struct ChoiceWork {
-  std::uint64_t Affinity = 0; // Hash of what a back end may keep; 0: nothing.
-  double Tokens = 0;          // Of the prompt.
+  double PromptTokens = 0;
+  double Events = 1;   // That are expected; of a plain answer one.
+  double PromptMs = 0; // Time for a prompt token at mean speed.
+  double TargetMs = 0; // Left until the first event is late.
+  double LeftMs = 0;   // Left of the caller's time.
 };
 
 /// The index of the best candidate that has room; nothing if none has.
@@ -41,10 +48,9 @@
 chooseBackend(std::span<const Candidate> list, const ChoiceWork &work,
               const ChoiceWeights &wt) noexcept;
 
-/// The rank that all processes give \p id for \p affinity: the highest is the
-/// home of what the affinity stands for (rendezvous hashing).
-[[nodiscard]] std::uint64_t homeRank(std::uint64_t affinity,
-                                     EndpointId id) noexcept;
+/// The mean time for an event over \p list, of those that are known; zero if
+/// none is.
+[[nodiscard]] double meanEventMs(std::span<const Candidate> list) noexcept;
 
 } // namespace zinniagauge
 
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -58,8 +58,9 @@
 /// What a call says of its work.
 struct CallWork {
   std::uint64_t PromptTokens = 0;
-  std::uint64_t OutputTokens = 0;
-  std::uint64_t Affinity = 0; // Of its session; zero: none.
+  std::uint64_t OutputTokens = 0; // At most.
+  std::uint64_t HintTokens = 0;   // That the caller expects; zero: unknown.
+  double Events = 1;              // That are expected.
 };
 
 /// The stream that a caller gets.
@@ -69,6 +70,8 @@
   std::string Tail; // The start of an event that isn't whole.
   Time FirstAt;
   Time LastAt;
+  Time MarkAt; // Of the last measurement of its back end's pace.
+  std::uint32_t MarkEvents = 0;
   Duration LongestGap = Duration::zero();
 };
 
@@ -97,6 +100,9 @@
   Duration QueueTime = Duration::zero();
   std::vector<EndpointId> Tried;
   EndpointId At; // Where it was sent last.
+  Time SentAt;
+  std::uint64_t TokensAhead =
+      0; // Prompt tokens to be read there before its own.
 
   Caller *From = nullptr; // Null once it has left.
   BackendLink *Link = nullptr;
--- a/include/zinniagauge/front/dialect.h
+++ b/include/zinniagauge/front/dialect.h
@@ -19,7 +19,7 @@
   std::string_view Seal;        // Of an answer: proves whose it is.
   std::string_view Load;        // Of an answer: "running,waiting,slots".
   std::string_view Tokens;      // "prompt,most output".
-  std::string_view PromptParts; // "id:tokens,id:tokens,..."
+  std::string_view LengthHint;  // Tokens that the caller expects.
   std::string_view ResumeAfter; // Id of the last event that was received.
   std::span<const std::string_view> Own; // Dropped from what callers send.
   std::string_view ReadyPath;            // Of the status address.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -49,7 +49,8 @@
   bool HeadSeen = false;
   bool Skipping = false; // The answer is another call's.
   bool Streaming = false;
-  bool Spent = false; // Not to be used again.
+  bool Spent = false;              // Not to be used again.
+  std::uint64_t PendingTokens = 0; // Of its call's prompt, until it answers.
   std::uint32_t Uses = 0;
   Time IdleSince;
   Duration KeepFor = Duration::zero();
@@ -60,8 +61,10 @@
 struct BackendState {
   Backend Info;
   bool Listed = true;
-  bool WrongLife = false;    // Something else answers at its address.
-  std::uint32_t Running = 0; // Calls of this process there.
+  bool WrongLife = false;          // Something else answers at its address.
+  std::uint32_t Running = 0;       // Calls of this process there.
+  std::uint64_t PendingTokens = 0; // Of prompts that haven't answered yet.
+  double EventMs = 0;              // Time for an event; zero: not known yet.
   ResultRecord Results;
   std::vector<BackendLink *> Idle; // The one used last is at the back.
   std::uint32_t Links = 0;
@@ -73,12 +76,7 @@
   std::set<std::pair<CallRank, Call *>> Queue;
   RetryWindow Retries;
   ResultRecord Results;
-};
-
-/// Where a session's prompt was sent last.
-struct SessionPlace {
-  EndpointId Backend;
-  Time At;
+  double PromptMs = 0; // Time for a prompt token at mean speed.
 };
 
 /// The state of the loop's thread.
@@ -101,9 +99,8 @@
   std::unordered_map<BackendLink *, std::shared_ptr<BackendLink>> Links;
   std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Backends;
   std::unordered_map<PoolId, PoolState> Pools;
-  std::unordered_map<WorkspaceId, AllowanceBucket> Allowances;
+  std::unordered_map<WorkspaceId, AllowanceState> Allowances;
   std::unordered_map<WorkspaceId, double> Asked; // Cost since the last report.
-  std::unordered_map<std::uint64_t, SessionPlace> Sessions;
   OutlierLimits Outliers;
   ChoiceWeights Weights;
   std::vector<Candidate> Scratch;
@@ -189,6 +186,16 @@
 /// A connection to \p to was refused, reset or stayed silent.
 void noteLost(RequestLoop &rl, BackendState &to);
 
+/// Prompt tokens that are to be read at \p to before those of another call.
+[[nodiscard]] std::uint64_t tokensAhead(const RequestLoop &rl,
+                                        const BackendState &to);
+
+/// The first event of \p call has come: learns how long prompts take.
+void notePrompt(RequestLoop &rl, const Call &call);
+
+/// \p span passed for \p events events, or for a plain answer.
+void notePace(BackendState &to, Duration span, std::uint32_t events);
+
 /// \p to answered a call in full.
 void noteAnswer(RequestLoop &rl, BackendState &to, bool failed);
 
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -10,6 +10,7 @@
 #include "zinniagauge/net/loop.h"
 #include "zinniagauge/observe/event_log.h"
 #include "zinniagauge/observe/front_metrics.h"
+#include "zinniagauge/store/gossip.h"
 #include "zinniagauge/store/store_dialect.h"
 #include "zinniagauge/store/store_link.h"
 
@@ -74,6 +75,7 @@
   PlanFollower Plans;
   BackendReader Discovery;
   PeerKeeper Peers;
+  Gossip Talk;
   std::function<void()> OnChange; // The board has changed; on this loop.
 };
 
--- /dev/null
+++ b/include/zinniagauge/store/gossip.h
@@ -0,0 +1,77 @@
+// What fronts tell each other by datagrams, and what it adds up to.
+#ifndef ZINNIAGAUGE_STORE_GOSSIP_H
+#define ZINNIAGAUGE_STORE_GOSSIP_H
+
+#include "zinniagauge/board/address.h"
+#include "zinniagauge/board/demand.h"
+#include "zinniagauge/board/load.h"
+#include "zinniagauge/net/loop.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace zinniagauge {
+
+struct Controllers;
+
+/// One front's report.
+struct GossipReport {
+  std::uint64_t Node = 0; // nameHash of its name.
+  std::uint64_t Life = 0;
+  std::uint64_t Beat = 0;
+  std::vector<BackendLoad> Loads;
+  std::vector<Spent> SpentTotals;
+};
+
+/// \p rep as a datagram.
+[[nodiscard]] std::string encodeReport(const GossipReport &rep);
+
+/// The inverse of encodeReport; nothing if \p raw is no report.
+[[nodiscard]] std::optional<GossipReport>
+decodeReport(std::span<const char> raw);
+
+/// What was heard of the other fronts.
+struct GossipBook {
+  struct Peer {
+    GossipReport Last;
+    Time Heard;
+  };
+  std::map<std::uint64_t, Peer> Peers;           // By node.
+  std::map<WorkspaceId, std::uint64_t> Departed; // Spent by earlier lives.
+};
+
+/// Takes in a report; older ones than the last of its life are passed over.
+void takeReport(GossipBook &book, GossipReport rep, Time now);
+
+/// The loads of all peers that were heard within \p memory, added up.
+[[nodiscard]] LoadList peerLoads(const GossipBook &book, Time now,
+                                 Duration memory);
+
+/// What all peers ever spent, as far as it was heard. It never falls.
+[[nodiscard]] SpentList peerSpent(const GossipBook &book);
+
+/// Sends and receives reports.
+struct Gossip {
+  Gossip() = default;
+  Gossip(const Gossip &) = delete;
+  Gossip &operator=(const Gossip &) = delete;
+  ~Gossip();
+
+  Controllers *Owner = nullptr;
+  Watch Socket;
+  LoopTimer Timer;
+  std::uint64_t Life = 0;
+  std::uint64_t Beat = 0;
+  GossipBook Book;
+};
+
+/// Opens the socket and starts. Fails with Unavailable.
+[[nodiscard]] Result<void> startGossip(Gossip &go);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_STORE_GOSSIP_H
--- /dev/null
+++ b/schema/gossip.capnp
@@ -0,0 +1,26 @@
+# What fronts tell each other several times a second, by datagrams. Fields are
+# only ever added.
+@0xd2a7f64c1b3e9058;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("zinniagauge::wire");
+
+struct FrontReport {
+  node @0 :UInt64;            # Hash of the front's name.
+  life @1 :UInt64;            # Random; another life is another process.
+  beat @2 :UInt64;            # Rises with each report.
+  loads @3 :List(FrontLoad);
+  spent @4 :List(FrontSpent);
+}
+
+struct FrontLoad {
+  backend @0 :UInt64;
+  running @1 :UInt32;         # Calls of this front there.
+  pendingTokens @2 :UInt32;   # Prompt tokens of those that haven't answered.
+  eventMicros @3 :UInt32;     # Time for an event, as this front saw it; 0: unknown.
+}
+
+struct FrontSpent {
+  workspace @0 :UInt64;
+  total @1 :UInt64;           # Cost of all calls since this life began.
+}
--- a/src/board/load.cpp
+++ b/src/board/load.cpp
@@ -4,11 +4,12 @@
 
 namespace zinniagauge {
 
-std::uint32_t loadOf(const LoadList &loads, EndpointId id) noexcept {
+BackendLoad loadOf(const LoadList &loads, EndpointId id) noexcept {
   const auto it = std::lower_bound(
       loads.List.begin(), loads.List.end(), id,
       [](const BackendLoad &l, EndpointId key) { return l.Id < key; });
-  return it != loads.List.end() && it->Id == id ? it->Running : 0;
+  return it != loads.List.end() && it->Id == id ? *it
+                                                : BackendLoad{id, 0, 0, 0};
 }
 
 } // namespace zinniagauge
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -76,14 +76,11 @@
   return std::max(ws.Burst, UsedMargin * (limit - steady));
 }
 
-std::optional<Duration> takeAllowance(AllowanceBucket &bucket,
-                                      const PlanWorkspace &ws, double share,
-                                      const AllowanceMargin &margin,
-                                      double cost, Time now) noexcept {
-  if (ws.RatePerSecond <= 0)
-    return std::nullopt;
-  const double rate = ws.RatePerSecond * share;
-  const double most = bucketSize(ws, margin) * share;
+namespace {
+
+/// Fills \p bucket up to \p now.
+void fill(AllowanceBucket &bucket, double rate, double most,
+          Time now) noexcept {
   if (!bucket.Started) {
     bucket.Started = true;
     bucket.Level = most;
@@ -92,13 +89,15 @@
   bucket.Level += rate * secondsOf(now - bucket.Filled);
   bucket.Level = std::min(bucket.Level, most);
   bucket.Filled = now;
-  // A call larger than the whole bucket passes once the bucket is full, and
-  // leaves a debt.
+}
+
+/// Nothing if \p cost fits, else after how long it would. A cost larger than
+/// the whole bucket fits once the bucket is full, and leaves a debt.
+std::optional<Duration> waitFor(const AllowanceBucket &bucket, double rate,
+                                double most, double cost) noexcept {
   const double needed = std::min(cost, most);
-  if (bucket.Level >= needed && most > 0) {
-    bucket.Level -= cost;
+  if (bucket.Level >= needed && most > 0)
     return std::nullopt;
-  }
   constexpr double LongestWait = 5; // Seconds; shares change meanwhile.
   const double wait =
       rate > 0 ? std::min((needed - bucket.Level) / rate, LongestWait)
@@ -107,8 +106,38 @@
       std::chrono::duration<double>(wait));
 }
 
-void giveBack(AllowanceBucket &bucket, double cost) noexcept {
-  bucket.Level += cost;
+} // namespace
+
+std::optional<Duration> takeAllowance(AllowanceState &st,
+                                      const PlanWorkspace &ws, double share,
+                                      const PeerSpending &peers,
+                                      const AllowanceMargin &margin,
+                                      double cost, Time now) noexcept {
+  if (ws.RatePerSecond <= 0)
+    return std::nullopt;
+  const double most = bucketSize(ws, margin);
+  fill(st.All, ws.RatePerSecond, most, now);
+  fill(st.Own, ws.RatePerSecond * share, most * share, now);
+  // Totals only rise, but for peers that were forgotten with what they spent.
+  if (peers.Total > st.PeersSeen)
+    st.All.Level -= static_cast<double>(peers.Total - st.PeersSeen);
+  st.PeersSeen = peers.Total;
+  const auto wait = peers.Heard ? waitFor(st.All, ws.RatePerSecond, most, cost)
+                                : waitFor(st.Own, ws.RatePerSecond * share,
+                                          most * share, cost);
+  if (wait)
+    return wait;
+  st.All.Level -= cost;
+  // While it follows what all spend, this process may go beyond its share; a
+  // debt of a whole bucket is enough to be careful afterwards.
+  st.Own.Level = std::max(st.Own.Level - cost, -most * share);
+  st.Total += static_cast<std::uint64_t>(cost);
+  return std::nullopt;
+}
+
+void giveBack(AllowanceState &st, double cost) noexcept {
+  st.All.Level += cost;
+  st.Own.Level += cost;
 }
 
 } // namespace zinniagauge
--- a/src/decide/backend_choice.cpp
+++ b/src/decide/backend_choice.cpp
@@ -1,39 +1,84 @@
 #include "zinniagauge/decide/backend_choice.h"
 
-#include "zinniagauge/decide/random.h"
+#include <algorithm>
 
 namespace zinniagauge {
 
-std::uint64_t homeRank(std::uint64_t affinity, EndpointId id) noexcept {
-  return mix64(affinity ^ mix64(id.Value));
+namespace {
+
+/// What all costs of one choice are worked out from.
+struct PoolSpeed {
+  double MeanMs = 1; // Of an event.
+  double MostMs = 1; // Of the slowest back end.
+  double Busy = 0;   // Part of all slots that are taken.
+};
+
+PoolSpeed speedOf(std::span<const Candidate> list) noexcept {
+  PoolSpeed sp;
+  const double mean = meanEventMs(list);
+  sp.MeanMs = mean > 0 ? mean : 1;
+  sp.MostMs = sp.MeanMs;
+  double running = 0;
+  double slots = 0;
+  for (const Candidate &c : list) {
+    if (!c.Usable)
+      continue;
+    sp.MostMs = std::max(sp.MostMs, c.EventMs);
+    running += c.Running;
+    slots += c.Slots;
+  }
+  sp.Busy = slots > 0 ? std::min(running / slots, 1.0) : 0;
+  return sp;
+}
+
+/// The time that the call takes at \p c and what it takes from others, in ms.
+double costAt(const Candidate &c, const PoolSpeed &sp, const ChoiceWork &work,
+              const ChoiceWeights &wt) noexcept {
+  const double event = c.EventMs > 0 ? c.EventMs : sp.MeanMs;
+  const double slowness = event / sp.MeanMs;
+  const double crowd = 1 + wt.Crowd * c.Running / c.Slots;
+  const double first =
+      (c.PendingTokens + work.PromptTokens) * work.PromptMs * slowness +
+      event * crowd;
+  const double rest = (work.Events - 1) * event * crowd;
+  double cost = first + wt.Rest * rest;
+  if (first > work.TargetMs)
+    cost += wt.LateMs;
+  if (first + rest > work.LeftMs)
+    cost += wt.UnendedMs;
+  // The slot of a fast back end is worth more to a long call: the fuller the
+  // pool, the more of that a short call has to pay.
+  cost += wt.SlotPrice * sp.Busy * (sp.MostMs - event);
+  if (!c.SameZone)
+    cost += wt.ZoneMs;
+  return cost;
+}
+
+} // namespace
+
+double meanEventMs(std::span<const Candidate> list) noexcept {
+  double sum = 0;
+  double known = 0;
+  for (const Candidate &c : list)
+    if (c.EventMs > 0) {
+      sum += c.EventMs;
+      ++known;
+    }
+  return known > 0 ? sum / known : 0;
 }
 
 std::optional<std::size_t> chooseBackend(std::span<const Candidate> list,
                                          const ChoiceWork &work,
                                          const ChoiceWeights &wt) noexcept {
-  // The home is found among all, so that one that is busy for a moment doesn't
-  // move it.
-  std::optional<std::size_t> home;
-  if (work.Affinity != 0)
-    for (std::size_t n = 0; n < list.size(); ++n)
-      if (list[n].Usable &&
-          (!home || homeRank(work.Affinity, list[n].Id) >
-                        homeRank(work.Affinity, list[*home].Id)))
-        home = n;
+  const PoolSpeed sp = speedOf(list);
   std::optional<std::size_t> best;
   double bestcost = 0;
   for (std::size_t n = 0; n < list.size(); ++n) {
     const Candidate &c = list[n];
-    if (!c.Usable || c.Running + 1 > c.Slots * wt.Room + 1e-9)
+    constexpr double Rounding = 1e-9;
+    if (!c.Usable || c.Running + 1 > c.Slots * wt.Room + Rounding)
       continue;
-    // Load is in calls of an engine of mean speed with eight slots.
-    constexpr double UsualSlots = 8;
-    double cost = (c.Running + 1) / c.Slots / c.Speed * UsualSlots;
-    cost -= wt.Cached * c.CachedShare;
-    if (home && *home == n)
-      cost -= wt.Home;
-    if (c.SameZone)
-      cost -= wt.Zone;
+    const double cost = costAt(c, sp, work, wt);
     if (!best || cost < bestcost) {
       best = n;
       bestcost = cost;
--- a/src/front/backend_link.cpp
+++ b/src/front/backend_link.cpp
@@ -43,9 +43,16 @@
   rl.Links.erase(it);
 }
 
+/// The back end has begun to answer, or never will.
+void settlePending(BackendLink &lk) {
+  lk.To->PendingTokens -= lk.PendingTokens;
+  lk.PendingTokens = 0;
+}
+
 /// Takes the call off its link; the back end has one call less.
 std::shared_ptr<Call> release(BackendLink &lk) {
   std::shared_ptr<Call> call = std::move(lk.For);
+  settlePending(lk);
   if (call) {
     call->Link = nullptr;
     --lk.To->Running;
@@ -158,6 +165,7 @@
   lk.Body = std::string();
   if (part.empty() || !call)
     return true;
+  settlePending(lk);
   if (onEvents(call, headOf(lk.Parser), part))
     return lk.For != nullptr;
   if (lk.For)
@@ -344,7 +352,11 @@
     lk = openLink(rl, to);
   if (!lk)
     return false;
+  call->SentAt = rl.Lp.Now;
+  call->TokensAhead = tokensAhead(rl, to);
   lk->For = call;
+  lk->PendingTokens = call->Work.PromptTokens;
+  to.PendingTokens += lk->PendingTokens;
   ++lk->Uses;
   ++to.Running;
   call->Link = lk;
@@ -356,6 +368,8 @@
     add(line, "attempt", std::int64_t{call->Facts.Sent} + 1);
     add(line, "kept", std::int64_t{kept ? 1 : 0});
     add(line, "running_own", std::int64_t{to.Running});
+    add(line, "tokens_ahead", static_cast<std::int64_t>(call->TokensAhead));
+    add(line, "event_us", static_cast<std::int64_t>(to.EventMs * 1000));
     add(line, "waited_ms", call->QueueTime);
     add(line, "left_ms", call->Due - rl.Lp.Now);
     add(line, "plan", static_cast<std::int64_t>(call->Plan.Version));
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -21,8 +21,11 @@
 /// When it is told to come back if another front will serve it at once.
 constexpr Duration ComeBackElsewhere = std::chrono::milliseconds(20);
 
-/// Sessions that are remembered.
-constexpr std::size_t MostSessions = 8192;
+/// Events after which a stream says how fast its back end is.
+constexpr std::uint32_t PaceEvents = 8;
+
+/// Events of a stream whose caller states no length.
+constexpr double UsualEvents = 16;
 
 /// Why a call isn't admitted.
 struct Denial {
@@ -39,7 +42,7 @@
   return val;
 }
 
-/// "prompt,output" of the tokens header, and the session of the prompt's parts.
+/// "prompt,output" of the tokens header, and the length that is expected.
 CallWork workOf(const Call &call, const Dialect &names) {
   CallWork work;
   const auto tokens = findField(call.Head.Fields, names.Tokens);
@@ -49,15 +52,8 @@
     if (comma != std::string_view::npos)
       work.OutputTokens = numberOf(tokens->substr(comma + 1)).value_or(0);
   }
-  const auto parts = findField(call.Head.Fields, names.PromptParts);
-  if (parts && !parts->empty()) {
-    const std::size_t last = parts->rfind(',');
-    std::string_view part =
-        last == std::string_view::npos ? *parts : parts->substr(last + 1);
-    while (part.starts_with(' '))
-      part.remove_prefix(1);
-    work.Affinity = nameHash(part.substr(0, part.find(':')));
-  }
+  if (const auto hint = findField(call.Head.Fields, names.LengthHint))
+    work.HintTokens = numberOf(*hint).value_or(0);
   return work;
 }
 
@@ -83,6 +79,14 @@
     cp.Workspace = ws->Id;
     cp.WorkspaceName = ws->Name;
   }
+  const PlanPool *pool = findPool(plan, cp.Pool);
+  if (route.Kind != CallKind::Stream)
+    call.Work.Events = 1;
+  else if (call.Work.HintTokens > 0 && pool)
+    call.Work.Events =
+        static_cast<double>(call.Work.HintTokens) / pool->TokensPerEvent;
+  else
+    call.Work.Events = UsualEvents;
   call.Facts.Kind = route.Kind;
   call.Facts.Resumable = route.Resumable;
   call.Facts.MostAttempts = std::max(route.MostAttempts, 1U);
@@ -129,6 +133,19 @@
   return it != sh.List.end() && it->Workspace == id ? it->Share : sh.Default;
 }
 
+/// What the other processes spent for a workspace.
+PeerSpending peersOf(RequestLoop &rl, WorkspaceId id) {
+  const Time heard = fromNanos(rl.Board.PeersHeard.load());
+  PeerSpending out;
+  out.Heard = rl.Lp.Now - heard < HeardFor;
+  const ReadGuard guard;
+  const SpentList &list = rl.Board.PeerSpent.read(guard);
+  for (const Spent &s : list.List)
+    if (s.Workspace == id)
+      out.Total = s.Total;
+  return out;
+}
+
 void logSpent(RequestLoop &rl, const Call &call, const PlanWorkspace &ws,
               double cost) {
   if (!rl.Log.wantsCalls())
@@ -138,7 +155,10 @@
   add(line, "call", call.Id);
   add(line, "workspace", ws.Name);
   add(line, "cost", static_cast<std::int64_t>(cost));
-  add(line, "level", static_cast<std::int64_t>(rl.Allowances[ws.Id].Level));
+  const AllowanceState &st = rl.Allowances[ws.Id];
+  add(line, "level_all", static_cast<std::int64_t>(st.All.Level));
+  add(line, "level_own", static_cast<std::int64_t>(st.Own.Level));
+  add(line, "peers_heard", std::int64_t{peersOf(rl, ws.Id).Heard ? 1 : 0});
   add(line, "rate_per_s", static_cast<std::int64_t>(ws.RatePerSecond));
   add(line, "share_permille",
       static_cast<std::int64_t>(shareOf(rl, ws.Id) * Permille));
@@ -164,7 +184,7 @@
   rl.Asked[it->Id] += cost;
   const auto wait =
       takeAllowance(rl.Allowances[it->Id], *it, shareOf(rl, it->Id),
-                    rl.Settings.Margin, cost, rl.Lp.Now);
+                    peersOf(rl, it->Id), rl.Settings.Margin, cost, rl.Lp.Now);
   if (wait) {
     logSpent(rl, call, *it, cost);
     return Denial{429, "allowance spent", *wait};
@@ -234,12 +254,14 @@
   return std::max(now, std::min(call.Due, call.Arrived + call.Plan.Target));
 }
 
-void rememberSession(RequestLoop &rl, const Call &call) {
-  if (call.Work.Affinity == 0)
+/// Learns from the events that have come how fast the back end is.
+void measurePace(RequestLoop &rl, const Call &call, StreamState &st) {
+  if (st.Events - st.MarkEvents < PaceEvents)
     return;
-  if (rl.Sessions.size() >= MostSessions)
-    rl.Sessions.erase(rl.Sessions.begin());
-  rl.Sessions[call.Work.Affinity] = {call.At, rl.Lp.Now};
+  if (BackendState *b = backendOf(rl, call))
+    notePace(*b, st.LastAt - st.MarkAt, st.Events - st.MarkEvents);
+  st.MarkAt = st.LastAt;
+  st.MarkEvents = st.Events;
 }
 
 void logAttemptEnd(RequestLoop &rl, const Call &call, AttemptEnd end,
@@ -373,7 +395,6 @@
   }
   call->Phase = CallPhase::Sent;
   ++call->Facts.Sent;
-  rememberSession(rl, *call);
   arm(rl.Lp, call->Timer, call->Due);
 }
 
@@ -403,6 +424,8 @@
   }
   facts.TimeLeft = rl.Lp.Now < call->Due;
   call->Stream.Tail.clear();
+  call->Stream.MarkEvents = call->Stream.Events;
+  call->Stream.MarkAt = rl.Lp.Now;
   const bool again = takeAgain(rl, *call, end);
   logAttemptEnd(rl, *call, end, why, again);
   if (!call->From) {
@@ -441,8 +464,11 @@
   const bool sound = !good || (findField(head.Fields, rl.Names.Seal) &&
                                !findField(head.Fields, "Content-Encoding"));
   const bool failed = head.Status >= 500 || promisesNotRun(head.Status);
-  if (b)
+  if (b) {
     noteAnswer(rl, *b, failed || !sound);
+    if (call->Facts.Kind != CallKind::Stream)
+      notePace(*b, rl.Lp.Now - call->SentAt, 1);
+  }
   if (!sound) {
     onAttemptEnd(call, AttemptEnd::Lost, "answer without its proof");
   } else if (failed && call->Phase != CallPhase::Over) {
@@ -481,9 +507,13 @@
     call->Facts.Begun = true;
     st.FirstAt = rl.Lp.Now;
     timeFirst(rl.Metrics, CallKind::Stream, rl.Lp.Now - call->Arrived);
+    notePrompt(rl, *call);
+    st.MarkAt = rl.Lp.Now;
+    st.MarkEvents = cut.Count;
   }
   st.LastAt = rl.Lp.Now;
   st.Events += cut.Count;
+  measurePace(rl, *call, st);
   if (cut.LastId)
     st.LastId = cut.LastId;
   st.Tail.erase(0, cut.Bytes);
@@ -542,6 +572,7 @@
   add(line, "plan", static_cast<std::int64_t>(call->Plan.Version));
   add(line, "proof_ms", bootNow() - fromNanos(rl.Board.PlanProven));
   add(line, "tokens", static_cast<std::int64_t>(call->Work.PromptTokens));
+  add(line, "output", static_cast<std::int64_t>(call->Work.OutputTokens));
   if (call->Stream.Events > 0) {
     add(line, "events", std::int64_t{call->Stream.Events});
     add(line, "first_ms", call->Stream.FirstAt - call->Arrived);
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -13,8 +13,17 @@
 /// Waiting calls that one pump tries to place though the first find no room.
 constexpr std::size_t MostSkipped = 8;
 
-/// How long an engine is taken to keep the prompt of a session.
-constexpr Duration SessionMemory = std::chrono::seconds(30);
+/// Weight of the latest measurement of a back end's pace, and of the time that
+/// prompts take.
+constexpr double PaceWeight = 0.25;
+constexpr double PromptWeight = 0.1;
+
+/// Prompts below this say little about the time for a token.
+constexpr std::uint64_t LeastPrompt = 500;
+
+double millisOf(Duration d) {
+  return std::chrono::duration<double, std::milli>(d).count();
+}
 
 PoolState &poolOf(RequestLoop &rl, PoolId id) { return rl.Pools[id]; }
 
@@ -31,16 +40,6 @@
   return b.Listed && !b.Info.Leaving && !b.WrongLife;
 }
 
-double cachedShare(const RequestLoop &rl, const Call &call,
-                   const BackendState &b) {
-  const auto it = rl.Sessions.find(call.Work.Affinity);
-  return call.Work.Affinity != 0 && it != rl.Sessions.end() &&
-                 it->second.Backend == b.Info.Id &&
-                 rl.Lp.Now - it->second.At < SessionMemory
-             ? 1.0
-             : 0.0;
-}
-
 /// Fills Scratch with the back ends of \p pool.
 void listCandidates(RequestLoop &rl, const PoolState &pool, const Call &call,
                     bool passover, bool avoidtried) {
@@ -51,7 +50,13 @@
   for (const BackendState *b : pool.Backends) {
     Candidate c;
     c.Id = b->Info.Id;
-    c.Running = b->Running + loadOf(peers, b->Info.Id);
+    const BackendLoad other = loadOf(peers, b->Info.Id);
+    c.Running = b->Running + other.Running;
+    c.PendingTokens =
+        static_cast<double>(b->PendingTokens) + other.PendingTokens;
+    constexpr double MicrosPerMilli = 1000;
+    c.EventMs =
+        b->EventMs > 0 ? b->EventMs : other.EventMicros / MicrosPerMilli;
     c.Slots = std::max(b->Info.Slots, 1U);
     const bool tried =
         avoidtried && std::find(call.Tried.begin(), call.Tried.end(),
@@ -59,7 +64,6 @@
     c.Usable = isUsable(*b) && !tried &&
                !(passover && isPassedOver(b->Results, rl.Lp.Now));
     c.SameZone = b->Info.Zone == zone;
-    c.CachedShare = cachedShare(rl, call, *b);
     rl.Scratch.push_back(c);
   }
 }
@@ -120,12 +124,47 @@
     listCandidates(rl, pool, call, false, true);
   if (!anyUsable(rl))
     listCandidates(rl, pool, call, false, false);
-  const ChoiceWork work{call.Work.Affinity,
-                        static_cast<double>(call.Work.PromptTokens)};
+  ChoiceWork work;
+  work.PromptTokens = static_cast<double>(call.Work.PromptTokens);
+  work.Events = std::max(call.Work.Events - call.Stream.Events, 1.0);
+  work.PromptMs = pool.PromptMs;
+  work.TargetMs = millisOf(call.Arrived + call.Plan.Target - rl.Lp.Now);
+  work.LeftMs = millisOf(call.Due - rl.Lp.Now);
   const auto at = chooseBackend(rl.Scratch, work, rl.Weights);
   return at ? rl.Backends[rl.Scratch[*at].Id].get() : nullptr;
 }
 
+std::uint64_t tokensAhead(const RequestLoop &rl, const BackendState &to) {
+  const ReadGuard guard;
+  return to.PendingTokens +
+         loadOf(rl.Board.PeerLoads.read(guard), to.Info.Id).PendingTokens;
+}
+
+void notePrompt(RequestLoop &rl, const Call &call) {
+  const auto it = rl.Backends.find(call.At);
+  if (it == rl.Backends.end() || call.Work.PromptTokens < LeastPrompt)
+    return;
+  PoolState &pool = poolOf(rl, call.Plan.Pool);
+  listCandidates(rl, pool, call, false, false);
+  const double mean = meanEventMs(rl.Scratch);
+  const BackendState &at = *it->second;
+  const double slowness = mean > 0 && at.EventMs > 0 ? at.EventMs / mean : 1;
+  const auto tokens =
+      static_cast<double>(call.TokensAhead + call.Work.PromptTokens);
+  const double ms = millisOf(rl.Lp.Now - call.SentAt) / tokens / slowness;
+  pool.PromptMs = pool.PromptMs > 0
+                      ? pool.PromptMs + PromptWeight * (ms - pool.PromptMs)
+                      : ms;
+}
+
+void notePace(BackendState &to, Duration span, std::uint32_t events) {
+  if (events == 0)
+    return;
+  const double ms = millisOf(span) / events;
+  to.EventMs =
+      to.EventMs > 0 ? to.EventMs + PaceWeight * (ms - to.EventMs) : ms;
+}
+
 void enqueue(RequestLoop &rl, Call &call) {
   call.Rank.Priority = call.Plan.Priority;
   call.Rank.Lower = call.Plan.Lower;
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -19,13 +19,15 @@
 constexpr Duration HousePeriod = std::chrono::seconds(1);
 
 /// Weight of the latest period in a demand's average.
-constexpr double DemandWeight = 0.35;
+constexpr double DemandWeight = 0.15;
 
 LoadList ownLoads(const RequestLoop &rl) {
   LoadList out;
   for (const auto &[id, st] : rl.Backends)
-    if (st->Running > 0)
-      out.List.push_back({id, st->Running});
+    if (st->Running > 0 || st->EventMs > 0)
+      out.List.push_back({id, st->Running,
+                          static_cast<std::uint32_t>(st->PendingTokens),
+                          static_cast<std::uint32_t>(st->EventMs * 1000)});
   std::sort(
       out.List.begin(), out.List.end(),
       [](const BackendLoad &a, const BackendLoad &b) { return a.Id < b.Id; });
@@ -52,16 +54,21 @@
   rl.Board.Demands.publish(std::move(list));
 }
 
+SpentList ownSpent(const RequestLoop &rl) {
+  SpentList out;
+  for (const auto &[id, st] : rl.Allowances)
+    if (st.Total > 0)
+      out.List.push_back({id, st.Total});
+  std::sort(
+      out.List.begin(), out.List.end(),
+      [](const Spent &a, const Spent &b) { return a.Workspace < b.Workspace; });
+  return out;
+}
+
 void onReport(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  LoadList loads = ownLoads(rl);
-  {
-    const ReadGuard guard;
-    if (rl.Board.OwnLoads.read(guard).List == loads.List)
-      loads.List.clear();
-    else
-      rl.Board.OwnLoads.publish(std::move(loads));
-  }
+  rl.Board.OwnLoads.publish(ownLoads(rl));
+  rl.Board.OwnSpent.publish(ownSpent(rl));
   if (now - rl.LastReport >= LoadPeriod * LoadsPerDemand) {
     reportDemand(rl, now - rl.LastReport);
     rl.LastReport = now;
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -16,7 +16,8 @@
   startPlans(ct.Plans);
   startDiscovery(ct.Discovery);
   startPeers(ct.Peers);
-  return {};
+  ct.Talk.Owner = &ct;
+  return startGossip(ct.Talk);
 }
 
 void noteStore(Controllers &ct, bool &lost, std::string_view use,
--- /dev/null
+++ b/src/store/gossip.cpp
@@ -0,0 +1,228 @@
+#include "zinniagauge/store/gossip.h"
+
+#include "zinniagauge/store/controllers.h"
+
+#include "gossip.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How often a front reports to few peers. A call lasts longer than that, so
+/// loads are known before they matter.
+constexpr Duration ReportPeriod = std::chrono::milliseconds(100);
+
+/// Peers up to which every report goes to all of them at that period.
+constexpr std::size_t FewPeers = 8;
+
+/// How long the loads of a silent peer count.
+constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
+
+/// The largest datagram.
+constexpr std::size_t MostBytes = std::size_t{60} << 10U;
+
+sockaddr_in socketAddress(PeerAddress at) noexcept {
+  sockaddr_in sa{};
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl(at.Ip);
+  sa.sin_port = htons(at.Port);
+  return sa;
+}
+
+GossipReport ownReport(Gossip &go) {
+  const FrontBoard &board = go.Owner->Board;
+  GossipReport rep;
+  rep.Node = nameHash(go.Owner->Settings.Node);
+  rep.Life = go.Life;
+  rep.Beat = ++go.Beat;
+  rep.Loads = board.OwnLoads.copy().List;
+  rep.SpentTotals = board.OwnSpent.copy().List;
+  return rep;
+}
+
+/// Puts what was heard on the board.
+void publish(Gossip &go) {
+  Controllers &ct = *go.Owner;
+  const Time now = ct.Lp.Now;
+  ct.Board.PeerLoads.publish(peerLoads(go.Book, now, LoadMemory));
+  ct.Board.PeerSpent.publish(peerSpent(go.Book));
+  Time heard = now;
+  for (const auto &[name, entry] : ct.Peers.Book.Peers) {
+    if (name == ct.Settings.Node)
+      continue;
+    const auto it = go.Book.Peers.find(nameHash(name));
+    const bool alive =
+        it != go.Book.Peers.end() && it->second.Last.Life == entry.Last.Life;
+    heard = std::min(heard, alive ? it->second.Heard : Time());
+  }
+  // Without a reading of who lives, nobody can be said to have been heard.
+  ct.Board.PeersHeard = ct.Peers.Book.Peers.empty() ? 0 : toNanos(heard);
+}
+
+void onTimer(void *ctx, Time now) {
+  Gossip &go = *static_cast<Gossip *>(ctx);
+  Controllers &ct = *go.Owner;
+  const std::string raw = encodeReport(ownReport(go));
+  std::size_t count = 0;
+  for (const auto &[name, entry] : ct.Peers.Book.Peers) {
+    if (name == ct.Settings.Node || entry.Last.Address == PeerAddress{})
+      continue;
+    ++count;
+    const sockaddr_in sa = socketAddress(entry.Last.Address);
+    // A datagram that can't leave is like one that was lost: the next report
+    // holds all that this one held.
+    ::sendto(go.Socket.Fd, raw.data(), raw.size(), MSG_DONTWAIT,
+             reinterpret_cast<const sockaddr *>(&sa), sizeof sa);
+  }
+  publish(go);
+  const auto stretch = static_cast<int>(
+      std::max<std::size_t>(1, (count + FewPeers - 1) / FewPeers));
+  arm(ct.Lp, go.Timer, now + ReportPeriod * stretch);
+}
+
+void onDatagram(void *ctx, std::uint32_t /*events*/) {
+  Gossip &go = *static_cast<Gossip *>(ctx);
+  Loop &lp = go.Owner->Lp;
+  for (;;) {
+    const ssize_t n =
+        ::recv(go.Socket.Fd, lp.Scratch.data(), lp.Scratch.size(), 0);
+    if (n < 0)
+      return;
+    auto rep =
+        decodeReport(std::span(lp.Scratch.data(), static_cast<std::size_t>(n)));
+    if (!rep)
+      countTable(go.Owner->Metrics, "gossip", "unreadable");
+    else if (rep->Node != nameHash(go.Owner->Settings.Node))
+      takeReport(go.Book, std::move(*rep), lp.Now);
+  }
+}
+
+void addLoad(std::map<EndpointId, BackendLoad> &sum, const BackendLoad &l) {
+  BackendLoad &to = sum[l.Id];
+  // The slowest of those who measured it is believed: it may have slowed down.
+  to = {l.Id, to.Running + l.Running, to.PendingTokens + l.PendingTokens,
+        std::max(to.EventMicros, l.EventMicros)};
+}
+
+} // namespace
+
+std::string encodeReport(const GossipReport &rep) {
+  capnp::MallocMessageBuilder msg;
+  auto out = msg.initRoot<wire::FrontReport>();
+  out.setNode(rep.Node);
+  out.setLife(rep.Life);
+  out.setBeat(rep.Beat);
+  auto loads = out.initLoads(static_cast<unsigned>(rep.Loads.size()));
+  for (unsigned n = 0; n < loads.size(); ++n) {
+    loads[n].setBackend(rep.Loads[n].Id.Value);
+    loads[n].setRunning(rep.Loads[n].Running);
+    loads[n].setPendingTokens(rep.Loads[n].PendingTokens);
+    loads[n].setEventMicros(rep.Loads[n].EventMicros);
+  }
+  auto spent = out.initSpent(static_cast<unsigned>(rep.SpentTotals.size()));
+  for (unsigned n = 0; n < spent.size(); ++n) {
+    spent[n].setWorkspace(rep.SpentTotals[n].Workspace.Value);
+    spent[n].setTotal(rep.SpentTotals[n].Total);
+  }
+  kj::VectorOutputStream raw;
+  capnp::writePackedMessage(raw, msg);
+  const auto bytes = raw.getArray();
+  return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+std::optional<GossipReport> decodeReport(std::span<const char> raw) {
+  if (raw.size() > MostBytes)
+    return std::nullopt;
+  std::optional<GossipReport> out;
+  const auto failed = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte *>(raw.data()), raw.size()));
+    capnp::PackedMessageReader msg(in);
+    const auto rep = msg.getRoot<wire::FrontReport>();
+    GossipReport got{rep.getNode(), rep.getLife(), rep.getBeat(), {}, {}};
+    for (const auto l : rep.getLoads())
+      got.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
+                           l.getPendingTokens(), l.getEventMicros()});
+    for (const auto s : rep.getSpent())
+      got.SpentTotals.push_back({WorkspaceId{s.getWorkspace()}, s.getTotal()});
+    out = std::move(got);
+  });
+  if (failed != nullptr)
+    return std::nullopt;
+  return out;
+}
+
+void takeReport(GossipBook &book, GossipReport rep, Time now) {
+  auto [it, fresh] = book.Peers.try_emplace(rep.Node);
+  GossipBook::Peer &peer = it->second;
+  if (!fresh && peer.Last.Life == rep.Life && peer.Last.Beat >= rep.Beat)
+    return;
+  if (!fresh && peer.Last.Life != rep.Life)
+    for (const Spent &s : peer.Last.SpentTotals)
+      book.Departed[s.Workspace] += s.Total;
+  peer.Last = std::move(rep);
+  peer.Heard = now;
+}
+
+LoadList peerLoads(const GossipBook &book, Time now, Duration memory) {
+  std::map<EndpointId, BackendLoad> sum;
+  for (const auto &[node, peer] : book.Peers)
+    if (now - peer.Heard <= memory)
+      for (const BackendLoad &l : peer.Last.Loads)
+        addLoad(sum, l);
+  LoadList out;
+  for (const auto &[id, l] : sum)
+    out.List.push_back(l);
+  return out;
+}
+
+SpentList peerSpent(const GossipBook &book) {
+  std::map<WorkspaceId, std::uint64_t> sum = book.Departed;
+  for (const auto &[node, peer] : book.Peers)
+    for (const Spent &s : peer.Last.SpentTotals)
+      sum[s.Workspace] += s.Total;
+  SpentList out;
+  for (const auto &[id, total] : sum)
+    out.List.push_back({id, total});
+  return out;
+}
+
+Gossip::~Gossip() {
+  if (Socket.Fd >= 0)
+    ::close(Socket.Fd);
+}
+
+Result<void> startGossip(Gossip &go) {
+  Controllers &ct = *go.Owner;
+  go.Life = ct.Peers.Life;
+  go.Socket.Fd =
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in sa = socketAddress(ct.Settings.Peers);
+  if (go.Socket.Fd < 0 ||
+      ::bind(go.Socket.Fd, reinterpret_cast<const sockaddr *>(&sa),
+             sizeof sa) != 0)
+    return fail({ErrorCode::Unavailable, Step::Exchange,
+                 toString(ct.Settings.Peers), std::strerror(errno)});
+  go.Socket.Fn = onDatagram;
+  go.Socket.Ctx = &go;
+  watch(ct.Lp, go.Socket, EPOLLIN);
+  go.Timer.Fn = onTimer;
+  go.Timer.Ctx = &go;
+  arm(ct.Lp, go.Timer, ct.Lp.Now + ReportPeriod);
+  return {};
+}
+
+} // namespace zinniagauge
--- a/src/store/peer_keeper.cpp
+++ b/src/store/peer_keeper.cpp
@@ -40,8 +40,12 @@
   if (life == doc.end() || !life->is_number_unsigned() || beat == doc.end() ||
       !beat->is_number_unsigned() || list == doc.end() || !list->is_array())
     return std::nullopt;
-  PeerDemand out{
-      row.Key, life->get<std::uint64_t>(), beat->get<std::uint64_t>(), {}};
+  PeerDemand out;
+  out.Name = row.Key;
+  out.Address =
+      parseAddress(doc.value("address", std::string())).value_or(PeerAddress{});
+  out.Life = life->get<std::uint64_t>();
+  out.Beat = beat->get<std::uint64_t>();
   for (const json &d : *list)
     if (d.is_array() && d.size() == 2 && d[0].is_number_unsigned() &&
         d[1].is_number())
--- a/tests/unit/allowance_test.cpp
+++ b/tests/unit/allowance_test.cpp
@@ -23,7 +23,7 @@
 }
 
 PeerDemand peer(const char *name, std::uint64_t beat, double cost) {
-  return {name, 1, beat, {{WorkspaceId::of("w"), cost}}};
+  return {name, {}, 1, beat, {{WorkspaceId::of("w"), cost}}};
 }
 
 double shareIn(const AllowanceShares &sh) {
@@ -72,14 +72,14 @@
   const double limit = (90'000.0 * 8 + 90'000) * 1.1 + 140'000;
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     std::uint64_t rnd = seed;
-    AllowanceBucket bucket;
+    AllowanceState bucket;
     std::deque<std::pair<Time, double>> spent;
     double sum = 0;
     Time now(seconds(10));
     for (int n = 0; n < 4000; ++n) {
       now += milliseconds(pickBelow(rnd, 40));
       const double cost = 200.0 + static_cast<double>(pickBelow(rnd, 30'000));
-      if (takeAllowance(bucket, ws, 1.0, margin, cost, now))
+      if (takeAllowance(bucket, ws, 1.0, {}, margin, cost, now))
         continue;
       spent.emplace_back(now, cost);
       sum += cost;
@@ -95,16 +95,42 @@
 TEST_CASE("what is within the limit isn't refused", "[allowance]") {
   const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
-  AllowanceBucket bucket;
+  AllowanceState bucket;
   Time now(seconds(10));
   for (int n = 0; n < 2000; ++n) {
     now += milliseconds(100);
-    REQUIRE_FALSE(takeAllowance(bucket, ws, 1.0, margin, 9'000, now));
+    REQUIRE_FALSE(takeAllowance(bucket, ws, 1.0, {}, margin, 9'000, now));
   }
 }
 
 TEST_CASE("a workspace without a limit is never refused", "[allowance]") {
-  AllowanceBucket bucket;
+  AllowanceState bucket;
   CHECK_FALSE(
-      takeAllowance(bucket, workspace(0, 0), 0, {}, 1e9, Time(seconds(1))));
+      takeAllowance(bucket, workspace(0, 0), 0, {}, {}, 1e9, Time(seconds(1))));
+}
+
+TEST_CASE("while peers are heard what all spent decides", "[allowance]") {
+  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  const double most = bucketSize(ws, margin);
+  AllowanceState st;
+  const Time now(seconds(10));
+  // A tenth of the share is no bound as long as the others leave room.
+  CHECK_FALSE(takeAllowance(st, ws, 0.1, {true, 0}, margin, most / 2, now));
+  // What the others spent is known from one to the next report only once.
+  const auto peers = static_cast<std::uint64_t>(most / 2);
+  CHECK(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000, now));
+  CHECK(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000, now));
+  CHECK_FALSE(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000,
+                            now + seconds(1)));
+}
+
+TEST_CASE("a process that hears nobody spends its share only", "[allowance]") {
+  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  const double most = bucketSize(ws, margin);
+  AllowanceState st;
+  const Time now(seconds(10));
+  CHECK_FALSE(takeAllowance(st, ws, 0.1, {false, 0}, margin, most / 20, now));
+  CHECK(takeAllowance(st, ws, 0.1, {false, 0}, margin, most / 12, now));
 }
--- /dev/null
+++ b/tests/unit/gossip_test.cpp
@@ -0,0 +1,77 @@
+#include "zinniagauge/decide/random.h"
+#include "zinniagauge/store/gossip.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+GossipReport report(std::uint64_t node, std::uint64_t life, std::uint64_t beat,
+                    std::uint64_t spent) {
+  return {node,
+          life,
+          beat,
+          {{EndpointId{7}, 3, 900, 20'000}},
+          {{WorkspaceId{5}, spent}}};
+}
+
+std::uint64_t spentIn(const GossipBook &book) {
+  const SpentList list = peerSpent(book);
+  return list.List.empty() ? 0 : list.List.front().Total;
+}
+
+} // namespace
+
+TEST_CASE("a report survives its encoding", "[gossip]") {
+  const auto back = decodeReport(encodeReport(report(1, 2, 3, 4'000'000'000)));
+  REQUIRE(back);
+  CHECK(back->Node == 1);
+  CHECK(back->Life == 2);
+  CHECK(back->Beat == 3);
+  CHECK(back->Loads == report(1, 2, 3, 0).Loads);
+  CHECK(back->SpentTotals.front().Total == 4'000'000'000);
+}
+
+TEST_CASE("bytes that are no report are passed over", "[gossip]") {
+  const std::string good = encodeReport(report(1, 2, 3, 4));
+  std::uint64_t rnd = 11;
+  for (int n = 0; n < 2000; ++n) {
+    std::string bad = good.substr(0, pickBelow(rnd, good.size() + 1));
+    for (char &c : bad)
+      if (pickBelow(rnd, 8) == 0)
+        c = static_cast<char>(nextRandom(rnd));
+    static_cast<void>(decodeReport(bad)); // Must not throw or crash.
+  }
+  CHECK_FALSE(decodeReport(std::string_view("no report")));
+}
+
+TEST_CASE("an older report of the same life changes nothing", "[gossip]") {
+  GossipBook book;
+  takeReport(book, report(1, 1, 5, 100), Time(seconds(1)));
+  takeReport(book, report(1, 1, 4, 50), Time(seconds(2)));
+  CHECK(spentIn(book) == 100);
+  CHECK(book.Peers.at(1).Heard == Time(seconds(1)));
+}
+
+TEST_CASE("what earlier lives spent isn't forgotten", "[gossip]") {
+  GossipBook book;
+  takeReport(book, report(1, 1, 9, 100), Time(seconds(1)));
+  takeReport(book, report(1, 2, 1, 10), Time(seconds(2)));
+  CHECK(spentIn(book) == 110);
+}
+
+TEST_CASE("loads of peers add up while they are heard", "[gossip]") {
+  GossipBook book;
+  takeReport(book, report(1, 1, 1, 0), Time(seconds(1)));
+  takeReport(book, report(2, 1, 1, 0), Time(seconds(2)));
+  const LoadList both = peerLoads(book, Time(seconds(2)), seconds(1));
+  CHECK(loadOf(both, EndpointId{7}).Running == 6);
+  CHECK(loadOf(both, EndpointId{8}).Running == 0);
+  const LoadList one = peerLoads(book, Time(milliseconds(2500)), seconds(1));
+  CHECK(loadOf(one, EndpointId{7}).Running == 3);
+}
