Set a price that outweighs one event in the choice's test

Cause: the test of slots' prices set a price of two, at which a call of one event still gains by the fast engine; it landed red. Three is above that gain (105 against 93 ms before).

--- a/tests/unit/backend_choice_test.cpp
+++ b/tests/unit/backend_choice_test.cpp
@@ -59,7 +59,7 @@
   const std::vector<Candidate> list = {engine(1, 6, 12), engine(2, 6, 60)};
   ChoiceWork tiny = work(0, 1);
   ChoiceWeights wt;
-  wt.SlotPrice = 2;
+  wt.SlotPrice = 3;
   CHECK(chooseBackend(list, tiny, wt) == 1U);
   CHECK(chooseBackend(list, work(0, 100), wt) == 0U);
 }
