Tell changes of loads within ten milliseconds

Change: the request loop puts its loads on the board 10 ms after a change, and the gossip controller sends what changed at once, the whole every 250 ms.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -109,10 +109,12 @@
   std::size_t Active = 0; // Calls that aren't over.
   LoopTimer PumpTimer;
   LoopTimer ReportTimer;
+  LoopTimer LoadTimer;
   LoopTimer HouseTimer;
   LoopTimer StopTimer;
   Time StopBegan;
   Time LastReport;
+  std::function<void()> OnLoads; // The loads on the board have changed.
 };
 
 // Callers ------------------------------------------------------------------
@@ -236,6 +238,9 @@
 /// Opens the loop and starts its timers. Fails with Unavailable.
 [[nodiscard]] Result<void> startRequestLoop(RequestLoop &rl);
 
+/// The calls at some back end have changed: has them put on the board soon.
+void loadsChanged(RequestLoop &rl);
+
 /// What the board's plan and its proof allow now.
 [[nodiscard]] Freshness freshness(const RequestLoop &rl);
 
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -25,8 +25,15 @@
   std::uint64_t Beat = 0;
   std::vector<BackendLoad> Loads;
   std::vector<Spent> SpentTotals;
+  bool Whole = true; // All loads are listed, not only those that changed.
 };
 
+/// What of \p now differs from \p before, both sorted; a load that is no longer
+/// listed is given without calls.
+[[nodiscard]] std::vector<BackendLoad>
+changedLoads(std::span<const BackendLoad> before,
+             std::span<const BackendLoad> now);
+
 /// \p rep as a datagram.
 [[nodiscard]] std::string encodeReport(const GossipReport &rep);
 
@@ -44,7 +51,8 @@
   std::map<WorkspaceId, std::uint64_t> Departed; // Spent by earlier lives.
 };
 
-/// Takes in a report; older ones than the last of its life are passed over.
+/// Takes in a report; older ones than the last of its life are passed over. One
+/// that isn't whole changes only the loads that it lists.
 void takeReport(GossipBook &book, GossipReport rep, Time now);
 
 /// The loads of all peers that were heard within \p memory, added up.
@@ -66,9 +74,14 @@
   LoopTimer Timer;
   std::uint64_t Life = 0;
   std::uint64_t Beat = 0;
+  Time LastSent;
+  std::vector<BackendLoad> Said; // Loads as the peers were told last.
   GossipBook Book;
 };
 
+/// The board's own loads have changed: tells the peers what changed.
+void tellChanges(Gossip &go);
+
 /// Opens the socket and starts. Fails with Unavailable.
 [[nodiscard]] Result<void> startGossip(Gossip &go);
 
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -97,6 +97,7 @@
     onboard();
   };
   f.Control.OnChange = [&f] { wakeLoop(f.Requests.Lp); };
+  f.Requests.OnLoads = [&f] { wakeLoop(f.Control.Lp); };
   const auto ready = [&f](std::string_view asked) -> StatusText {
     if (asked != f.Requests.Names.ReadyPath)
       return {404, {}};
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -11,6 +11,7 @@
   beat @2 :UInt64;            # Rises with each report.
   loads @3 :List(FrontLoad);
   spent @4 :List(FrontSpent);
+  changesOnly @5 :Bool;       # Loads that aren't listed are as they were.
 }
 
 struct FrontLoad {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -102,6 +102,8 @@
   inline bool hasSpent() const;
   inline  ::capnp::List< ::zinniagauge::wire::FrontSpent,  ::capnp::Kind::STRUCT>::Reader getSpent() const;
 
+  inline bool getChangesOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -153,6 +155,9 @@
   inline void adoptSpent(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSpent,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSpent,  ::capnp::Kind::STRUCT>> disownSpent();
 
+  inline bool getChangesOnly();
+  inline void setChangesOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -463,6 +468,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool FrontReport::Reader::getChangesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool FrontReport::Builder::getChangesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setChangesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontLoad::Reader::getBackend() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/front/backend_link.cpp
+++ b/src/front/backend_link.cpp
@@ -56,6 +56,7 @@
   if (call) {
     call->Link = nullptr;
     --lk.To->Running;
+    loadsChanged(*lk.Owner);
   }
   return call;
 }
@@ -359,6 +360,7 @@
   to.PendingTokens += lk->PendingTokens;
   ++lk->Uses;
   ++to.Running;
+  loadsChanged(rl);
   call->Link = lk;
   beginAnswer(*lk);
   if (rl.Log.wantsCalls()) {
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -9,11 +9,13 @@
 
 namespace {
 
-/// How often own loads are put on the board, for other processes to know.
-constexpr Duration LoadPeriod = std::chrono::milliseconds(100);
+/// How long changes of own loads are gathered before they are put on the
+/// board, for other processes to know: short next to the time between two ends
+/// of calls at one back end.
+constexpr Duration LoadDelay = std::chrono::milliseconds(10);
 
 /// How often demands are put on the board.
-constexpr int LoadsPerDemand = 5;
+constexpr Duration DemandPeriod = std::chrono::milliseconds(500);
 
 /// How often idle connections are looked at.
 constexpr Duration HousePeriod = std::chrono::seconds(1);
@@ -66,14 +68,18 @@
 }
 
 void onReport(void *ctx, Time now) {
+  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  reportDemand(rl, now - rl.LastReport);
+  rl.LastReport = now;
+  arm(rl.Lp, rl.ReportTimer, now + DemandPeriod);
+}
+
+void onLoads(void *ctx, Time /*now*/) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
   rl.Board.OwnLoads.publish(ownLoads(rl));
   rl.Board.OwnSpent.publish(ownSpent(rl));
-  if (now - rl.LastReport >= LoadPeriod * LoadsPerDemand) {
-    reportDemand(rl, now - rl.LastReport);
-    rl.LastReport = now;
-  }
-  arm(rl.Lp, rl.ReportTimer, now + LoadPeriod);
+  if (rl.OnLoads)
+    rl.OnLoads();
 }
 
 void onHouse(void *ctx, Time now) {
@@ -131,11 +137,17 @@
   setTimer(rl, rl.ReportTimer, onReport);
   setTimer(rl, rl.HouseTimer, onHouse);
   rl.LastReport = rl.Lp.Now;
-  arm(rl.Lp, rl.ReportTimer, rl.Lp.Now + LoadPeriod);
+  setTimer(rl, rl.LoadTimer, onLoads);
+  arm(rl.Lp, rl.ReportTimer, rl.Lp.Now + DemandPeriod);
   arm(rl.Lp, rl.HouseTimer, rl.Lp.Now + HousePeriod);
   return listenForCallers(rl);
 }
 
+void loadsChanged(RequestLoop &rl) {
+  if (!rl.LoadTimer.Hook.is_linked())
+    arm(rl.Lp, rl.LoadTimer, rl.Lp.Now + LoadDelay);
+}
+
 Freshness freshness(const RequestLoop &rl) {
   const Time proven = fromNanos(rl.Board.PlanProven.load());
   return freshnessAt(rl.Settings.Fresh, proven, bootNow());
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -17,6 +17,7 @@
   startDiscovery(ct.Discovery);
   startPeers(ct.Peers);
   ct.Talk.Owner = &ct;
+  ct.Lp.OnWake = [&ct] { tellChanges(ct.Talk); };
   return startGossip(ct.Talk);
 }
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -21,11 +21,15 @@
 
 namespace {
 
-/// How often a front reports to few peers. A call lasts longer than that, so
-/// loads are known before they matter.
-constexpr Duration ReportPeriod = std::chrono::milliseconds(100);
+/// How often a front reports all that it knows, to make up for lost reports.
+constexpr Duration WholePeriod = std::chrono::milliseconds(250);
 
-/// Peers up to which every report goes to all of them at that period.
+/// How long after a report the next change may be told, for each peer: what a
+/// front spends on it grows with the number of peers and stays under a
+/// hundredth of a core.
+constexpr Duration PausePerPeer = std::chrono::milliseconds(2);
+
+/// Peers up to which a whole report goes to all of them at that period.
 constexpr std::size_t FewPeers = 8;
 
 /// How long the loads of a silent peer count.
@@ -72,10 +76,10 @@
   ct.Board.PeersHeard = ct.Peers.Book.Peers.empty() ? 0 : toNanos(heard);
 }
 
-void onTimer(void *ctx, Time now) {
-  Gossip &go = *static_cast<Gossip *>(ctx);
+/// Sends \p rep to all peers and gives how many those are.
+std::size_t sendReport(Gossip &go, const GossipReport &rep) {
   Controllers &ct = *go.Owner;
-  const std::string raw = encodeReport(ownReport(go));
+  const std::string raw = encodeReport(rep);
   std::size_t count = 0;
   for (const auto &[name, entry] : ct.Peers.Book.Peers) {
     if (name == ct.Settings.Node || entry.Last.Address == PeerAddress{})
@@ -87,10 +91,20 @@
     ::sendto(go.Socket.Fd, raw.data(), raw.size(), MSG_DONTWAIT,
              reinterpret_cast<const sockaddr *>(&sa), sizeof sa);
   }
+  go.LastSent = ct.Lp.Now;
+  return count;
+}
+
+void onTimer(void *ctx, Time now) {
+  Gossip &go = *static_cast<Gossip *>(ctx);
+  Controllers &ct = *go.Owner;
+  const GossipReport rep = ownReport(go);
+  const std::size_t count = sendReport(go, rep);
+  go.Said = rep.Loads;
   publish(go);
   const auto stretch = static_cast<int>(
       std::max<std::size_t>(1, (count + FewPeers - 1) / FewPeers));
-  arm(ct.Lp, go.Timer, now + ReportPeriod * stretch);
+  arm(ct.Lp, go.Timer, now + WholePeriod * stretch);
 }
 
 void onDatagram(void *ctx, std::uint32_t /*events*/) {
@@ -100,7 +114,7 @@
     const ssize_t n =
         ::recv(go.Socket.Fd, lp.Scratch.data(), lp.Scratch.size(), 0);
     if (n < 0)
-      return;
+      break;
     auto rep =
         decodeReport(std::span(lp.Scratch.data(), static_cast<std::size_t>(n)));
     if (!rep)
@@ -108,6 +122,21 @@
     else if (rep->Node != nameHash(go.Owner->Settings.Node))
       takeReport(go.Book, std::move(*rep), lp.Now);
   }
+  publish(go);
+}
+
+bool byId(const BackendLoad &a, const BackendLoad &b) { return a.Id < b.Id; }
+
+/// Puts the loads of \p changes in place of those of \p all.
+void mergeLoads(std::vector<BackendLoad> &all,
+                std::span<const BackendLoad> changes) {
+  for (const BackendLoad &l : changes) {
+    const auto it = std::lower_bound(all.begin(), all.end(), l, byId);
+    if (it != all.end() && it->Id == l.Id)
+      *it = l;
+    else
+      all.insert(it, l);
+  }
 }
 
 void addLoad(std::map<EndpointId, BackendLoad> &sum, const BackendLoad &l) {
@@ -125,6 +154,7 @@
   out.setNode(rep.Node);
   out.setLife(rep.Life);
   out.setBeat(rep.Beat);
+  out.setChangesOnly(!rep.Whole);
   auto loads = out.initLoads(static_cast<unsigned>(rep.Loads.size()));
   for (unsigned n = 0; n < loads.size(); ++n) {
     loads[n].setBackend(rep.Loads[n].Id.Value);
@@ -152,7 +182,8 @@
         reinterpret_cast<const kj::byte *>(raw.data()), raw.size()));
     capnp::PackedMessageReader msg(in);
     const auto rep = msg.getRoot<wire::FrontReport>();
-    GossipReport got{rep.getNode(), rep.getLife(), rep.getBeat(), {}, {}};
+    GossipReport got{rep.getNode(), rep.getLife(), rep.getBeat(), {}, {}, true};
+    got.Whole = !rep.getChangesOnly();
     for (const auto l : rep.getLoads())
       got.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
                            l.getPendingTokens(), l.getEventMicros()});
@@ -173,10 +204,47 @@
   if (!fresh && peer.Last.Life != rep.Life)
     for (const Spent &s : peer.Last.SpentTotals)
       book.Departed[s.Workspace] += s.Total;
+  const bool known = !fresh && peer.Last.Life == rep.Life;
+  if (!rep.Whole && known) {
+    mergeLoads(peer.Last.Loads, rep.Loads);
+    rep.Loads = std::move(peer.Last.Loads);
+  }
+  if (rep.SpentTotals.empty() && known)
+    rep.SpentTotals = std::move(peer.Last.SpentTotals);
   peer.Last = std::move(rep);
   peer.Heard = now;
 }
 
+std::vector<BackendLoad> changedLoads(std::span<const BackendLoad> before,
+                                      std::span<const BackendLoad> now) {
+  std::vector<BackendLoad> out;
+  for (const BackendLoad &l : now) {
+    const auto it = std::lower_bound(before.begin(), before.end(), l, byId);
+    if (it == before.end() || it->Id != l.Id || it->Running != l.Running ||
+        it->PendingTokens != l.PendingTokens)
+      out.push_back(l);
+  }
+  for (const BackendLoad &l : before)
+    if (!std::binary_search(now.begin(), now.end(), l, byId))
+      out.push_back({l.Id, 0, 0, 0});
+  return out;
+}
+
+void tellChanges(Gossip &go) {
+  Controllers &ct = *go.Owner;
+  const auto peers = static_cast<int>(ct.Peers.Book.Peers.size());
+  if (ct.Lp.Now - go.LastSent < PausePerPeer * peers)
+    return; // The next change or whole report tells it.
+  GossipReport rep = ownReport(go);
+  std::vector<BackendLoad> all = std::move(rep.Loads);
+  rep.Loads = changedLoads(go.Said, all);
+  rep.Whole = false;
+  if (rep.Loads.empty())
+    return;
+  sendReport(go, rep);
+  go.Said = std::move(all);
+}
+
 LoadList peerLoads(const GossipBook &book, Time now, Duration memory) {
   std::map<EndpointId, BackendLoad> sum;
   for (const auto &[node, peer] : book.Peers)
@@ -221,7 +289,7 @@
   watch(ct.Lp, go.Socket, EPOLLIN);
   go.Timer.Fn = onTimer;
   go.Timer.Ctx = &go;
-  arm(ct.Lp, go.Timer, ct.Lp.Now + ReportPeriod);
+  arm(ct.Lp, go.Timer, ct.Lp.Now + WholePeriod);
   return {};
 }
 
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -17,7 +17,8 @@
           life,
           beat,
           {{EndpointId{7}, 3, 900, 20'000}},
-          {{WorkspaceId{5}, spent}}};
+          {{WorkspaceId{5}, spent}},
+          true};
 }
 
 std::uint64_t spentIn(const GossipBook &book) {
@@ -65,6 +66,22 @@
   CHECK(spentIn(book) == 110);
 }
 
+TEST_CASE("changes leave what they don't list as it was", "[gossip]") {
+  GossipBook book;
+  GossipReport whole = report(1, 1, 1, 50);
+  whole.Loads = {{EndpointId{3}, 1, 0, 0}, {EndpointId{7}, 2, 0, 0}};
+  takeReport(book, whole, Time(seconds(1)));
+  GossipReport change = report(1, 1, 2, 50);
+  change.Loads = changedLoads(
+      whole.Loads, std::vector<BackendLoad>{{EndpointId{3}, 4, 0, 0}});
+  change.Whole = false;
+  takeReport(book, change, Time(seconds(1)));
+  const LoadList now = peerLoads(book, Time(seconds(1)), seconds(1));
+  CHECK(loadOf(now, EndpointId{3}).Running == 4);
+  CHECK(loadOf(now, EndpointId{7}).Running == 0);
+  CHECK(changedLoads(whole.Loads, whole.Loads).empty());
+}
+
 TEST_CASE("loads of peers add up while they are heard", "[gossip]") {
   GossipBook book;
   takeReport(book, report(1, 1, 1, 0), Time(seconds(1)));
