Start the bucket of all fronts where a front joins them

Change: the total that is heard first is where the count begins; a front that joins others begins with 0.3 of the bucket, at the latest half a second after it heard them, not at its first call for the workspace.

--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -65,6 +65,9 @@
 /// rest covers shares that don't add up to one while they move.
 inline constexpr double UsedMargin = 0.85;
 
+/// How full the bucket of all processes is taken to be by one that joins them.
+inline constexpr double JoinLevel = 0.3;
+
 /// The size of the bucket that all processes together have for \p ws: what
 /// may be spent at once so that a window's limit holds.
 [[nodiscard]] double bucketSize(const PlanWorkspace &ws,
@@ -95,6 +98,13 @@
 /// Until when a peer that was heard counts as heard: some reports may be lost.
 inline constexpr Duration HeardFor = std::chrono::milliseconds(700);
 
+/// Begins to follow what all processes spend, once peers are heard. What they
+/// spent before can't be told to be past or recent, so a process that joins
+/// others begins at JoinLevel.
+void startAllowance(AllowanceState &st, const PlanWorkspace &ws,
+                    const PeerSpending &peers, const AllowanceMargin &margin,
+                    Time now) noexcept;
+
 /// Takes \p cost for a call of \p ws. Nothing if it fits, else after how long
 /// it would. While all peers are heard what all have spent decides; without
 /// them only this process's share may be spent.
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -60,7 +60,8 @@
   std::uint64_t PromptTokens = 0;
   std::uint64_t OutputTokens = 0; // At most.
   std::uint64_t HintTokens = 0;   // That the caller expects; zero: unknown.
-  double Events = 1;              // That are expected.
+  double Events = 1;              // That are expected,
+  double MostEvents = 1;          // and at most.
 };
 
 /// The stream that a caller gets.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -251,6 +251,9 @@
 /// Whether a stream that begins now may end before the process does.
 [[nodiscard]] bool takesStreams(const RequestLoop &rl);
 
+/// Begins to follow what all fronts spend, for workspaces new in the plan.
+void followAllowances(RequestLoop &rl);
+
 /// Whether the process takes new connections.
 [[nodiscard]] bool isReady(const RequestLoop &rl);
 
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -108,6 +108,17 @@
 
 } // namespace
 
+void startAllowance(AllowanceState &st, const PlanWorkspace &ws,
+                    const PeerSpending &peers, const AllowanceMargin &margin,
+                    Time now) noexcept {
+  if (st.All.Started)
+    return;
+  st.All.Started = true;
+  st.All.Filled = now;
+  st.All.Level = bucketSize(ws, margin) * (peers.Total > 0 ? JoinLevel : 1.0);
+  st.PeersSeen = peers.Total;
+}
+
 std::optional<Duration> takeAllowance(AllowanceState &st,
                                       const PlanWorkspace &ws, double share,
                                       const PeerSpending &peers,
@@ -116,12 +127,12 @@
   if (ws.RatePerSecond <= 0)
     return std::nullopt;
   const double most = bucketSize(ws, margin);
-  fill(st.All, ws.RatePerSecond, most, now);
   fill(st.Own, ws.RatePerSecond * share, most * share, now);
-  // Totals only rise, but for peers that were forgotten with what they spent.
+  startAllowance(st, ws, peers, margin, now);
+  fill(st.All, ws.RatePerSecond, most, now);
   if (peers.Total > st.PeersSeen)
     st.All.Level -= static_cast<double>(peers.Total - st.PeersSeen);
-  st.PeersSeen = peers.Total;
+  st.PeersSeen = std::max(st.PeersSeen, peers.Total);
   const auto wait = peers.Heard ? waitFor(st.All, ws.RatePerSecond, most, cost)
                                 : waitFor(st.Own, ws.RatePerSecond * share,
                                           most * share, cost);
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -62,6 +62,15 @@
   return target.substr(0, target.find('?'));
 }
 
+/// How many events a stream will have, by what its caller states.
+void expectEvents(CallWork &work, const PlanPool *pool) {
+  const double each = pool ? pool->TokensPerEvent : 1;
+  const auto most = static_cast<double>(work.OutputTokens) / each;
+  const auto hint = static_cast<double>(work.HintTokens) / each;
+  work.MostEvents = std::max(most > 0 ? most : UsualEvents, 1.0);
+  work.Events = std::clamp(hint > 0 ? hint : UsualEvents, 1.0, work.MostEvents);
+}
+
 /// Fills in what the plan says of the call.
 void fillPlan(Call &call, const TrafficPlan &plan, const PlanRoute &route,
               const PlanWorkspace *ws) {
@@ -79,14 +88,8 @@
     cp.Workspace = ws->Id;
     cp.WorkspaceName = ws->Name;
   }
-  const PlanPool *pool = findPool(plan, cp.Pool);
-  if (route.Kind != CallKind::Stream)
-    call.Work.Events = 1;
-  else if (call.Work.HintTokens > 0 && pool)
-    call.Work.Events =
-        static_cast<double>(call.Work.HintTokens) / pool->TokensPerEvent;
-  else
-    call.Work.Events = UsualEvents;
+  if (route.Kind == CallKind::Stream)
+    expectEvents(call.Work, findPool(plan, cp.Pool));
   call.Facts.Kind = route.Kind;
   call.Facts.Resumable = route.Resumable;
   call.Facts.MostAttempts = std::max(route.MostAttempts, 1U);
@@ -335,6 +338,16 @@
   return Names[static_cast<std::size_t>(end)];
 }
 
+void followAllowances(RequestLoop &rl) {
+  const ReadGuard guard;
+  for (const PlanWorkspace &ws : rl.Board.Plan.read(guard).Workspaces) {
+    const PeerSpending peers = peersOf(rl, ws.Id);
+    if (peers.Heard && ws.RatePerSecond > 0)
+      startAllowance(rl.Allowances[ws.Id], ws, peers, rl.Settings.Margin,
+                     rl.Lp.Now);
+  }
+}
+
 void startCall(Caller &c, MessageHead head, std::string body) {
   RequestLoop &rl = *c.Owner;
   auto call = std::make_shared<Call>();
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -71,6 +71,7 @@
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
   reportDemand(rl, now - rl.LastReport);
   rl.LastReport = now;
+  followAllowances(rl);
   arm(rl.Lp, rl.ReportTimer, now + DemandPeriod);
 }
 
--- a/tests/unit/allowance_test.cpp
+++ b/tests/unit/allowance_test.cpp
@@ -134,3 +134,16 @@
   CHECK_FALSE(takeAllowance(st, ws, 0.1, {false, 0}, margin, most / 20, now));
   CHECK(takeAllowance(st, ws, 0.1, {false, 0}, margin, most / 12, now));
 }
+
+TEST_CASE("a process that joins isn't charged for what was spent before",
+          "[allowance]") {
+  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceState st;
+  const Time now(seconds(10));
+  const PeerSpending past{true, 50'000'000};
+  CHECK_FALSE(takeAllowance(st, ws, 0.2, past, margin, 5'000, now));
+  // From then on it is.
+  const PeerSpending later{true, 51'000'000};
+  CHECK(takeAllowance(st, ws, 0.2, later, margin, 5'000, now));
+}
