Refuse what finds no room early, and share out slots that all see free

Change: calls that aren't the most urgent of their pool wait an eighth of their target, the most urgent twice it; lateness ranks below priority; while calls wait a front sends an engine its part of the free slots within 25 ms.

--- a/include/zinniagauge/board/traffic_plan.h
+++ b/include/zinniagauge/board/traffic_plan.h
@@ -105,6 +105,10 @@
 [[nodiscard]] const PlanPool *findPool(const TrafficPlan &plan,
                                        PoolId id) noexcept;
 
+/// Whether no route to \p pool is more urgent than \p route.
+[[nodiscard]] bool isMostUrgent(const TrafficPlan &plan, const PlanRoute &route,
+                                PoolId pool) noexcept;
+
 /// The pool of \p route that \p draw, a random number, falls on.
 [[nodiscard]] PoolId drawPool(const PlanRoute &route,
                               std::uint64_t draw) noexcept;
--- a/include/zinniagauge/decide/backend_choice.h
+++ b/include/zinniagauge/decide/backend_choice.h
@@ -19,7 +19,8 @@
   double Slots = 1;
   double PendingTokens = 0; // Of prompts that are to be read before.
   double EventMs = 0;       // Time for an event of a stream, or for an answer.
-  bool Usable = true; // Neither leaving nor passed over nor tried already.
+  bool Usable = true;     // Neither leaving nor passed over nor tried already.
+  bool Contended = false; // Others may be taking its free slots right now.
   bool SameZone = false;
 };
 
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -49,6 +49,7 @@
   Duration GapTarget = Duration::zero();
   std::uint32_t Priority = 0;
   std::uint32_t Lower = 0;
+  bool Urgent = false; // No route of its pool comes before its own.
   bool Keyed = false;
   WorkspaceId Workspace;
   std::string WorkspaceName;
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -65,6 +65,8 @@
   std::uint32_t Running = 0;       // Calls of this process there.
   std::uint64_t PendingTokens = 0; // Of prompts that haven't answered yet.
   double EventMs = 0;              // Time for an event; zero: not known yet.
+  std::uint32_t SentLately = 0;    // Calls, in quick succession until
+  Time LastSent;                   // the last one.
   ResultRecord Results;
   std::vector<BackendLink *> Idle; // The one used last is at the back.
   std::uint32_t Links = 0;
@@ -192,6 +194,9 @@
 [[nodiscard]] std::uint64_t tokensAhead(const RequestLoop &rl,
                                         const BackendState &to);
 
+/// A call leaves for \p to.
+void noteSent(const RequestLoop &rl, BackendState &to);
+
 /// The first event of \p call has come: learns how long prompts take.
 void notePrompt(RequestLoop &rl, const Call &call);
 
--- a/src/board/traffic_plan.cpp
+++ b/src/board/traffic_plan.cpp
@@ -51,6 +51,18 @@
   return it == plan.Pools.end() ? nullptr : &*it;
 }
 
+bool isMostUrgent(const TrafficPlan &plan, const PlanRoute &route,
+                  PoolId pool) noexcept {
+  const auto leads = [&](const PlanRoute &r) {
+    return std::any_of(r.Pools.begin(), r.Pools.end(),
+                       [&](const PoolWeight &w) { return w.Pool == pool; });
+  };
+  return std::none_of(plan.Routes.begin(), plan.Routes.end(),
+                      [&](const PlanRoute &r) {
+                        return r.Priority < route.Priority && leads(r);
+                      });
+}
+
 PoolId drawPool(const PlanRoute &route, std::uint64_t draw) noexcept {
   std::uint64_t sum = 0;
   for (const PoolWeight &w : route.Pools)
--- a/src/decide/backend_choice.cpp
+++ b/src/decide/backend_choice.cpp
@@ -76,7 +76,8 @@
   for (std::size_t n = 0; n < list.size(); ++n) {
     const Candidate &c = list[n];
     constexpr double Rounding = 1e-9;
-    if (!c.Usable || c.Running + 1 > c.Slots * wt.Room + Rounding)
+    if (!c.Usable || c.Contended ||
+        c.Running + 1 > c.Slots * wt.Room + Rounding)
       continue;
     const double cost = costAt(c, sp, work, wt);
     if (!best || cost < bestcost) {
--- a/src/front/backend_link.cpp
+++ b/src/front/backend_link.cpp
@@ -354,6 +354,7 @@
   if (!lk)
     return false;
   call->SentAt = rl.Lp.Now;
+  noteSent(rl, to);
   call->TokensAhead = tokensAhead(rl, to);
   lk->For = call;
   lk->PendingTokens = call->Work.PromptTokens;
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -83,6 +83,7 @@
   cp.GapTarget = route.GapTarget;
   cp.Priority = ws && ws->HasPriority ? ws->Priority : route.Priority;
   cp.Lower = route.Priority;
+  cp.Urgent = isMostUrgent(plan, route, cp.Pool);
   cp.Keyed = ws != nullptr;
   if (ws) {
     cp.Workspace = ws->Id;
@@ -249,12 +250,22 @@
 /// silent stream after some two seconds.
 constexpr Duration ResumeWait = std::chrono::milliseconds(1500);
 
-/// How long a call may wait for room: beyond its target it earns little, and
-/// another front may have room.
+/// Part of its target for which a call waits for room, unless none is more
+/// urgent: its caller is better told early to come back than late.
+constexpr double PatientPart = 0.125;
+
+/// Likewise of the most urgent calls, which get the next room anyway and are
+/// still of use when they are late.
+constexpr double UrgentPart = 2.0;
+
+/// How long a call may wait for room.
 Time queueDue(const Call &call, Time now) {
   if (call.Facts.Begun)
     return std::min(call.Due, now + ResumeWait);
-  return std::max(now, std::min(call.Due, call.Arrived + call.Plan.Target));
+  const double part = call.Plan.Urgent ? UrgentPart : PatientPart;
+  const auto wait =
+      std::chrono::duration_cast<Duration>(call.Plan.Target * part);
+  return std::max(now, std::min(call.Due, call.Arrived + wait));
 }
 
 /// Learns from the events that have come how fast the back end is.
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -1,6 +1,7 @@
 #include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace zinniagauge {
 
@@ -13,6 +14,9 @@
 /// Waiting calls that one pump tries to place though the first find no room.
 constexpr std::size_t MostSkipped = 8;
 
+/// How long it takes until other processes know of a call that was sent.
+constexpr Duration ContentionSpan = std::chrono::milliseconds(25);
+
 /// Weight of the latest measurement of a back end's pace, and of the time that
 /// prompts take.
 constexpr double PaceWeight = 0.25;
@@ -36,6 +40,17 @@
          lim.MostPassedOver * static_cast<double>(pool.Backends.size());
 }
 
+/// Whether this process has sent \p b as much lately as it may while several
+/// have calls that wait: each sees the same free slots, and learns only some
+/// milliseconds later that another has taken them.
+bool isContended(const RequestLoop &rl, const PoolState &pool,
+                 const BackendState &b, double running, double fronts) {
+  if (pool.Queue.empty() || rl.Lp.Now - b.LastSent > ContentionSpan)
+    return false;
+  const double free = b.Info.Slots - running + b.SentLately;
+  return b.SentLately >= std::max(std::floor(free / fronts), 1.0);
+}
+
 bool isUsable(const BackendState &b) {
   return b.Listed && !b.Info.Leaving && !b.WrongLife;
 }
@@ -45,6 +60,7 @@
                     bool passover, bool avoidtried) {
   const ReadGuard guard;
   const LoadList &peers = rl.Board.PeerLoads.read(guard);
+  const double fronts = rl.Board.Shares.read(guard).Processes;
   const ZoneId zone = ZoneId::of(rl.Settings.Zone);
   rl.Scratch.clear();
   for (const BackendState *b : pool.Backends) {
@@ -63,6 +79,7 @@
                                 b->Info.Id) != call.Tried.end();
     c.Usable = isUsable(*b) && !tried &&
                !(passover && isPassedOver(b->Results, rl.Lp.Now));
+    c.Contended = isContended(rl, pool, *b, c.Running, fronts);
     c.SameZone = b->Info.Zone == zone;
     rl.Scratch.push_back(c);
   }
@@ -73,13 +90,15 @@
                      [](const Candidate &c) { return c.Usable; });
 }
 
-/// Moves calls whose target has passed behind those that can still meet it.
-void rerank(RequestLoop &rl, PoolState &pool) {
-  while (!pool.Queue.empty()) {
-    Call *call = pool.Queue.begin()->second;
-    if (call->Rank.Late != 0 || rl.Lp.Now < call->Arrived + call->Plan.Target)
-      return;
-    pool.Queue.erase(pool.Queue.begin());
+/// Moves calls whose target has passed behind those of their priority that can
+/// still meet it.
+void rerank(const RequestLoop &rl, PoolState &pool) {
+  std::vector<Call *> late;
+  for (const auto &[rank, call] : pool.Queue)
+    if (rank.Late == 0 && rl.Lp.Now >= call->Arrived + call->Plan.Target)
+      late.push_back(call);
+  for (Call *call : late) {
+    pool.Queue.erase({call->Rank, call});
     call->Rank.Late = 1;
     pool.Queue.emplace(call->Rank, call);
   }
@@ -213,6 +232,13 @@
     arm(rl.Lp, rl.PumpTimer, rl.Lp.Now + PumpPeriod);
 }
 
+void noteSent(const RequestLoop &rl, BackendState &to) {
+  if (rl.Lp.Now - to.LastSent > ContentionSpan)
+    to.SentLately = 0;
+  ++to.SentLately;
+  to.LastSent = rl.Lp.Now;
+}
+
 void noteLost(RequestLoop &rl, BackendState &to) {
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (!passingOver(pool, rl.Outliers, rl.Lp.Now))
--- a/tests/unit/traffic_plan_test.cpp
+++ b/tests/unit/traffic_plan_test.cpp
@@ -46,3 +46,16 @@
     second += drawPool(r, draw) == PoolId{2} ? 1 : 0;
   CHECK(second == 100);
 }
+
+TEST_CASE("urgency is told among the routes of one pool", "[plan]") {
+  TrafficPlan plan = planWith({{"a", "/1/"}, {"a", "/2/"}, {"a", "/3/"}});
+  plan.Routes[0].Priority = 0;
+  plan.Routes[0].Pools = {{PoolId{1}, 1}};
+  plan.Routes[1].Priority = 1;
+  plan.Routes[1].Pools = {{PoolId{1}, 1}};
+  plan.Routes[2].Priority = 2;
+  plan.Routes[2].Pools = {{PoolId{2}, 1}};
+  CHECK(isMostUrgent(plan, plan.Routes[0], PoolId{1}));
+  CHECK_FALSE(isMostUrgent(plan, plan.Routes[1], PoolId{1}));
+  CHECK(isMostUrgent(plan, plan.Routes[2], PoolId{2}));
+}
