Lead version moves by one record and the time since it was begun

Cause: orders to move a service to another version were not followed; new engines would have got calls like any other, beyond what a bad version may get.

Results by engine and route go along with the gossip, and the judge of evidence runs on what all fronts saw. No lease, no leader.

Ruled out: raising the share step by step.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -7,6 +7,8 @@
 #include "zinniagauge/board/cell.h"
 #include "zinniagauge/board/demand.h"
 #include "zinniagauge/board/load.h"
+#include "zinniagauge/board/move.h"
+#include "zinniagauge/board/pool_move.h"
 #include "zinniagauge/board/traffic_plan.h"
 
 #include <atomic>
@@ -17,14 +19,16 @@
 /// What one front knows. Each section has one writing thread; any thread may
 /// read any section at any time without waiting.
 struct FrontBoard {
-  Cell<TrafficPlan> Plan;       // Written by the plan controller.
-  Cell<BackendList> Backends;   // Written by the discovery controller.
-  Cell<AllowanceShares> Shares; // Written by the peer controller.
-  Cell<LoadList> PeerLoads;     // Written by the gossip controller.
-  Cell<LoadList> OwnLoads;      // Written by the request loop.
-  Cell<DemandList> Demands;     // Written by the request loop.
-  Cell<SpentList> OwnSpent;     // Written by the request loop.
-  Cell<SpentList> PeerSpent;    // Written by the gossip controller.
+  Cell<TrafficPlan> Plan;         // Written by the plan controller.
+  Cell<BackendList> Backends;     // Written by the discovery controller.
+  Cell<AllowanceShares> Shares;   // Written by the peer controller.
+  Cell<PoolMoveList> PoolMoves;   // Written by the controller of version moves.
+  Cell<EvidenceList> OwnEvidence; // Written by the request loop.
+  Cell<LoadList> PeerLoads;       // Written by the gossip controller.
+  Cell<LoadList> OwnLoads;        // Written by the request loop.
+  Cell<DemandList> Demands;       // Written by the request loop.
+  Cell<SpentList> OwnSpent;       // Written by the request loop.
+  Cell<SpentList> PeerSpent;      // Written by the gossip controller.
 
   /// When the newest reading was asked for that proved the plan to be the
   /// latest: nanoseconds of bootNow; zero before the first.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -8,6 +8,7 @@
 #include "zinniagauge/decide/backend_choice.h"
 #include "zinniagauge/decide/freshness.h"
 #include "zinniagauge/decide/outlier.h"
+#include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/retry_window.h"
 #include "zinniagauge/front/call.h"
 #include "zinniagauge/front/dialect.h"
@@ -17,6 +18,7 @@
 #include "zinniagauge/observe/event_log.h"
 #include "zinniagauge/observe/front_metrics.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -77,6 +79,7 @@
   std::vector<BackendState *> Backends;
   std::set<std::pair<CallRank, Call *>> Queue;
   RetryWindow Retries;
+  MoveGate Gate; // Of a move from one version to another.
   ResultRecord Results;
   double PromptMs = 0; // Time for a prompt token at mean speed.
 };
@@ -103,6 +106,7 @@
   std::unordered_map<PoolId, PoolState> Pools;
   std::unordered_map<WorkspaceId, AllowanceState> Allowances;
   std::unordered_map<WorkspaceId, double> Asked; // Cost since the last report.
+  std::map<EvidenceKey, EvidenceCounts> Seen;    // Of pools that are moved.
   OutlierLimits Outliers;
   ChoiceWeights Weights;
   std::vector<Candidate> Scratch;
@@ -195,7 +199,11 @@
                                         const BackendState &to);
 
 /// A call leaves for \p to.
-void noteSent(const RequestLoop &rl, BackendState &to);
+void noteSent(RequestLoop &rl, BackendState &to);
+
+/// \p call ended at its back end, well or not: evidence on its version, if its
+/// pool is being moved from one to another.
+void noteEvidence(RequestLoop &rl, const Call &call, bool failed);
 
 /// The first event of \p call has come: learns how long prompts take.
 void notePrompt(RequestLoop &rl, const Call &call);
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -11,6 +11,7 @@
 #include "zinniagauge/observe/event_log.h"
 #include "zinniagauge/observe/front_metrics.h"
 #include "zinniagauge/store/gossip.h"
+#include "zinniagauge/store/move_keeper.h"
 #include "zinniagauge/store/store_dialect.h"
 #include "zinniagauge/store/store_link.h"
 
@@ -76,6 +77,7 @@
   BackendReader Discovery;
   PeerKeeper Peers;
   Gossip Talk;
+  MoveKeeper Moves;
   std::function<void()> OnChange; // The board has changed; on this loop.
 };
 
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -5,6 +5,7 @@
 #include "zinniagauge/board/address.h"
 #include "zinniagauge/board/demand.h"
 #include "zinniagauge/board/load.h"
+#include "zinniagauge/board/move.h"
 #include "zinniagauge/net/loop.h"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
   std::uint64_t Beat = 0;
   std::vector<BackendLoad> Loads;
   std::vector<Spent> SpentTotals;
+  std::vector<Evidence> Seen; // Of versions that are being moved to.
   bool Whole = true; // All loads are listed, not only those that changed.
 };
 
--- a/include/zinniagauge/store/store_dialect.h
+++ b/include/zinniagauge/store/store_dialect.h
@@ -6,10 +6,12 @@
 #include "zinniagauge/board/backend.h"
 #include "zinniagauge/board/table.h"
 #include "zinniagauge/board/traffic_plan.h"
+#include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/store/store_link.h"
 
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 namespace zinniagauge {
 
@@ -37,6 +39,13 @@
   /// The plan in a row of Operators. Fails with NotFound if the row holds
   /// something else, with Invalid if it can't be read.
   Result<TrafficPlan> (*Plan)(const TableRow &row);
+  /// The order in a row of Operators. Fails with NotFound if the row holds
+  /// something else, with Invalid if it can't be read.
+  Result<VersionOrder> (*Order)(const TableRow &row);
+  /// The record in a row of Outcomes, and whose it is. Fails likewise.
+  Result<std::pair<PoolId, MoveRecord>> (*Record)(const TableRow &row);
+  /// The row of Outcomes that holds \p rec.
+  TableRow (*Outcome)(const VersionOrder &order, const MoveRecord &rec);
   /// The back end in a row of Backends. Fails with Invalid if the row names
   /// none that can be used.
   Result<Backend> (*BackendOf)(const TableRow &row);
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -11,9 +11,22 @@
   beat @2 :UInt64;            # Rises with each report.
   loads @3 :List(FrontLoad);
   spent @4 :List(FrontSpent);
+  evidence @6 :List(FrontEvidence);
   changesOnly @5 :Bool;       # Loads that aren't listed are as they were.
 }
 
+struct FrontEvidence {
+  pool @0 :UInt64;
+  version @1 :UInt64;
+  backend @2 :UInt64;
+  route @3 :UInt64;
+  requests @4 :UInt64;        # Counts since this life began, as are the sums.
+  failures @5 :UInt64;
+  firstNanos @6 :UInt64;      # Sum over the requests that succeeded.
+  totalNanos @7 :UInt64;
+  units @8 :UInt64;
+}
+
 struct FrontLoad {
   backend @0 :UInt64;
   running @1 :UInt32;         # Calls of this front there.
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(def9de05377f5711);
+CAPNP_DECLARE_SCHEMA(89d621d0ea5a76a1);
 CAPNP_DECLARE_SCHEMA(db459021a7de973f);
 CAPNP_DECLARE_SCHEMA(f1f521f4e6c4906f);
 
@@ -34,7 +35,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontEvidence {
+  FrontEvidence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(89d621d0ea5a76a1, 9, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -104,6 +120,9 @@
 
   inline bool getChangesOnly() const;
 
+  inline bool hasEvidence() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -158,6 +177,13 @@
   inline bool getChangesOnly();
   inline void setChangesOnly(bool value);
 
+  inline bool hasEvidence();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Builder getEvidence();
+  inline void setEvidence( ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Builder initEvidence(unsigned int size);
+  inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -184,6 +210,122 @@
 };
 #endif  // !CAPNP_LITE
 
+class FrontEvidence::Reader {
+public:
+  typedef FrontEvidence Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getBackend() const;
+
+  inline  ::uint64_t getRoute() const;
+
+  inline  ::uint64_t getRequests() const;
+
+  inline  ::uint64_t getFailures() const;
+
+  inline  ::uint64_t getFirstNanos() const;
+
+  inline  ::uint64_t getTotalNanos() const;
+
+  inline  ::uint64_t getUnits() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontEvidence::Builder {
+public:
+  typedef FrontEvidence Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool();
+  inline void setPool( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getBackend();
+  inline void setBackend( ::uint64_t value);
+
+  inline  ::uint64_t getRoute();
+  inline void setRoute( ::uint64_t value);
+
+  inline  ::uint64_t getRequests();
+  inline void setRequests( ::uint64_t value);
+
+  inline  ::uint64_t getFailures();
+  inline void setFailures( ::uint64_t value);
+
+  inline  ::uint64_t getFirstNanos();
+  inline void setFirstNanos( ::uint64_t value);
+
+  inline  ::uint64_t getTotalNanos();
+  inline void setTotalNanos( ::uint64_t value);
+
+  inline  ::uint64_t getUnits();
+  inline void setUnits( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontEvidence::Pipeline {
+public:
+  typedef FrontEvidence Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FrontLoad::Reader {
 public:
   typedef FrontLoad Reads;
@@ -482,6 +624,166 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FrontReport::Reader::hasEvidence() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasEvidence() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getEvidence() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setEvidence( ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initEvidence(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptEvidence(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownEvidence() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getBackend() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getBackend() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setBackend( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getRoute() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getRoute() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setRoute( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getRequests() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getRequests() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setRequests( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getFailures() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getFailures() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setFailures( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getFirstNanos() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getFirstNanos() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setFirstNanos( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getTotalNanos() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getTotalNanos() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setTotalNanos( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontEvidence::Reader::getUnits() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontEvidence::Builder::getUnits() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void FrontEvidence::Builder::setUnits( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontLoad::Reader::getBackend() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -239,6 +239,7 @@
     refuse(call, "no back end had room in time");
     return;
   }
+  noteEvidence(*call->Owner, *call, true);
   cutLink(*call);
   if (call->Facts.Begun)
     breakOff(call, "time is over");
@@ -440,8 +441,10 @@
   if (call->Phase == CallPhase::Over)
     return;
   CallFacts &facts = call->Facts;
-  if (end == AttemptEnd::Lost)
+  if (end == AttemptEnd::Lost) {
     facts.MayHaveRun = true;
+    noteEvidence(rl, *call, true);
+  }
   if (end == AttemptEnd::NotSent) {
     --facts.Sent;
     ++facts.Unreached;
@@ -488,6 +491,7 @@
   const bool sound = !good || (findField(head.Fields, rl.Names.Seal) &&
                                !findField(head.Fields, "Content-Encoding"));
   const bool failed = head.Status >= 500 || promisesNotRun(head.Status);
+  noteEvidence(rl, *call, failed || !sound);
   if (b) {
     noteAnswer(rl, *b, failed || !sound);
     if (call->Facts.Kind != CallKind::Stream)
@@ -550,6 +554,7 @@
   RequestLoop &rl = *call->Owner;
   if (BackendState *b = backendOf(rl, *call))
     noteAnswer(rl, *b, false);
+  noteEvidence(rl, *call, false);
   countAttempt(rl.Metrics, "answered");
   Caller *from = call->From;
   if (from) {
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -85,6 +85,26 @@
   }
 }
 
+/// Keeps to the share of a version that the pool is being moved to.
+void applyMove(RequestLoop &rl, const PoolState &pool, PoolId id) {
+  const ReadGuard guard;
+  const PoolMove *move = moveOf(rl.Board.PoolMoves.read(guard), id);
+  if (!move)
+    return;
+  const bool wanted = wantsNew(pool.Gate, *move);
+  const auto fits = [&](std::size_t n) {
+    return (pool.Backends[n]->Info.Version == move->To) == wanted;
+  };
+  bool any = false;
+  for (std::size_t n = 0; n < rl.Scratch.size(); ++n)
+    any = any || (rl.Scratch[n].Usable && fits(n));
+  // The new version may be missing; the old one is then as good as before. The
+  // other way round its share would be passed.
+  const bool instead = !any && wanted;
+  for (std::size_t n = 0; n < rl.Scratch.size(); ++n)
+    rl.Scratch[n].Usable = rl.Scratch[n].Usable && (instead || fits(n));
+}
+
 bool anyUsable(const RequestLoop &rl) {
   return std::any_of(rl.Scratch.begin(), rl.Scratch.end(),
                      [](const Candidate &c) { return c.Usable; });
@@ -143,6 +163,7 @@
     listCandidates(rl, pool, call, false, true);
   if (!anyUsable(rl))
     listCandidates(rl, pool, call, false, false);
+  applyMove(rl, pool, call.Plan.Pool);
   ChoiceWork work;
   work.PromptTokens = static_cast<double>(call.Work.PromptTokens);
   work.Events = std::max(call.Work.Events - call.Stream.Events, 1.0);
@@ -232,7 +253,35 @@
     arm(rl.Lp, rl.PumpTimer, rl.Lp.Now + PumpPeriod);
 }
 
-void noteSent(const RequestLoop &rl, BackendState &to) {
+void noteEvidence(RequestLoop &rl, const Call &call, bool failed) {
+  const auto it = rl.Backends.find(call.At);
+  const ReadGuard guard;
+  const PoolMove *move = moveOf(rl.Board.PoolMoves.read(guard), call.Plan.Pool);
+  if (!move || isFinal(move->Stage) || it == rl.Backends.end())
+    return;
+  const BackendState &at = *it->second;
+  EvidenceCounts &c = rl.Seen[{call.Plan.Pool, at.Info.Version, at.Info.Id,
+                               RouteId::of(call.Plan.Route), LoadClass::Light}];
+  ++c.Requests;
+  if (failed) {
+    ++c.Failures;
+    return;
+  }
+  const Time first = call.Stream.Events > 0 ? call.Stream.FirstAt : rl.Lp.Now;
+  c.FirstTokenNanos += static_cast<std::uint64_t>(
+      std::max(first - call.SentAt, Duration::zero()).count());
+  c.TotalNanos += static_cast<std::uint64_t>((rl.Lp.Now - call.SentAt).count());
+  c.OutputTokens += std::max(call.Stream.Events, 1U);
+}
+
+void noteSent(RequestLoop &rl, BackendState &to) {
+  {
+    const ReadGuard guard;
+    const PoolMove *move = moveOf(rl.Board.PoolMoves.read(guard), to.Info.Pool);
+    if (move)
+      noteSent(poolOf(rl, to.Info.Pool).Gate, *move,
+               to.Info.Version == move->To);
+  }
   if (rl.Lp.Now - to.LastSent > ContentionSpan)
     to.SentLately = 0;
   ++to.SentLately;
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -75,10 +75,19 @@
   arm(rl.Lp, rl.ReportTimer, now + DemandPeriod);
 }
 
+EvidenceList ownEvidence(const RequestLoop &rl) {
+  EvidenceList out;
+  for (const auto &[key, counts] : rl.Seen)
+    out.Rows.push_back({key, counts});
+  return out;
+}
+
 void onLoads(void *ctx, Time /*now*/) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
   rl.Board.OwnLoads.publish(ownLoads(rl));
   rl.Board.OwnSpent.publish(ownSpent(rl));
+  if (!rl.Seen.empty())
+    rl.Board.OwnEvidence.publish(ownEvidence(rl));
   if (rl.OnLoads)
     rl.OnLoads();
 }
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -13,6 +13,8 @@
   ct.Plans.Owner = &ct;
   ct.Discovery.Owner = &ct;
   ct.Peers.Owner = &ct;
+  ct.Moves.Owner = &ct;
+  startMoves(ct.Moves);
   startPlans(ct.Plans);
   startDiscovery(ct.Discovery);
   startPeers(ct.Peers);
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -54,6 +54,7 @@
   rep.Beat = ++go.Beat;
   rep.Loads = board.OwnLoads.copy().List;
   rep.SpentTotals = board.OwnSpent.copy().List;
+  rep.Seen = board.OwnEvidence.copy().Rows;
   return rep;
 }
 
@@ -146,6 +147,29 @@
         std::max(to.EventMicros, l.EventMicros)};
 }
 
+void writeEvidence(wire::FrontEvidence::Builder out, const Evidence &e) {
+  out.setPool(e.Key.Pool.Value);
+  out.setVersion(e.Key.Version.Value);
+  out.setBackend(e.Key.Endpoint.Value);
+  out.setRoute(e.Key.Route.Value);
+  out.setRequests(e.Counts.Requests);
+  out.setFailures(e.Counts.Failures);
+  out.setFirstNanos(e.Counts.FirstTokenNanos);
+  out.setTotalNanos(e.Counts.TotalNanos);
+  out.setUnits(e.Counts.OutputTokens);
+}
+
+Evidence readEvidence(wire::FrontEvidence::Reader in) {
+  Evidence e;
+  e.Key.Pool = PoolId{in.getPool()};
+  e.Key.Version = VersionId{in.getVersion()};
+  e.Key.Endpoint = EndpointId{in.getBackend()};
+  e.Key.Route = RouteId{in.getRoute()};
+  e.Counts = {in.getRequests(), in.getFailures(), in.getFirstNanos(),
+              in.getTotalNanos(), in.getUnits()};
+  return e;
+}
+
 } // namespace
 
 std::string encodeReport(const GossipReport &rep) {
@@ -167,6 +191,9 @@
     spent[n].setWorkspace(rep.SpentTotals[n].Workspace.Value);
     spent[n].setTotal(rep.SpentTotals[n].Total);
   }
+  auto seen = out.initEvidence(static_cast<unsigned>(rep.Seen.size()));
+  for (unsigned n = 0; n < seen.size(); ++n)
+    writeEvidence(seen[n], rep.Seen[n]);
   kj::VectorOutputStream raw;
   capnp::writePackedMessage(raw, msg);
   const auto bytes = raw.getArray();
@@ -182,13 +209,18 @@
         reinterpret_cast<const kj::byte *>(raw.data()), raw.size()));
     capnp::PackedMessageReader msg(in);
     const auto rep = msg.getRoot<wire::FrontReport>();
-    GossipReport got{rep.getNode(), rep.getLife(), rep.getBeat(), {}, {}, true};
+    GossipReport got;
+    got.Node = rep.getNode();
+    got.Life = rep.getLife();
+    got.Beat = rep.getBeat();
     got.Whole = !rep.getChangesOnly();
     for (const auto l : rep.getLoads())
       got.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
                            l.getPendingTokens(), l.getEventMicros()});
     for (const auto s : rep.getSpent())
       got.SpentTotals.push_back({WorkspaceId{s.getWorkspace()}, s.getTotal()});
+    for (const auto e : rep.getEvidence())
+      got.Seen.push_back(readEvidence(e));
     out = std::move(got);
   });
   if (failed != nullptr)
--- a/src/store/plan_follower.cpp
+++ b/src/store/plan_follower.cpp
@@ -50,6 +50,22 @@
   board.PlanVersion.store(version, std::memory_order_release);
 }
 
+void takeOrderIn(PlanFollower &pf, const TableRow &row) {
+  handle([&] { return pf.Owner->Names.Order(row); },
+         [&](VersionOrder order) {
+           takeOrder(pf.Owner->Moves, std::move(order));
+           return 0;
+         },
+         [&](const Error &err) {
+           if (err.Code == ErrorCode::NotFound)
+             return 0;
+           EventLine line = eventLine("order_unreadable");
+           add(line, err);
+           pf.Owner->Log.write(line);
+           return 0;
+         });
+}
+
 /// False if a row could not be read: what is in force isn't proven then.
 bool takeRow(PlanFollower &pf, const TableRow &row) {
   return handle([&] { return pf.Owner->Names.Plan(row); },
@@ -79,8 +95,10 @@
   const std::uint64_t before = pf.Owner->Board.PlanVersion;
   bool sound = true;
   for (const TableRow &row : rd.Rows)
-    if (!row.Deleted)
+    if (!row.Deleted) {
       sound = takeRow(pf, row) && sound;
+      takeOrderIn(pf, row);
+    }
   pf.Version = rd.Version;
   pf.Whole = true;
   FrontBoard &board = pf.Owner->Board;
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -18,6 +18,7 @@
           beat,
           {{EndpointId{7}, 3, 900, 20'000}},
           {{WorkspaceId{5}, spent}},
+          {},
           true};
 }
 
--- a/tests/unit/platform_rows_test.cpp
+++ b/tests/unit/platform_rows_test.cpp
@@ -104,3 +104,33 @@
   gone.Status = 410;
   CHECK(valueOf([&] { return st.Rows(gone); })->HistoryGone);
 }
+
+TEST_CASE("orders and records of roll-outs are read and written",
+          "[platform]") {
+  const auto order = valueOf([] {
+    return platform::orderOf(
+        {"rollout/s1", R"({"service":"s1","target":"v2","duration_s":12})", 31,
+         false});
+  });
+  REQUIRE(order);
+  CHECK(order->Limit == std::chrono::seconds(12));
+  CHECK(order->Number == 31);
+  CHECK_FALSE(valueOf([] {
+    return platform::orderOf({"config", "{}", 1, false});
+  }));
+  MoveRecord rec;
+  rec.Stage = MoveStage::TakenBack;
+  rec.Label = "v2";
+  rec.Order = 31;
+  rec.BeganMs = 400;
+  rec.Why = "requests fail";
+  TableRow row = platform::outcomeRow(*order, rec);
+  CHECK(row.Value.find("\"rolled_back\"") != std::string::npos);
+  row.Version = 5;
+  const auto back = valueOf([&] { return platform::recordOf(row); });
+  REQUIRE(back);
+  CHECK(back->first == order->Pool);
+  CHECK(back->second.Stage == MoveStage::TakenBack);
+  CHECK(back->second.BeganMs == 400);
+  CHECK(back->second.Version == 5);
+}
