Have one front in sixteen read the table service for the others

Change: fronts agree on who reads by what they hear of each other; the others ask a reader by datagram and take its word as of when they asked, never later, so that a front that was frozen proves nothing by an old answer. A newer mark or another digest has a front read by itself, as does a proof of over 1.7 s. Rows of fronts are written every 4 s.

Ruled out: taking readers' reports without a question; their age can't be told after a freeze or a cut.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -38,6 +38,25 @@
   /// Since when every living peer has been heard: the least of the times at
   /// which each was heard last, nanoseconds of monotonicNow.
   std::atomic<std::int64_t> PeersHeard{0};
+
+  /// The newest of the operators' rows that was read; rises with each of them.
+  std::atomic<std::uint64_t> OperatorsMark{0};
+  /// A digest of the list of back ends that was read last, and when that was
+  /// asked for, as PlanProven.
+  std::atomic<std::uint64_t> BackendsDigest{0};
+  std::atomic<std::int64_t> BackendsProven{0};
+
+  /// What a front that reads the table service said of these two, and the
+  /// latest time at which it surely held, by bootNow of this machine. Written
+  /// by the gossip controller.
+  std::atomic<std::uint64_t> ToldMark{0};
+  std::atomic<std::int64_t> ToldMarkAt{0};
+  std::atomic<std::uint64_t> ToldDigest{0};
+  std::atomic<std::int64_t> ToldDigestAt{0};
+
+  /// Whether this front reads the table service for others as well.
+  std::atomic<bool> Reads{true};
+
   std::atomic<bool> Stopping{false}; // Written by whoever stops the process.
 };
 
--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -33,7 +33,7 @@
 /// How long a process that publishes nothing still counts: it may spend until
 /// its proof of the configuration is too old to serve keys (FreshnessLimits),
 /// and one beat longer.
-inline constexpr Duration PeerMemory = std::chrono::seconds(6);
+inline constexpr Duration PeerMemory = std::chrono::seconds(9);
 
 /// Peers as they were last read.
 struct PeerBook {
--- a/include/zinniagauge/decide/backend_track.h
+++ b/include/zinniagauge/decide/backend_track.h
@@ -48,6 +48,12 @@
                                std::span<const Backend> listed, Time asked,
                                Time now);
 
+/// A reading that was asked for at \p asked would have given the same list.
+void confirmReading(BackendTrack &track, Time asked) noexcept;
+
+/// A digest of a list, equal wherever the same was read.
+[[nodiscard]] std::uint64_t digestOf(std::span<const Backend> listed);
+
 /// The back ends as of the latest reading, sorted by id.
 [[nodiscard]] BackendList usable(const BackendTrack &track);
 
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -30,6 +30,7 @@
   StoreLink Link;
   LoopTimer Timer;
   std::uint64_t Version = 0; // Of the table service, read up to here.
+  std::uint64_t Mark = 0;    // Of the newest row of operators.
   bool Whole = false;        // Version was reached by a whole reading.
   bool Lost = false;         // The last call failed.
   Duration Pause = Duration::zero();
@@ -42,7 +43,8 @@
   LoopTimer Timer;
   std::vector<Backend> Page; // Read so far.
   std::string From;
-  Time Asked; // For the first page.
+  Time Asked;     // For the first page,
+  Time AskedBoot; // by bootNow.
   BackendTrack Track;
   std::set<std::string> Unreadable; // Rows that were logged as such.
   bool Lost = false;
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -26,8 +26,14 @@
   std::uint64_t Beat = 0;
   std::vector<BackendLoad> Loads;
   std::vector<Spent> SpentTotals;
-  std::vector<Evidence> Seen; // Of versions that are being moved to.
-  bool Whole = true; // All loads are listed, not only those that changed.
+  std::vector<Evidence> Seen;    // Of versions that are being moved to.
+  std::uint64_t Mark = 0;        // Of the newest row of operators it knows.
+  std::uint64_t Digest = 0;      // Of the back ends as it knows them.
+  std::uint32_t MarkAgeMs = 0;   // Since Mark was surely the newest,
+  std::uint32_t DigestAgeMs = 0; // and Digest that of the list.
+  std::int64_t Ask = 0;  // A question: the asker's bootNow, to be echoed.
+  std::int64_t Echo = 0; // An answer: the Ask that it answers.
+  bool Whole = true;     // All loads are listed, not only those that changed.
 };
 
 /// What of \p now differs from \p before, both sorted; a load that is no longer
@@ -64,6 +70,11 @@
 /// What all peers ever spent, as far as it was heard. It never falls.
 [[nodiscard]] SpentList peerSpent(const GossipBook &book);
 
+/// The fronts that read the table service for all: the first of those that
+/// live, in an order that all agree on. \p living holds node ids.
+[[nodiscard]] std::vector<std::uint64_t>
+readersOf(std::span<const std::uint64_t> living);
+
 /// Sends and receives reports.
 struct Gossip {
   Gossip() = default;
@@ -77,6 +88,8 @@
   std::uint64_t Life = 0;
   std::uint64_t Beat = 0;
   Time LastSent;
+  Time LastAsked;
+  std::map<std::uint64_t, PeerAddress> Addresses; // Where reports came from.
   std::vector<BackendLoad> Said; // Loads as the peers were told last.
   GossipBook Book;
 };
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -13,6 +13,12 @@
   spent @4 :List(FrontSpent);
   evidence @6 :List(FrontEvidence);
   changesOnly @5 :Bool;       # Loads that aren't listed are as they were.
+  mark @7 :UInt64;            # Of the newest row of operators it knows.
+  digest @8 :UInt64;          # Of the back ends as it knows them.
+  markAgeMs @9 :UInt32;       # Since each of them was surely the latest.
+  digestAgeMs @10 :UInt32;
+  ask @11 :Int64;             # A question: the asker's clock, to be echoed.
+  echo @12 :Int64;            # An answer: the ask that it answers.
 }
 
 struct FrontEvidence {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -35,7 +35,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 9, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -123,6 +123,18 @@
   inline bool hasEvidence() const;
   inline  ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>::Reader getEvidence() const;
 
+  inline  ::uint64_t getMark() const;
+
+  inline  ::uint64_t getDigest() const;
+
+  inline  ::uint32_t getMarkAgeMs() const;
+
+  inline  ::uint32_t getDigestAgeMs() const;
+
+  inline  ::int64_t getAsk() const;
+
+  inline  ::int64_t getEcho() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -184,6 +196,24 @@
   inline void adoptEvidence(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontEvidence,  ::capnp::Kind::STRUCT>> disownEvidence();
 
+  inline  ::uint64_t getMark();
+  inline void setMark( ::uint64_t value);
+
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
+  inline  ::uint32_t getMarkAgeMs();
+  inline void setMarkAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getDigestAgeMs();
+  inline void setDigestAgeMs( ::uint32_t value);
+
+  inline  ::int64_t getAsk();
+  inline void setAsk( ::int64_t value);
+
+  inline  ::int64_t getEcho();
+  inline void setEcho( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -658,6 +688,90 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FrontReport::Reader::getMark() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontReport::Builder::getMark() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setMark( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontReport::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontReport::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontReport::Reader::getMarkAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontReport::Builder::getMarkAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setMarkAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontReport::Reader::getDigestAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontReport::Builder::getDigestAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setDigestAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FrontReport::Reader::getAsk() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FrontReport::Builder::getAsk() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setAsk( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FrontReport::Reader::getEcho() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FrontReport::Builder::getEcho() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setEcho( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontEvidence::Reader::getPool() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/decide/backend_track.cpp
+++ b/src/decide/backend_track.cpp
@@ -49,6 +49,24 @@
   return usable(track).List != before;
 }
 
+void confirmReading(BackendTrack &track, Time asked) noexcept {
+  track.LastRead = std::max(track.LastRead, asked);
+}
+
+std::uint64_t digestOf(std::span<const Backend> listed) {
+  std::vector<std::string> lines;
+  for (const Backend &b : listed)
+    lines.push_back(b.Name + "@" + std::to_string(b.Born) + "@" +
+                    toString(b.Address) + "@" +
+                    std::to_string(b.Pool.Value ^ b.Version.Value) + "@" +
+                    std::to_string(b.Slots) + (b.Leaving ? "-" : "+"));
+  std::sort(lines.begin(), lines.end());
+  std::string all;
+  for (const std::string &line : lines)
+    all.append(line).append("\n");
+  return nameHash(all);
+}
+
 BackendList usable(const BackendTrack &track) {
   BackendList out;
   for (const auto &[life, seen] : track.Lives) {
--- a/src/store/backend_reader.cpp
+++ b/src/store/backend_reader.cpp
@@ -16,11 +16,37 @@
 /// Rows that can't be read and were logged; more are only counted.
 constexpr std::size_t MostLogged = 64;
 
+/// How often a front that doesn't read for others looks at what it was told.
+constexpr Duration LookPeriod = std::chrono::milliseconds(100);
+
+/// The age of a list at which such a front reads by itself.
+constexpr Duration OldList = std::chrono::milliseconds(1800);
+
 void askPage(BackendReader &br);
 
+/// Takes what a reading front said of the list. True if that is enough for now.
+bool takeTold(BackendReader &br) {
+  FrontBoard &board = br.Owner->Board;
+  if (board.Reads || br.Lost || board.BackendsProven == 0)
+    return false;
+  if (board.ToldDigestAt > board.BackendsProven) {
+    if (board.ToldDigest != board.BackendsDigest)
+      return false;
+    const Duration age = bootNow() - fromNanos(board.ToldDigestAt);
+    board.BackendsProven = board.ToldDigestAt.load();
+    confirmReading(br.Track, br.Owner->Lp.Now - age);
+  }
+  return bootNow() - fromNanos(board.BackendsProven) < OldList;
+}
+
 void onTime(void *ctx, Time now) {
   BackendReader &br = *static_cast<BackendReader *>(ctx);
+  if (takeTold(br)) {
+    arm(br.Owner->Lp, br.Timer, now + LookPeriod);
+    return;
+  }
   br.Page.clear();
+  br.AskedBoot = bootNow();
   br.From.clear();
   br.Asked = now;
   askPage(br);
@@ -96,7 +122,10 @@
            }
            if (takeReading(br.Track, br.Page, br.Asked, lp.Now))
              publish(br);
-           arm(lp, br.Timer, br.Asked + ReadPeriod);
+           br.Owner->Board.BackendsDigest = digestOf(br.Page);
+           br.Owner->Board.BackendsProven = toNanos(br.AskedBoot);
+           arm(lp, br.Timer,
+               br.Asked + (br.Owner->Board.Reads ? ReadPeriod : LookPeriod));
            return 0;
          },
          [&](const Error &err) {
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -1,5 +1,6 @@
 #include "zinniagauge/store/gossip.h"
 
+#include "zinniagauge/decide/random.h"
 #include "zinniagauge/store/controllers.h"
 
 #include "gossip.capnp.h"
@@ -46,6 +47,31 @@
   return sa;
 }
 
+/// How often a front that doesn't read the table service asks one that does.
+constexpr Duration AskPeriod = std::chrono::milliseconds(600);
+
+/// How long a silent peer is taken to live.
+constexpr Duration LifeMemory = std::chrono::milliseconds(1500);
+
+/// Fronts of which one more reads for the others.
+constexpr std::size_t FrontsPerReader = 16;
+
+std::uint32_t ageMs(std::int64_t provenboot) {
+  const Duration age = bootNow() - fromNanos(provenboot);
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1;
+  constexpr std::int64_t Most = 3'600'000;
+  return static_cast<std::uint32_t>(std::min(ms, Most));
+}
+
+/// What this front knows of the table service.
+void fillKnown(GossipReport &rep, const FrontBoard &board) {
+  rep.Mark = board.OperatorsMark;
+  rep.Digest = board.BackendsDigest;
+  rep.MarkAgeMs = ageMs(board.PlanProven);
+  rep.DigestAgeMs = ageMs(board.BackendsProven);
+}
+
 GossipReport ownReport(Gossip &go) {
   const FrontBoard &board = go.Owner->Board;
   GossipReport rep;
@@ -55,6 +81,7 @@
   rep.Loads = board.OwnLoads.copy().List;
   rep.SpentTotals = board.OwnSpent.copy().List;
   rep.Seen = board.OwnEvidence.copy().Rows;
+  fillKnown(rep, board);
   return rep;
 }
 
@@ -96,6 +123,80 @@
   return count;
 }
 
+void sendTo(Gossip &go, const GossipReport &rep, PeerAddress to) {
+  const std::string raw = encodeReport(rep);
+  const sockaddr_in sa = socketAddress(to);
+  // One that is lost is asked again.
+  ::sendto(go.Socket.Fd, raw.data(), raw.size(), MSG_DONTWAIT,
+           reinterpret_cast<const sockaddr *>(&sa), sizeof sa);
+}
+
+/// A report without loads, for one peer.
+GossipReport shortReport(Gossip &go) {
+  GossipReport rep;
+  rep.Node = nameHash(go.Owner->Settings.Node);
+  rep.Life = go.Life;
+  rep.Beat = ++go.Beat;
+  rep.Whole = false;
+  fillKnown(rep, go.Owner->Board);
+  return rep;
+}
+
+/// Finds out who reads, and asks one of them if this front doesn't.
+void askReader(Gossip &go, Time now) {
+  const std::uint64_t self = nameHash(go.Owner->Settings.Node);
+  std::vector<std::uint64_t> living = {self};
+  for (const auto &[node, peer] : go.Book.Peers)
+    if (now - peer.Heard < LifeMemory)
+      living.push_back(node);
+  const std::vector<std::uint64_t> readers = readersOf(living);
+  const bool reads =
+      std::find(readers.begin(), readers.end(), self) != readers.end();
+  FrontBoard &board = go.Owner->Board;
+  if (board.Reads.exchange(reads) != reads) {
+    EventLine line = eventLine("reads_for_others");
+    add(line, "reads", std::int64_t{reads ? 1 : 0});
+    add(line, "living", static_cast<std::int64_t>(living.size()));
+    go.Owner->Log.write(line);
+  }
+  if (reads || now - go.LastAsked < AskPeriod)
+    return;
+  go.LastAsked = now;
+  const auto to = go.Addresses.find(readers[go.Beat % readers.size()]);
+  if (to == go.Addresses.end())
+    return;
+  GossipReport rep = shortReport(go);
+  rep.Ask = toNanos(bootNow());
+  sendTo(go, rep, to->second);
+}
+
+/// Takes what an answer proves, and answers a question.
+void takeWords(Gossip &go, const GossipReport &rep, PeerAddress from) {
+  FrontBoard &board = go.Owner->Board;
+  if (rep.Ask != 0) {
+    GossipReport answer = shortReport(go);
+    answer.Echo = rep.Ask;
+    sendTo(go, answer, from);
+  }
+  // A higher mark is worth a look even if it proves nothing.
+  if (rep.Mark > board.ToldMark) {
+    board.ToldMark = rep.Mark;
+    board.ToldMarkAt = 0;
+  }
+  if (rep.Echo == 0)
+    return;
+  // The answer was made after the question, so it held then at the latest.
+  const Time asked = fromNanos(rep.Echo);
+  const Time mark = asked - std::chrono::milliseconds(rep.MarkAgeMs);
+  const Time list = asked - std::chrono::milliseconds(rep.DigestAgeMs);
+  if (rep.Mark == board.ToldMark && toNanos(mark) > board.ToldMarkAt)
+    board.ToldMarkAt = toNanos(mark);
+  if (toNanos(list) > board.ToldDigestAt) {
+    board.ToldDigest = rep.Digest;
+    board.ToldDigestAt = toNanos(list);
+  }
+}
+
 void onTimer(void *ctx, Time now) {
   Gossip &go = *static_cast<Gossip *>(ctx);
   Controllers &ct = *go.Owner;
@@ -103,6 +204,7 @@
   const std::size_t count = sendReport(go, rep);
   go.Said = rep.Loads;
   publish(go);
+  askReader(go, now);
   const auto stretch = static_cast<int>(
       std::max<std::size_t>(1, (count + FewPeers - 1) / FewPeers));
   arm(ct.Lp, go.Timer, now + WholePeriod * stretch);
@@ -112,16 +214,23 @@
   Gossip &go = *static_cast<Gossip *>(ctx);
   Loop &lp = go.Owner->Lp;
   for (;;) {
+    sockaddr_in sa{};
+    socklen_t len = sizeof sa;
     const ssize_t n =
-        ::recv(go.Socket.Fd, lp.Scratch.data(), lp.Scratch.size(), 0);
+        ::recvfrom(go.Socket.Fd, lp.Scratch.data(), lp.Scratch.size(), 0,
+                   reinterpret_cast<sockaddr *>(&sa), &len);
     if (n < 0)
       break;
     auto rep =
         decodeReport(std::span(lp.Scratch.data(), static_cast<std::size_t>(n)));
     if (!rep)
       countTable(go.Owner->Metrics, "gossip", "unreadable");
-    else if (rep->Node != nameHash(go.Owner->Settings.Node))
+    else if (rep->Node != nameHash(go.Owner->Settings.Node)) {
+      const PeerAddress from{ntohl(sa.sin_addr.s_addr), ntohs(sa.sin_port)};
+      go.Addresses[rep->Node] = from;
+      takeWords(go, *rep, from);
       takeReport(go.Book, std::move(*rep), lp.Now);
+    }
   }
   publish(go);
 }
@@ -179,6 +288,12 @@
   out.setLife(rep.Life);
   out.setBeat(rep.Beat);
   out.setChangesOnly(!rep.Whole);
+  out.setMark(rep.Mark);
+  out.setDigest(rep.Digest);
+  out.setMarkAgeMs(rep.MarkAgeMs);
+  out.setDigestAgeMs(rep.DigestAgeMs);
+  out.setAsk(rep.Ask);
+  out.setEcho(rep.Echo);
   auto loads = out.initLoads(static_cast<unsigned>(rep.Loads.size()));
   for (unsigned n = 0; n < loads.size(); ++n) {
     loads[n].setBackend(rep.Loads[n].Id.Value);
@@ -214,6 +329,12 @@
     got.Life = rep.getLife();
     got.Beat = rep.getBeat();
     got.Whole = !rep.getChangesOnly();
+    got.Mark = rep.getMark();
+    got.Digest = rep.getDigest();
+    got.MarkAgeMs = rep.getMarkAgeMs();
+    got.DigestAgeMs = rep.getDigestAgeMs();
+    got.Ask = rep.getAsk();
+    got.Echo = rep.getEcho();
     for (const auto l : rep.getLoads())
       got.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
                            l.getPendingTokens(), l.getEventMicros()});
@@ -243,6 +364,8 @@
   }
   if (rep.SpentTotals.empty() && known)
     rep.SpentTotals = std::move(peer.Last.SpentTotals);
+  if (rep.Seen.empty() && known)
+    rep.Seen = std::move(peer.Last.Seen);
   peer.Last = std::move(rep);
   peer.Heard = now;
 }
@@ -277,6 +400,15 @@
   go.Said = std::move(all);
 }
 
+std::vector<std::uint64_t> readersOf(std::span<const std::uint64_t> living) {
+  std::vector<std::uint64_t> order(living.begin(), living.end());
+  std::sort(order.begin(), order.end(), [](std::uint64_t a, std::uint64_t b) {
+    return mix64(a) < mix64(b);
+  });
+  order.resize(std::min(order.size(), 1 + order.size() / FrontsPerReader));
+  return order;
+}
+
 LoadList peerLoads(const GossipBook &book, Time now, Duration memory) {
   std::map<EndpointId, BackendLoad> sum;
   for (const auto &[node, peer] : book.Peers)
--- a/src/store/peer_keeper.cpp
+++ b/src/store/peer_keeper.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /// How often this front is published and the others are read. Shares of
-/// allowances follow demand at this pace.
-constexpr Duration BeatPeriod = std::chrono::milliseconds(1500);
+/// allowances follow demand at this pace where fronts can't hear each other.
+constexpr Duration BeatPeriod = std::chrono::seconds(4);
 
 constexpr Duration AnswerTime = std::chrono::milliseconds(700);
 
--- a/src/store/plan_follower.cpp
+++ b/src/store/plan_follower.cpp
@@ -19,10 +19,35 @@
 constexpr Duration FirstPause = std::chrono::milliseconds(80);
 constexpr Duration MostPause = std::chrono::milliseconds(400);
 
+/// How often a front that doesn't read for others looks at what it was told.
+constexpr Duration LookPeriod = std::chrono::milliseconds(100);
+
+/// The age of a proof at which such a front reads by itself: well below the age
+/// up to which unknown keys may be refused.
+constexpr Duration OldProof = std::chrono::milliseconds(1700);
+
 void askNext(PlanFollower &pf);
 
+/// Takes what a reading front said as a proof. True if that is enough for now.
+bool takeTold(PlanFollower &pf) {
+  FrontBoard &board = pf.Owner->Board;
+  if (board.Reads || !pf.Whole || board.PlanVersion == 0 ||
+      board.ToldMark > pf.Mark)
+    return false;
+  if (board.ToldMark == pf.Mark && board.ToldMarkAt > board.PlanProven)
+    board.PlanProven = board.ToldMarkAt.load();
+  return bootNow() - fromNanos(board.PlanProven) < OldProof;
+}
+
+void goOn(PlanFollower &pf) {
+  if (takeTold(pf))
+    arm(pf.Owner->Lp, pf.Timer, pf.Owner->Lp.Now + LookPeriod);
+  else
+    askNext(pf);
+}
+
 void onPauseOver(void *ctx, Time /*now*/) {
-  askNext(*static_cast<PlanFollower *>(ctx));
+  goOn(*static_cast<PlanFollower *>(ctx));
 }
 
 void failed(PlanFollower &pf, const Error &err) {
@@ -99,18 +124,21 @@
       sound = takeRow(pf, row) && sound;
       takeOrderIn(pf, row);
     }
+  for (const TableRow &row : rd.Rows)
+    pf.Mark = std::max(pf.Mark, row.Version);
   pf.Version = rd.Version;
   pf.Whole = true;
   FrontBoard &board = pf.Owner->Board;
+  board.OperatorsMark = pf.Mark;
   if (sound && board.PlanVersion > 0)
     board.PlanProven = toNanos(asked);
   if (board.PlanVersion != before)
     pf.Owner->OnChange();
   if (board.PlanVersion > 0) {
-    askNext(pf);
+    goOn(pf);
     return;
   }
-  arm(pf.Owner->Lp, pf.Timer, pf.Owner->Lp.Now + FirstPause);
+  arm(pf.Owner->Lp, pf.Timer, pf.Owner->Lp.Now + MostPause);
 }
 
 void onAnswer(void *ctx, const StoreAnswer &answer) {
--- a/tests/unit/backend_track_test.cpp
+++ b/tests/unit/backend_track_test.cpp
@@ -74,3 +74,21 @@
   static_cast<void>(rd.read({backend("a", 2)}));
   CHECK(rd.usableNow("a"));
 }
+
+TEST_CASE("a list that was confirmed by another counts as read", "[backends]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a")}));
+  confirmReading(rd.Track, rd.Now + seconds(5));
+  static_cast<void>(rd.read({}, seconds(6)));
+  CHECK_FALSE(rd.usableNow("a"));
+}
+
+TEST_CASE("a digest tells lists apart, whatever their order", "[backends]") {
+  const std::vector<Backend> ab = {backend("a"), backend("b")};
+  const std::vector<Backend> ba = {backend("b"), backend("a")};
+  const std::vector<Backend> leaving = {backend("a"), backend("b", 1, true)};
+  const std::vector<Backend> reborn = {backend("a"), backend("b", 2)};
+  CHECK(digestOf(ab) == digestOf(ba));
+  CHECK(digestOf(ab) != digestOf(leaving));
+  CHECK(digestOf(ab) != digestOf(reborn));
+}
