--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -65,7 +65,8 @@
 /// rest covers shares that don't add up to one while they move.
 inline constexpr double UsedMargin = 0.85;
 
-/// How full the bucket of all processes is taken to be by one that joins them.
+/// How full the bucket of all processes is at least taken to be by one that
+/// joins them.
 inline constexpr double JoinLevel = 0.3;
 
 /// The size of the bucket that all processes together have for \p ws: what
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -171,8 +171,8 @@
   }
   const ExitCode end = handle(
       [&] { return loadFrontSettings(path); },
-      [&](FrontSettings set) {
-        return checkonly ? ExitCode::Ok : serve(std::move(set), path);
+      [&](const FrontSettings &set) {
+        return checkonly ? ExitCode::Ok : serve(set, path);
       },
       [&](const Error &err) {
         std::fprintf(stderr, "zinnia-front: %s\n", describe(err).c_str());
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -115,7 +115,9 @@
     return;
   st.All.Started = true;
   st.All.Filled = now;
-  st.All.Level = bucketSize(ws, margin) * (peers.Total > 0 ? JoinLevel : 1.0);
+  const double most = bucketSize(ws, margin);
+  st.All.Level =
+      std::max(most - static_cast<double>(peers.Total), most * JoinLevel);
   st.PeersSeen = peers.Total;
 }
 
