--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,14 @@
 # Targets over CMake and Ninja. `make help` lists them.
 BUILD ?= build
 
-.PHONY: help packages build check demo format lint bench policy soak
+.PHONY: help packages build check demo platform-demo format lint bench policy soak
 
 help:
 	@echo "packages  install the Debian packages that the build needs"
 	@echo "build     build all programs and tests"
 	@echo "check     build and pass all tests"
 	@echo "demo      build, start everything on loopback, serve a request, stop"
+	@echo "platform-demo  a front, a stand-in of the users' store and two engines"
 	@echo "lint      formatter and linter, as CI runs them"
 	@echo "format    format the sources in place"
 	@echo "bench     added latency and throughput of the request path"
@@ -43,3 +44,6 @@
 
 demo: build
 	tools/demo $(BUILD)
+
+platform-demo: build
+	$(BUILD)/process-tests "a front serves each kind of call" --success
--- a/include/zinniagauge/board/demand.h
+++ b/include/zinniagauge/board/demand.h
@@ -44,7 +44,9 @@
 /// The shares section of the board, sorted by workspace.
 struct AllowanceShares {
   std::vector<AllowanceShare> List;
-  double Default = 0;          // Of a workspace that isn't listed.
+  /// Of a workspace of which nothing was asked lately. Until the other
+  /// processes are known it is a part that few exceed together.
+  double Default = 0.05;
   std::uint32_t Processes = 1; // That are known to live.
 };
 
--- a/include/zinniagauge/board/traffic_plan.h
+++ b/include/zinniagauge/board/traffic_plan.h
@@ -48,10 +48,7 @@
 struct PlanPool {
   std::string Name;
   PoolId Id;
-  std::uint32_t ConnectionLimit = 0; // Of one endpoint, over all callers.
-  bool Engine = false;               // Runs a model.
-  std::uint64_t CacheTokens = 0;     // Of one engine.
-  std::uint32_t TokensPerEvent = 1;  // Of a stream.
+  std::uint32_t TokensPerEvent = 1; // Of a stream.
 };
 
 /// A workspace, with what it may spend.
--- a/include/zinniagauge/decide/retry_window.h
+++ b/include/zinniagauge/decide/retry_window.h
@@ -16,6 +16,12 @@
   Duration Window = std::chrono::seconds(10);
 };
 
+/// The part of \p all that one of \p processes may use. A tenth of the ratio
+/// and a fifth of the slack are kept back: windows of the judgement slide, and
+/// processes come and go.
+[[nodiscard]] RetryAllowance partOf(const RetryAllowance &all,
+                                    std::uint32_t processes) noexcept;
+
 /// Counts of one pool. Sends are counted in slices of the window.
 struct RetryWindow {
   static constexpr std::size_t Slices = 20;
--- a/include/zinniagauge/front/dialect.h
+++ b/include/zinniagauge/front/dialect.h
@@ -17,7 +17,6 @@
   std::string_view Endpoint;    // The back end that is meant; set for it.
   std::string_view NotRun;      // Of an answer: the call wasn't run.
   std::string_view Seal;        // Of an answer: proves whose it is.
-  std::string_view Load;        // Of an answer: "running,waiting,slots".
   std::string_view Tokens;      // "prompt,most output".
   std::string_view LengthHint;  // Tokens that the caller expects.
   std::string_view ResumeAfter; // Id of the last event that was received.
--- a/include/zinniagauge/front/front_settings.h
+++ b/include/zinniagauge/front/front_settings.h
@@ -27,7 +27,6 @@
   RetryAllowance Retries; // Slack is that of all fronts.
   AllowanceMargin Margin;
   Duration StopTime = std::chrono::seconds(8); // Until the process is killed.
-  Duration PassTime = std::chrono::milliseconds(120); // Of a stream's event.
   std::size_t Descriptors = 1024;
   EventLevel Level = EventLevel::Calls;
 };
--- a/include/zinniagauge/store/store_link.h
+++ b/include/zinniagauge/store/store_link.h
@@ -41,7 +41,6 @@
   bool Busy = false;
   StoreDone Done = nullptr;
   void *Ctx = nullptr;
-  Time Asked;
   Time AskedBoot;
 };
 
--- a/src/decide/retry_window.cpp
+++ b/src/decide/retry_window.cpp
@@ -1,5 +1,7 @@
 #include "zinniagauge/decide/retry_window.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 namespace {
@@ -18,6 +20,16 @@
 
 } // namespace
 
+RetryAllowance partOf(const RetryAllowance &all,
+                      std::uint32_t processes) noexcept {
+  constexpr double RatioPart = 0.9;
+  constexpr double SlackPart = 0.8;
+  RetryAllowance out = all;
+  out.Ratio *= RatioPart;
+  out.Slack *= SlackPart / std::max(processes, 1U);
+  return out;
+}
+
 void noteCall(RetryWindow &win, const RetryAllowance &al, Time now) noexcept {
   ++sliceAt(win, sliceNumber(al, now)).Calls;
 }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -80,7 +80,6 @@
   cp.Pool = drawPool(route, call.Draw);
   cp.Timeout = route.Timeout;
   cp.Target = route.Target;
-  cp.GapTarget = route.GapTarget;
   cp.Priority = ws && ws->HasPriority ? ws->Priority : route.Priority;
   cp.Lower = route.Priority;
   cp.Urgent = isMostUrgent(plan, route, cp.Pool);
@@ -301,9 +300,12 @@
 bool takeAgain(RequestLoop &rl, const Call &call, AttemptEnd end) {
   if (!call.From || !mayTryAgain(call.Facts, end))
     return false;
-  return end == AttemptEnd::NotSent ||
-         takeRepeat(rl.Pools[call.Plan.Pool].Retries, rl.Settings.Retries,
-                    rl.Lp.Now);
+  if (end == AttemptEnd::NotSent)
+    return true;
+  const ReadGuard guard;
+  const std::uint32_t fronts = rl.Board.Shares.read(guard).Processes;
+  return takeRepeat(rl.Pools[call.Plan.Pool].Retries,
+                    partOf(rl.Settings.Retries, fronts), rl.Lp.Now);
 }
 
 /// Whether a back end's failure may reach the caller with its own status: those
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -51,7 +51,6 @@
   set.Margin.Slack =
       static_cast<double>(rd.number("allowance_slack", 0, 1'000'000'000));
   set.StopTime = rd.duration("stop");
-  set.PassTime = rd.duration("event_pass");
   set.Descriptors = rd.number("descriptors", 64, 1'000'000, 1024);
 }
 
--- a/src/store/move_keeper.cpp
+++ b/src/store/move_keeper.cpp
@@ -32,9 +32,9 @@
 }
 
 const MoveRecord &recordOf(const MoveKeeper &mk, const VersionOrder &order) {
-  static const MoveRecord None;
+  static const MoveRecord none;
   const auto it = mk.Records.find(order.Pool);
-  return it == mk.Records.end() ? None : it->second;
+  return it == mk.Records.end() ? none : it->second;
 }
 
 /// The stage of \p order: a record of another order says nothing about it.
@@ -213,10 +213,8 @@
   judge(mk);
   if (mk.ReadAt != Time())
     publish(mk);
-  if (!mk.Link.Busy && mk.ReadAt != Time() && !writeNext(mk) &&
-      now >= mk.NextRead)
-    askRecords(mk);
-  else if (mk.ReadAt == Time() && now >= mk.NextRead)
+  const bool written = mk.ReadAt != Time() && !mk.Link.Busy && writeNext(mk);
+  if (!written && now >= mk.NextRead)
     askRecords(mk);
   if (anyRunning(mk))
     arm(mk.Owner->Lp, mk.Timer, now + LookPeriod);
--- a/src/store/store_link.cpp
+++ b/src/store/store_link.cpp
@@ -23,7 +23,6 @@
   answer.Status = status;
   answer.Body = std::move(link.Body);
   answer.Why = why;
-  answer.Asked = link.Asked;
   answer.AskedBoot = link.AskedBoot;
   link.Body = std::string();
   link.Parser.St.reset();
@@ -76,7 +75,6 @@
   link.Busy = true;
   link.Done = done;
   link.Ctx = ctx;
-  link.Asked = link.Lp->Now;
   link.AskedBoot = bootNow();
   link.Body.clear();
   beginMessage(link.Parser, MessageKind::Answer, MostHead, MostBody);
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -145,7 +145,6 @@
             {"allowance_overage", 0.1},
             {"allowance_slack", 1000},
             {"stop_s", 8},
-            {"event_pass_ms", 120},
             {"descriptors", 512}};
   }
 
--- a/tests/unit/retry_window_test.cpp
+++ b/tests/unit/retry_window_test.cpp
@@ -48,3 +48,21 @@
     REQUIRE(static_cast<double>(in) <= 500 * 0.2 + 5 + 500 * 0.2 / 20);
   }
 }
+
+TEST_CASE("all processes together keep to the budget", "[retry]") {
+  const RetryAllowance all{0.2, 52, seconds(10)};
+  const Time now(seconds(100));
+  for (const std::uint32_t fronts : {1U, 6U, 68U}) {
+    int repeats = 0;
+    int calls = 0;
+    for (std::uint32_t n = 0; n < fronts; ++n) {
+      RetryWindow win;
+      const RetryAllowance part = partOf(all, fronts);
+      for (int call = 0; call < 30; ++call, ++calls)
+        noteCall(win, part, now);
+      while (takeRepeat(win, part, now))
+        ++repeats;
+    }
+    CHECK(repeats <= calls * 0.2 + 52);
+  }
+}
