--- a/include/zinniagauge/store/store_link.h
+++ b/include/zinniagauge/store/store_link.h
@@ -23,8 +23,7 @@
   int Status = 0; // Zero: no answer; the call may have had its effect.
   std::string Body;
   std::string Why; // Of no answer.
-  Time Asked;      // When the call was made, by the loop's clock
-  Time AskedBoot;  // and by bootNow.
+  Time AskedBoot;  // When the call was made, by bootNow.
 };
 
 /// Called once for each call.
--- /dev/null
+++ b/src/front/admission.cpp
@@ -0,0 +1,187 @@
+#include "zinniagauge/front/admission.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace zinniagauge {
+
+namespace {
+
+/// When a call is told to come back if another front will serve it at once.
+constexpr Duration ComeBackElsewhere = std::chrono::milliseconds(20);
+
+/// Events of a stream whose caller states no length.
+constexpr double UsualEvents = 16;
+
+std::string_view pathOf(const Call &call) {
+  const std::string_view target = call.Head.Target;
+  return target.substr(0, target.find('?'));
+}
+
+/// How many events a stream will have, by what its caller states.
+void expectEvents(CallWork &work, const PlanPool *pool) {
+  const double each = pool ? pool->TokensPerEvent : 1;
+  const auto most = static_cast<double>(work.OutputTokens) / each;
+  const auto hint = static_cast<double>(work.HintTokens) / each;
+  work.MostEvents = std::max(most > 0 ? most : UsualEvents, 1.0);
+  work.Events = std::clamp(hint > 0 ? hint : UsualEvents, 1.0, work.MostEvents);
+}
+
+/// Fills in what the plan says of the call.
+void fillPlan(Call &call, const TrafficPlan &plan, const PlanRoute &route,
+              const PlanWorkspace *ws) {
+  CallPlan &cp = call.Plan;
+  cp.Version = plan.Version;
+  cp.Route = route.Name;
+  cp.Pool = drawPool(route, call.Draw);
+  cp.Timeout = route.Timeout;
+  cp.Target = route.Target;
+  cp.Priority = ws && ws->HasPriority ? ws->Priority : route.Priority;
+  cp.Lower = route.Priority;
+  cp.Urgent = isMostUrgent(plan, route, cp.Pool);
+  cp.Keyed = ws != nullptr;
+  if (ws) {
+    cp.Workspace = ws->Id;
+    cp.WorkspaceName = ws->Name;
+  }
+  if (route.Kind == CallKind::Stream)
+    expectEvents(call.Work, findPool(plan, cp.Pool));
+  call.Facts.Kind = route.Kind;
+  call.Facts.Resumable = route.Resumable;
+  call.Facts.MostAttempts = std::max(route.MostAttempts, 1U);
+}
+
+double shareOf(RequestLoop &rl, WorkspaceId id) {
+  const ReadGuard guard;
+  const AllowanceShares &sh = rl.Board.Shares.read(guard);
+  const auto it =
+      std::lower_bound(sh.List.begin(), sh.List.end(), id,
+                       [](const AllowanceShare &a, WorkspaceId key) {
+                         return a.Workspace < key;
+                       });
+  return it != sh.List.end() && it->Workspace == id ? it->Share : sh.Default;
+}
+
+/// What the other processes spent for a workspace.
+PeerSpending peersOf(RequestLoop &rl, WorkspaceId id) {
+  const Time heard = fromNanos(rl.Board.PeersHeard.load());
+  PeerSpending out;
+  out.Heard = rl.Lp.Now - heard < HeardFor;
+  const ReadGuard guard;
+  const SpentList &list = rl.Board.PeerSpent.read(guard);
+  for (const Spent &s : list.List)
+    if (s.Workspace == id)
+      out.Total = s.Total;
+  return out;
+}
+
+void logSpent(RequestLoop &rl, const Call &call, const PlanWorkspace &ws,
+              double cost) {
+  if (!rl.Log.wantsCalls())
+    return;
+  constexpr double Permille = 1000;
+  EventLine line = eventLine("allowance_spent");
+  add(line, "call", call.Id);
+  add(line, "workspace", ws.Name);
+  add(line, "cost", static_cast<std::int64_t>(cost));
+  const AllowanceState &st = rl.Allowances[ws.Id];
+  add(line, "level_all", static_cast<std::int64_t>(st.All.Level));
+  add(line, "level_own", static_cast<std::int64_t>(st.Own.Level));
+  add(line, "peers_heard", std::int64_t{peersOf(rl, ws.Id).Heard ? 1 : 0});
+  add(line, "rate_per_s", static_cast<std::int64_t>(ws.RatePerSecond));
+  add(line, "share_permille",
+      static_cast<std::int64_t>(shareOf(rl, ws.Id) * Permille));
+  rl.Log.write(line);
+}
+
+} // namespace
+
+std::optional<std::uint64_t> numberOf(std::string_view text) noexcept {
+  std::uint64_t val = 0;
+  const auto res = std::from_chars(text.data(), text.data() + text.size(), val);
+  if (res.ec != std::errc())
+    return std::nullopt;
+  return val;
+}
+
+CallWork workOf(const Call &call, const Dialect &names) {
+  CallWork work;
+  const auto tokens = findField(call.Head.Fields, names.Tokens);
+  if (tokens) {
+    const std::size_t comma = tokens->find(',');
+    work.PromptTokens = numberOf(*tokens).value_or(0);
+    if (comma != std::string_view::npos)
+      work.OutputTokens = numberOf(tokens->substr(comma + 1)).value_or(0);
+  }
+  if (const auto hint = findField(call.Head.Fields, names.LengthHint))
+    work.HintTokens = numberOf(*hint).value_or(0);
+  return work;
+}
+
+std::optional<Denial> routeCall(RequestLoop &rl, Call &call) {
+  const ReadGuard guard;
+  const TrafficPlan &plan = rl.Board.Plan.read(guard);
+  if (plan.Version == 0)
+    return Denial{503, "no plan yet", ComeBack};
+  const Freshness fresh = freshness(rl);
+  const auto host = findField(call.Head.Fields, "Host").value_or("");
+  const PlanRoute *route = findRoute(plan, host, pathOf(call));
+  if (!route)
+    return fresh.MayDeny ? Denial{404, "no such route", {}}
+                         : Denial{503, "plan may be outdated", ComeBack};
+  const PlanWorkspace *ws = nullptr;
+  if (plan.NeedsKeys) {
+    const auto key = findField(call.Head.Fields, rl.Names.Credential);
+    ws = key ? findKey(plan, *key) : nullptr;
+    if (!route->Anonymous && !fresh.MayServe)
+      return Denial{503, "plan may be outdated", ComeBack};
+    if (!route->Anonymous && !ws)
+      return fresh.MayDeny ? Denial{401, "unknown key", {}}
+                           : Denial{503, "plan may be outdated", ComeBack};
+    if (!fresh.MayServe)
+      ws = nullptr;
+  }
+  if (route->Kind == CallKind::Stream && !call.Facts.Begun && !takesStreams(rl))
+    return Denial{503, "stopping", ComeBackElsewhere};
+  fillPlan(call, plan, *route, ws);
+  return std::nullopt;
+}
+
+std::optional<Denial> chargeCall(RequestLoop &rl, Call &call) {
+  if (!call.Plan.Keyed)
+    return std::nullopt;
+  const ReadGuard guard;
+  const TrafficPlan &plan = rl.Board.Plan.read(guard);
+  const auto it = std::find_if(
+      plan.Workspaces.begin(), plan.Workspaces.end(),
+      [&](const PlanWorkspace &w) { return w.Id == call.Plan.Workspace; });
+  if (it == plan.Workspaces.end() || it->RatePerSecond <= 0)
+    return std::nullopt;
+  const std::uint64_t tokens = call.Work.PromptTokens + call.Work.OutputTokens;
+  const double cost =
+      !it->CountsTokens
+          ? 1.0
+          : static_cast<double>(tokens > 0 ? tokens : it->PlainCost);
+  rl.Asked[it->Id] += cost;
+  const auto wait =
+      takeAllowance(rl.Allowances[it->Id], *it, shareOf(rl, it->Id),
+                    peersOf(rl, it->Id), rl.Settings.Margin, cost, rl.Lp.Now);
+  if (wait) {
+    logSpent(rl, call, *it, cost);
+    return Denial{429, "allowance spent", *wait};
+  }
+  call.Plan.Cost = cost;
+  return std::nullopt;
+}
+
+void followAllowances(RequestLoop &rl) {
+  const ReadGuard guard;
+  for (const PlanWorkspace &ws : rl.Board.Plan.read(guard).Workspaces) {
+    const PeerSpending peers = peersOf(rl, ws.Id);
+    if (peers.Heard && ws.RatePerSecond > 0)
+      startAllowance(rl.Allowances[ws.Id], ws, peers, rl.Settings.Margin,
+                     rl.Lp.Now);
+  }
+}
+
+} // namespace zinniagauge
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -3,11 +3,6 @@
 #include "zinniagauge/decide/random.h"
 #include "zinniagauge/store/controllers.h"
 
-#include "gossip.capnp.h"
-
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -36,9 +31,6 @@
 /// How long the loads of a silent peer count.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
 
-/// The largest datagram.
-constexpr std::size_t MostBytes = std::size_t{60} << 10U;
-
 sockaddr_in socketAddress(PeerAddress at) noexcept {
   sockaddr_in sa{};
   sa.sin_family = AF_INET;
@@ -256,99 +248,8 @@
         std::max(to.EventMicros, l.EventMicros)};
 }
 
-void writeEvidence(wire::FrontEvidence::Builder out, const Evidence &e) {
-  out.setPool(e.Key.Pool.Value);
-  out.setVersion(e.Key.Version.Value);
-  out.setBackend(e.Key.Endpoint.Value);
-  out.setRoute(e.Key.Route.Value);
-  out.setRequests(e.Counts.Requests);
-  out.setFailures(e.Counts.Failures);
-  out.setFirstNanos(e.Counts.FirstTokenNanos);
-  out.setTotalNanos(e.Counts.TotalNanos);
-  out.setUnits(e.Counts.OutputTokens);
-}
-
-Evidence readEvidence(wire::FrontEvidence::Reader in) {
-  Evidence e;
-  e.Key.Pool = PoolId{in.getPool()};
-  e.Key.Version = VersionId{in.getVersion()};
-  e.Key.Endpoint = EndpointId{in.getBackend()};
-  e.Key.Route = RouteId{in.getRoute()};
-  e.Counts = {in.getRequests(), in.getFailures(), in.getFirstNanos(),
-              in.getTotalNanos(), in.getUnits()};
-  return e;
-}
-
 } // namespace
 
-std::string encodeReport(const GossipReport &rep) {
-  capnp::MallocMessageBuilder msg;
-  auto out = msg.initRoot<wire::FrontReport>();
-  out.setNode(rep.Node);
-  out.setLife(rep.Life);
-  out.setBeat(rep.Beat);
-  out.setChangesOnly(!rep.Whole);
-  out.setMark(rep.Mark);
-  out.setDigest(rep.Digest);
-  out.setMarkAgeMs(rep.MarkAgeMs);
-  out.setDigestAgeMs(rep.DigestAgeMs);
-  out.setAsk(rep.Ask);
-  out.setEcho(rep.Echo);
-  auto loads = out.initLoads(static_cast<unsigned>(rep.Loads.size()));
-  for (unsigned n = 0; n < loads.size(); ++n) {
-    loads[n].setBackend(rep.Loads[n].Id.Value);
-    loads[n].setRunning(rep.Loads[n].Running);
-    loads[n].setPendingTokens(rep.Loads[n].PendingTokens);
-    loads[n].setEventMicros(rep.Loads[n].EventMicros);
-  }
-  auto spent = out.initSpent(static_cast<unsigned>(rep.SpentTotals.size()));
-  for (unsigned n = 0; n < spent.size(); ++n) {
-    spent[n].setWorkspace(rep.SpentTotals[n].Workspace.Value);
-    spent[n].setTotal(rep.SpentTotals[n].Total);
-  }
-  auto seen = out.initEvidence(static_cast<unsigned>(rep.Seen.size()));
-  for (unsigned n = 0; n < seen.size(); ++n)
-    writeEvidence(seen[n], rep.Seen[n]);
-  kj::VectorOutputStream raw;
-  capnp::writePackedMessage(raw, msg);
-  const auto bytes = raw.getArray();
-  return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
-}
-
-std::optional<GossipReport> decodeReport(std::span<const char> raw) {
-  if (raw.size() > MostBytes)
-    return std::nullopt;
-  std::optional<GossipReport> out;
-  const auto failed = kj::runCatchingExceptions([&] {
-    kj::ArrayInputStream in(kj::arrayPtr(
-        reinterpret_cast<const kj::byte *>(raw.data()), raw.size()));
-    capnp::PackedMessageReader msg(in);
-    const auto rep = msg.getRoot<wire::FrontReport>();
-    GossipReport got;
-    got.Node = rep.getNode();
-    got.Life = rep.getLife();
-    got.Beat = rep.getBeat();
-    got.Whole = !rep.getChangesOnly();
-    got.Mark = rep.getMark();
-    got.Digest = rep.getDigest();
-    got.MarkAgeMs = rep.getMarkAgeMs();
-    got.DigestAgeMs = rep.getDigestAgeMs();
-    got.Ask = rep.getAsk();
-    got.Echo = rep.getEcho();
-    for (const auto l : rep.getLoads())
-      got.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
-                           l.getPendingTokens(), l.getEventMicros()});
-    for (const auto s : rep.getSpent())
-      got.SpentTotals.push_back({WorkspaceId{s.getWorkspace()}, s.getTotal()});
-    for (const auto e : rep.getEvidence())
-      got.Seen.push_back(readEvidence(e));
-    out = std::move(got);
-  });
-  if (failed != nullptr)
-    return std::nullopt;
-  return out;
-}
-
 void takeReport(GossipBook &book, GossipReport rep, Time now) {
   auto [it, fresh] = book.Peers.try_emplace(rep.Node);
   GossipBook::Peer &peer = it->second;
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -100,9 +100,9 @@
 struct Deployment {
   std::vector<std::uint16_t> Ports = freePorts(7);
   ScratchFolder Folder;
-  Process Platform{{ZINNIA_BINARY_DIR "/standin-consortium", "--store",
-                    at(Ports[0]), "--engine", at(Ports[1]), "--engine",
-                    at(Ports[2])}};
+  Process Platform{{std::string(ZINNIA_BINARY_DIR) + "/standin-consortium",
+                    "--store", at(Ports[0]), "--engine", at(Ports[1]),
+                    "--engine", at(Ports[2])}};
   std::optional<Process> Front;
 
   Deployment() {
