--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -1,6 +1,7 @@
 #include "zinniagauge/net/channel.h"
 
-#include <netinet/in.h>
+#include "zinniagauge/net/socket_address.h"
+
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -20,14 +21,6 @@
 /// connections cost little.
 constexpr std::size_t KeptBufferBytes = 256;
 
-sockaddr_in socketAddress(PeerAddress at) noexcept {
-  sockaddr_in sa{};
-  sa.sin_family = AF_INET;
-  sa.sin_addr.s_addr = htonl(at.Ip);
-  sa.sin_port = htons(at.Port);
-  return sa;
-}
-
 void setOption(int fd, int level, int name, int val) noexcept {
   ::setsockopt(fd, level, name, &val, sizeof val);
 }
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -1,9 +1,9 @@
 #include "zinniagauge/store/gossip.h"
 
 #include "zinniagauge/decide/random.h"
+#include "zinniagauge/net/socket_address.h"
 #include "zinniagauge/store/controllers.h"
 
-#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,14 +31,6 @@
 /// How long the loads of a silent peer count.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
 
-sockaddr_in socketAddress(PeerAddress at) noexcept {
-  sockaddr_in sa{};
-  sa.sin_family = AF_INET;
-  sa.sin_addr.s_addr = htonl(at.Ip);
-  sa.sin_port = htons(at.Port);
-  return sa;
-}
-
 /// How often a front that doesn't read the table service asks one that does.
 constexpr Duration AskPeriod = std::chrono::milliseconds(600);
 
