Send calls that may be repeated away from a back end that fell silent

Cause: a back end that accepts calls and says nothing, or whose connection went silent behind a cut, held calls until their time was over; only bytes of ours that nobody acknowledged ended a connection, and a stream that is read sends none.

Change: after the target and twice the time expected for the prompt, or a second or twice the pause aimed at between events, without a byte, a call that may be repeated goes to another back end, if attempts and the retry budget allow; a back end that answers others gets two and a half times that. Without another attempt the call waits on, as does what may run once.

--- a/include/zinniagauge/decide/retry_window.h
+++ b/include/zinniagauge/decide/retry_window.h
@@ -36,7 +36,11 @@
 /// Notes a call's first send.
 void noteCall(RetryWindow &win, const RetryAllowance &al, Time now) noexcept;
 
-/// Whether one more repeat fits; it is counted if so.
+/// Whether one more repeat fits.
+[[nodiscard]] bool fitsRepeat(const RetryWindow &win, const RetryAllowance &al,
+                              Time now) noexcept;
+
+/// Likewise; it is counted if so.
 [[nodiscard]] bool takeRepeat(RetryWindow &win, const RetryAllowance &al,
                               Time now) noexcept;
 
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -46,6 +46,7 @@
   PoolId Pool;
   Duration Timeout = Duration::zero();
   Duration Target = Duration::zero();
+  Duration GapTarget = Duration::zero();
   std::uint32_t Priority = 0;
   std::uint32_t Lower = 0;
   bool Urgent = false; // No route of its pool comes before its own.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -57,6 +57,8 @@
   Time IdleSince;
   Duration KeepFor = Duration::zero();
   LoopTimer OpenTimer;
+  LoopTimer SilenceTimer; // Of a call that may be repeated.
+  Time LastByte;
 };
 
 /// What the request loop knows of one back end.
@@ -69,6 +71,7 @@
   double EventMs = 0;              // Time for an event; zero: not known yet.
   std::uint32_t SentLately = 0;    // Calls, in quick succession until
   Time LastSent;                   // the last one.
+  Time LastByte;                   // From it, on any connection.
   ResultRecord Results;
   std::vector<BackendLink *> Idle; // The one used last is at the back.
   std::uint32_t Links = 0;
@@ -82,6 +85,7 @@
   MoveGate Gate; // Of a move from one version to another.
   ResultRecord Results;
   double PromptMs = 0; // Time for a prompt token at mean speed.
+  double EventMs = 0;  // Mean time for an event.
 };
 
 /// The state of the loop's thread.
@@ -194,6 +198,9 @@
 /// A connection to \p to was refused, reset or stayed silent.
 void noteLost(RequestLoop &rl, BackendState &to);
 
+/// How long \p call is expected to take to its first event at its back end.
+[[nodiscard]] Duration expectedFirst(RequestLoop &rl, const Call &call);
+
 /// Prompt tokens that are to be read at \p to before those of another call.
 [[nodiscard]] std::uint64_t tokensAhead(const RequestLoop &rl,
                                         const BackendState &to);
@@ -222,6 +229,9 @@
 /// Finds a place for \p call, or has it wait, or refuses it.
 void place(const std::shared_ptr<Call> &call);
 
+/// Whether \p call may be sent once more if its attempt ended as lost now.
+[[nodiscard]] bool couldRepeat(RequestLoop &rl, const Call &call);
+
 /// The caller has left.
 void onCallerGone(const std::shared_ptr<Call> &call);
 
--- a/src/decide/retry_window.cpp
+++ b/src/decide/retry_window.cpp
@@ -34,7 +34,8 @@
   ++sliceAt(win, sliceNumber(al, now)).Calls;
 }
 
-bool takeRepeat(RetryWindow &win, const RetryAllowance &al, Time now) noexcept {
+bool fitsRepeat(const RetryWindow &win, const RetryAllowance &al,
+                Time now) noexcept {
   const std::int64_t number = sliceNumber(al, now);
   double calls = 0;
   double repeats = 0;
@@ -44,9 +45,13 @@
     calls += sl.Calls;
     repeats += sl.Repeats;
   }
-  if (repeats + 1 > calls * al.Ratio + al.Slack)
+  return repeats + 1 <= calls * al.Ratio + al.Slack;
+}
+
+bool takeRepeat(RetryWindow &win, const RetryAllowance &al, Time now) noexcept {
+  if (!fitsRepeat(win, al, now))
     return false;
-  ++sliceAt(win, number).Repeats;
+  ++sliceAt(win, sliceNumber(al, now)).Repeats;
   return true;
 }
 
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -36,6 +36,7 @@
   cp.Pool = drawPool(route, call.Draw);
   cp.Timeout = route.Timeout;
   cp.Target = route.Target;
+  cp.GapTarget = route.GapTarget;
   cp.Priority = ws && ws->HasPriority ? ws->Priority : route.Priority;
   cp.Lower = route.Priority;
   cp.Urgent = isMostUrgent(plan, route, cp.Pool);
--- a/src/front/backend_link.cpp
+++ b/src/front/backend_link.cpp
@@ -1,3 +1,4 @@
+#include "zinniagauge/decide/silence.h"
 #include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
@@ -34,6 +35,7 @@
 void forget(BackendLink &lk) {
   RequestLoop &rl = *lk.Owner;
   disarm(rl.Lp, lk.OpenTimer);
+  disarm(rl.Lp, lk.SilenceTimer);
   std::erase(lk.To->Idle, &lk);
   const auto it = rl.Links.find(&lk);
   if (it == rl.Links.end())
@@ -53,6 +55,7 @@
 std::shared_ptr<Call> release(BackendLink &lk) {
   std::shared_ptr<Call> call = std::move(lk.For);
   settlePending(lk);
+  disarm(lk.Owner->Lp, lk.SilenceTimer);
   if (call) {
     call->Link = nullptr;
     --lk.To->Running;
@@ -199,8 +202,37 @@
   return std::nullopt;
 }
 
+/// How long the back end of \p lk may be silent from now on.
+Duration silenceOf(const BackendLink &lk) {
+  const Call &call = *lk.For;
+  SilenceFacts facts;
+  facts.Begun = call.Stream.Events > 0 && lk.HeadSeen;
+  facts.OthersHeard = lk.To->LastByte > lk.LastByte;
+  facts.Target = call.Plan.Target;
+  facts.GapTarget = call.Plan.GapTarget;
+  facts.Expected = expectedFirst(*lk.Owner, call);
+  return toleratedSilence(facts);
+}
+
+void onSilence(void *ctx, Time now) {
+  BackendLink &lk = *static_cast<BackendLink *>(ctx);
+  if (!lk.For)
+    return;
+  const Time due = lk.LastByte + silenceOf(lk);
+  if (now < due) {
+    arm(lk.Owner->Lp, lk.SilenceTimer, due);
+    return;
+  }
+  // Without another attempt the call goes on waiting: silence alone is no
+  // answer.
+  if (couldRepeat(*lk.Owner, *lk.For))
+    loseAttempt(lk, "back end fell silent", true);
+}
+
 std::size_t onLinkData(void *ctx, std::string_view part) {
   BackendLink &lk = *static_cast<BackendLink *>(ctx);
+  lk.LastByte = lk.Owner->Lp.Now;
+  lk.To->LastByte = lk.LastByte;
   if (!lk.For) {
     EventLine line = eventLine("unasked_bytes");
     add(line, "backend", lk.To->Info.Name);
@@ -289,6 +321,8 @@
   lk->To = &to;
   lk->OpenTimer.Fn = onOpenTimer;
   lk->OpenTimer.Ctx = lk.get();
+  lk->SilenceTimer.Fn = onSilence;
+  lk->SilenceTimer.Ctx = lk.get();
   if (!open(lk->Ch, rl.Lp, to.Info.Address, LinkSilence, LinkHandlers,
             lk.get()))
     return nullptr;
@@ -364,6 +398,9 @@
   loadsChanged(rl);
   call->Link = lk;
   beginAnswer(*lk);
+  lk->LastByte = rl.Lp.Now;
+  if (mayRepeat(call->Facts))
+    arm(rl.Lp, lk->SilenceTimer, rl.Lp.Now + silenceOf(*lk));
   if (rl.Log.wantsCalls()) {
     EventLine line = eventLine("send");
     add(line, "call", call->Id);
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -116,16 +116,20 @@
   rl.Log.write(line);
 }
 
+/// What of the retry budget is this front's.
+RetryAllowance ownRetries(RequestLoop &rl) {
+  const ReadGuard guard;
+  return partOf(rl.Settings.Retries, rl.Board.Shares.read(guard).Processes);
+}
+
 /// Takes one more attempt from the limits, if they allow it.
 bool takeAgain(RequestLoop &rl, const Call &call, AttemptEnd end) {
   if (!call.From || !mayTryAgain(call.Facts, end))
     return false;
   if (end == AttemptEnd::NotSent)
     return true;
-  const ReadGuard guard;
-  const std::uint32_t fronts = rl.Board.Shares.read(guard).Processes;
-  return takeRepeat(rl.Pools[call.Plan.Pool].Retries,
-                    partOf(rl.Settings.Retries, fronts), rl.Lp.Now);
+  return takeRepeat(rl.Pools[call.Plan.Pool].Retries, ownRetries(rl),
+                    rl.Lp.Now);
 }
 
 /// Whether a back end's failure may reach the caller with its own status: those
@@ -235,6 +239,13 @@
   arm(rl.Lp, call->Timer, call->Due);
 }
 
+bool couldRepeat(RequestLoop &rl, const Call &call) {
+  return call.From && rl.Lp.Now < call.Due &&
+         mayTryAgain(call.Facts, AttemptEnd::Lost) &&
+         fitsRepeat(rl.Pools[call.Plan.Pool].Retries, ownRetries(rl),
+                    rl.Lp.Now);
+}
+
 void onCallerGone(const std::shared_ptr<Call> &call) {
   call->From = nullptr;
   if (call->Phase == CallPhase::Over)
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -157,12 +157,13 @@
 }
 
 BackendState *pickBackend(RequestLoop &rl, const Call &call) {
-  const PoolState &pool = poolOf(rl, call.Plan.Pool);
+  PoolState &pool = poolOf(rl, call.Plan.Pool);
   listCandidates(rl, pool, call, true, true);
   if (!anyUsable(rl))
     listCandidates(rl, pool, call, false, true);
   if (!anyUsable(rl))
     listCandidates(rl, pool, call, false, false);
+  pool.EventMs = meanEventMs(rl.Scratch);
   applyMove(rl, pool, call.Plan.Pool);
   ChoiceWork work;
   work.PromptTokens = static_cast<double>(call.Work.PromptTokens);
@@ -180,6 +181,20 @@
          loadOf(rl.Board.PeerLoads.read(guard), to.Info.Id).PendingTokens;
 }
 
+Duration expectedFirst(RequestLoop &rl, const Call &call) {
+  const PoolState &pool = poolOf(rl, call.Plan.Pool);
+  const auto it = rl.Backends.find(call.At);
+  const double slowness =
+      it != rl.Backends.end() && it->second->EventMs > 0 && pool.EventMs > 0
+          ? it->second->EventMs / pool.EventMs
+          : 1;
+  const double ms =
+      static_cast<double>(call.TokensAhead + call.Work.PromptTokens) *
+      pool.PromptMs * slowness;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
 void notePrompt(RequestLoop &rl, const Call &call) {
   const auto it = rl.Backends.find(call.At);
   if (it == rl.Backends.end() || call.Work.PromptTokens < LeastPrompt)
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -331,3 +331,15 @@
   CHECK(res.Output.find("/node") != std::string::npos);
   CHECK(res.Output.find("/callers") != std::string::npos);
 }
+
+TEST_CASE("what may be repeated leaves an engine that fell silent",
+          "[process][front]") {
+  const Deployment d;
+  d.engines("silent", "ok");
+  for (int n = 0; n < 4; ++n)
+    CHECK(isStatus(d.call("/safe/a"), 200));
+  CHECK(isStatus(d.call("/stream/a"), 200));
+  // What may run once is waited for, and its outcome isn't known.
+  d.engines("silent", "silent");
+  CHECK(isStatus(d.call("/unsafe/a"), 504));
+}
