Explain a failed call from the logs of fronts: zinniactl explain, causes, timeline

Two holes showed as the new tests were written: a denial (404, 401) logged plan 0 instead of the version that it came from, and messages that can't be read (400, 408, 413, 431) left no line.

The decision (which cause, which lines tell it) is decide/call_story, free of JSON; adapt/log_text reads and prints, adapt/log_commands are the verbs.

Measured: process tests lead ten kinds of failed call to the stated cause (key, route, unreadable, connection lost, back end's failure, refused by all, stream broken, time over, allowance, unreachable, no room, plan too old), from the front's output alone.

--- a/include/zinniagauge/adapt/operator_commands.h
+++ b/include/zinniagauge/adapt/operator_commands.h
@@ -17,6 +17,8 @@
   bool Json = false;    // Print the answer's JSON text.
   std::string Parent;   // For proposals; empty: the present head.
   std::string Limit;    // For the history; empty: the agent's default.
+  std::string FromMs;   // For a timeline, wall clock; empty: all.
+  std::string ToMs;
 };
 
 /// What a command comes to.
--- a/programs/zinniactl.cpp
+++ b/programs/zinniactl.cpp
@@ -26,6 +26,10 @@
     "  move status NAME           how far a version move is\n"
     "  move take-back NAME        end a version move by taking it back\n"
     "  drain ENDPOINT             give an endpoint no new requests\n"
+    "Commands that read logs of fronts, from files or standard input:\n"
+    "  explain CALL [FILE...]     how a call ended, and why\n"
+    "  causes [FILE...]           how many calls ended by which cause\n"
+    "  timeline NAME [FILE...]    what happened at a front or a back end\n"
     "The key may be given as ZINNIA_KEY in the environment instead.";
 
 } // namespace
@@ -41,6 +45,8 @@
        {"key", "KEY", "The operator's key", &opt.Key},
        {"parent", "VERSION", "Propose on this head; else on the present one",
         &opt.Parent},
+       {"from", "MS", "Start of a timeline, as a line's ms", &opt.FromMs},
+       {"to", "MS", "End of a timeline", &opt.ToMs},
        {"limit", "N", "How much history to print", &opt.Limit},
        {"json", "", "Print JSON", &opt.Json}},
       {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage, ExitCode::Unreachable,
--- a/src/adapt/operator_commands.cpp
+++ b/src/adapt/operator_commands.cpp
@@ -2,6 +2,7 @@
 
 #include "zinniagauge/adapt/bundle_json.h"
 #include "zinniagauge/adapt/http_client.h"
+#include "zinniagauge/adapt/log_commands.h"
 #include "zinniagauge/decide/text_diff.h"
 
 #include <nlohmann/json.hpp>
@@ -24,6 +25,10 @@
 constexpr int StatusOk = 200;
 constexpr std::size_t ShortDigest = 12;
 
+/// Words after a command that reads logs: a file for each front of a site that
+/// is designed for, and its name.
+constexpr std::size_t MostFiles = 1024;
+
 using Words = std::span<const std::string>;
 
 CommandResult refuse(ExitCode exit, std::string text) {
@@ -345,6 +350,9 @@
        [](Opt o, Words w) {
          return order(o, "/v1/take-backs/" + w[0], w[0] + " is taken back");
        }},
+      {{"explain"}, 1, MostFiles, explainCall},
+      {{"causes"}, 0, MostFiles, showCauses},
+      {{"timeline"}, 1, MostFiles, showTimeline},
       {{"drain"},
        1,
        1,
--- /dev/null
+++ b/src/decide/call_story.cpp
@@ -0,0 +1,325 @@
+#include "zinniagauge/decide/call_story.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <map>
+#include <set>
+
+namespace zinniagauge {
+
+namespace {
+
+/// How long before a call's first line changes of belief still explain it: the
+/// longest age at which a plan may be used, and a little.
+constexpr std::int64_t BeforeMs = 5000;
+
+/// How long after its end: a back end that breaks is seen to leave soon after.
+constexpr std::int64_t AfterMs = 1000;
+
+/// Lines of that kind that are told at most; a dozen lines are a story.
+constexpr std::size_t MostAround = 8;
+
+/// Span in which other calls of the same back end tell a broken back end from a
+/// broken connection.
+constexpr std::int64_t SameTimeMs = 1000;
+
+using Lines = std::span<const LogLine>;
+
+bool isCallLine(const LogLine &line) noexcept {
+  return !textIn(line, "call").empty();
+}
+
+const LogLine *lastOf(Lines lines, std::string_view event) noexcept {
+  const LogLine *found = nullptr;
+  for (const LogLine &l : lines)
+    if (l.Event == event)
+      found = &l;
+  return found;
+}
+
+/// A field as "name 12", or nothing.
+std::string shown(const LogLine &line, std::string_view name) {
+  const std::string_view text = textIn(line, name);
+  if (text.empty())
+    return {};
+  return std::string(name).append(" ").append(text);
+}
+
+std::string shownAll(const LogLine &line,
+                     std::span<const std::string_view> names) {
+  std::string out;
+  for (const std::string_view name : names) {
+    const std::string part = shown(line, name);
+    if (!part.empty())
+      out.append(out.empty() ? "" : ", ").append(part);
+  }
+  return out;
+}
+
+CallCause causeOfRefusal(const LogLine &end, const LogLine *attempt) {
+  const std::string_view why = textIn(end, "why");
+  struct Reason {
+    std::string_view Why;
+    CallCause Cause;
+  };
+  constexpr std::array<Reason, 7> Reasons = {
+      Reason{"no plan yet", CallCause::NoPlan},
+      Reason{"plan may be outdated", CallCause::PlanOutdated},
+      Reason{"no such route", CallCause::NoRoute},
+      Reason{"unknown key", CallCause::UnknownKey},
+      Reason{"stopping", CallCause::Stopping},
+      Reason{"no back end had room in time", CallCause::NoRoom},
+      Reason{"no socket left", CallCause::NoDescriptor}};
+  for (const Reason &r : Reasons)
+    if (why == r.Why)
+      return r.Cause;
+  if (why == "allowance spent")
+    return CallCause::AllowanceSpent;
+  return attempt && textIn(*attempt, "result") == "not_sent"
+             ? CallCause::NotReached
+             : CallCause::BackendsRefused;
+}
+
+CallCause causeOf(const CallStory &story) {
+  if (story.Steps.empty())
+    return CallCause::NotLogged;
+  if (lastOf(story.Steps, "unreadable_request"))
+    return CallCause::Unreadable;
+  const LogLine *end = lastOf(story.Steps, "call_end");
+  if (!end)
+    return CallCause::NoEnd;
+  const std::string_view how = textIn(*end, "end");
+  if (how == "refused") {
+    const CallCause cause =
+        causeOfRefusal(*end, lastOf(story.Steps, "attempt_end"));
+    const LogLine *spent = lastOf(story.Steps, "allowance_spent");
+    return cause == CallCause::AllowanceSpent && spent &&
+                   numberIn(*spent, "peers_heard") == 0
+               ? CallCause::ShareSpent
+               : cause;
+  }
+  struct Ending {
+    std::string_view How;
+    CallCause Cause;
+  };
+  constexpr std::array<Ending, 6> Endings = {
+      Ending{"served", CallCause::Served},
+      Ending{"backend_failed", CallCause::BackendFailed},
+      Ending{"unknown", CallCause::OutcomeUnknown},
+      Ending{"timed_out", CallCause::TimeOver},
+      Ending{"broken_off", CallCause::StreamBroken},
+      Ending{"caller_left", CallCause::CallerLeft}};
+  for (const Ending &e : Endings)
+    if (how == e.How)
+      return e.Cause;
+  return CallCause::NoEnd;
+}
+
+/// Attempts of other calls at \p backend that were lost around \p ms.
+std::size_t otherLosses(Lines lines, const CallStory &story,
+                        std::string_view backend, std::int64_t ms) {
+  std::set<std::string_view> calls;
+  for (const LogLine &l : lines)
+    if (l.Event == "attempt_end" && textIn(l, "backend") == backend &&
+        textIn(l, "result") == "lost" && textIn(l, "call") != story.Id &&
+        std::abs(l.Ms - ms) <= SameTimeMs)
+      calls.insert(textIn(l, "call"));
+  return calls.size();
+}
+
+std::string attemptReason(Lines lines, const CallStory &story) {
+  const LogLine *at = lastOf(story.Steps, "attempt_end");
+  if (!at)
+    return {};
+  const std::string_view backend = textIn(*at, "backend");
+  std::string out(backend);
+  out.append(": ").append(textIn(*at, "why"));
+  const std::size_t others = otherLosses(lines, story, backend, at->Ms);
+  if (textIn(*at, "result") == "lost")
+    out.append("; other calls that it lost in the same second: ")
+        .append(std::to_string(others));
+  constexpr std::array<std::string_view, 3> Limits = {"sent", "most",
+                                                      "left_ms"};
+  out.append("; not sent again with ").append(shownAll(*at, Limits));
+  return out;
+}
+
+std::string lostUses(const CallStory &story) {
+  std::string out;
+  for (const LogLine &l : story.Around)
+    if (l.Event == "store_lost")
+      out.append("; table service lost for ")
+          .append(textIn(l, "use"))
+          .append(": ")
+          .append(textIn(l, "detail"));
+  return out;
+}
+
+std::string reasonOf(Lines lines, const CallStory &story) {
+  const LogLine *end = lastOf(story.Steps, "call_end");
+  constexpr std::array<std::string_view, 2> Proof = {"plan", "proof_ms"};
+  constexpr std::array<std::string_view, 2> Key = {"plan", "route"};
+  constexpr std::array<std::string_view, 3> Wait = {"route", "queue_ms",
+                                                    "tokens"};
+  constexpr std::array<std::string_view, 5> Spent = {
+      "workspace", "cost", "level_all", "level_own", "rate_per_s"};
+  constexpr std::array<std::string_view, 5> Stream = {
+      "backend", "events", "first_ms", "gap_ms", "total_ms"};
+  constexpr std::array<std::string_view, 2> Refused = {"status", "why"};
+  switch (story.Cause) {
+  case CallCause::PlanOutdated:
+    return shownAll(*end, Proof) + lostUses(story);
+  case CallCause::NoRoute:
+  case CallCause::UnknownKey:
+    return shownAll(*end, Key);
+  case CallCause::NoRoom:
+    return shownAll(*end, Wait);
+  case CallCause::AllowanceSpent:
+  case CallCause::ShareSpent:
+    if (const LogLine *l = lastOf(story.Steps, "allowance_spent"))
+      return shownAll(*l, Spent);
+    return {};
+  case CallCause::BackendsRefused:
+  case CallCause::NotReached:
+  case CallCause::BackendFailed:
+  case CallCause::OutcomeUnknown:
+    return attemptReason(lines, story);
+  case CallCause::StreamBroken:
+  case CallCause::TimeOver: {
+    const std::string attempt = attemptReason(lines, story);
+    return shownAll(*end, Stream) + (attempt.empty() ? "" : "; ") + attempt;
+  }
+  case CallCause::Unreadable:
+    return shownAll(story.Steps.front(), Refused);
+  default:
+    return {};
+  }
+}
+
+/// Whether a line on beliefs can concern the call of \p story.
+bool concerns(const LogLine &line, const CallStory &story) {
+  const std::string_view backend = textIn(line, "backend");
+  if (backend.empty())
+    return true;
+  return std::any_of(
+      story.Steps.begin(), story.Steps.end(),
+      [&](const LogLine &s) { return textIn(s, "backend") == backend; });
+}
+
+/// The latest beliefs of its front, of which the nearest to its end count.
+void fillAround(Lines lines, CallStory &story) {
+  if (story.Steps.empty())
+    return;
+  const std::int64_t from = story.Steps.front().Ms - BeforeMs;
+  const std::int64_t to = story.Steps.back().Ms + AfterMs;
+  for (const LogLine &l : lines)
+    if (l.Node == story.Node && l.Ms >= from && l.Ms <= to && !isCallLine(l) &&
+        concerns(l, story))
+      story.Around.push_back(l);
+  if (story.Around.size() > MostAround)
+    story.Around.erase(story.Around.begin(),
+                       story.Around.end() -
+                           static_cast<std::ptrdiff_t>(MostAround));
+}
+
+/// Whether an ended call belongs on a timeline.
+bool isFailure(const LogLine &line) noexcept {
+  if (line.Event == "call_end")
+    return textIn(line, "end") != "served" &&
+           textIn(line, "end") != "caller_left";
+  return line.Event == "attempt_end";
+}
+
+} // namespace
+
+std::string_view textIn(const LogLine &line, std::string_view name) noexcept {
+  for (const LogField &f : line.Fields)
+    if (f.Name == name)
+      return f.Value;
+  return {};
+}
+
+std::int64_t numberIn(const LogLine &line, std::string_view name,
+                      std::int64_t none) noexcept {
+  const std::string_view text = textIn(line, name);
+  std::int64_t val = 0;
+  const auto res = std::from_chars(text.data(), text.data() + text.size(), val);
+  return res.ec == std::errc() && !text.empty() ? val : none;
+}
+
+std::string_view toString(CallCause cause) noexcept {
+  constexpr std::array<std::string_view, 20> Names = {
+      "served",
+      "no line names the call",
+      "its front logged no end of it",
+      "the request could not be taken",
+      "the front knew no plan yet",
+      "the front could not prove its plan to be the latest",
+      "the plan has no such route",
+      "the plan has no such key",
+      "the front was stopping",
+      "the workspace's allowance was spent",
+      "this front's share of the allowance was spent, others not heard",
+      "no back end had room in time",
+      "the front had no descriptor left",
+      "each back end that was tried refused it",
+      "no back end that was tried could be reached",
+      "a back end answered with a failure",
+      "it was sent and no sound answer came",
+      "its time was over while a back end had it",
+      "its stream ended early",
+      "the caller closed its connection"};
+  return Names[static_cast<std::size_t>(cause)];
+}
+
+CallStory tellCall(std::span<const LogLine> lines, std::string_view id) {
+  CallStory story;
+  story.Id = id;
+  for (const LogLine &l : lines)
+    if (textIn(l, "call") == id)
+      story.Steps.push_back(l);
+  if (!story.Steps.empty())
+    story.Node = story.Steps.front().Node;
+  story.Cause = causeOf(story);
+  fillAround(lines, story);
+  story.Because = reasonOf(lines, story);
+  return story;
+}
+
+std::vector<CauseCount> countCauses(std::span<const LogLine> lines) {
+  std::map<std::string_view, CallStory> calls;
+  for (const LogLine &l : lines)
+    if (const std::string_view id = textIn(l, "call"); !id.empty())
+      calls[id].Steps.push_back(l);
+  std::map<CallCause, CauseCount> counts;
+  for (const auto &[id, story] : calls) {
+    CauseCount &c = counts[causeOf(story)];
+    ++c.Calls;
+    c.Example = id;
+  }
+  std::vector<CauseCount> out;
+  for (auto &[cause, c] : counts)
+    out.push_back({cause, c.Calls, std::move(c.Example)});
+  std::stable_sort(out.begin(), out.end(),
+                   [](const CauseCount &a, const CauseCount &b) {
+                     return a.Calls > b.Calls;
+                   });
+  return out;
+}
+
+std::vector<LogLine> tellTimeline(std::span<const LogLine> lines,
+                                  const TimelineQuery &q) {
+  std::vector<LogLine> out;
+  for (const LogLine &l : lines) {
+    if (l.Ms < q.FromMs || l.Ms > q.ToMs)
+      continue;
+    if (isCallLine(l) && !isFailure(l))
+      continue;
+    if (l.Node == q.Name || textIn(l, "backend") == q.Name)
+      out.push_back(l);
+  }
+  return out;
+}
+
+} // namespace zinniagauge
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -124,6 +124,7 @@
   const TrafficPlan &plan = rl.Board.Plan.read(guard);
   if (plan.Version == 0)
     return Denial{503, "no plan yet", ComeBack};
+  call.Plan.Version = plan.Version; // A denial is logged with it.
   const Freshness fresh = freshness(rl);
   const auto host = findField(call.Head.Fields, "Host").value_or("");
   const PlanRoute *route = findRoute(plan, host, pathOf(call));
--- a/src/front/caller.cpp
+++ b/src/front/caller.cpp
@@ -43,16 +43,30 @@
 }
 
 /// Refuses a message that can't be read; what follows it can't be told from it.
+void refuseMessage(Caller &c, int status, std::string_view why) {
+  RequestLoop &rl = *c.Owner;
+  if (rl.Log.wantsCalls()) {
+    EventLine line = eventLine("unreadable_request");
+    // Known if its header could be read so far.
+    if (const auto id = findField(headOf(c.Parser).Fields, rl.Names.CallId))
+      add(line, "call", *id);
+    add(line, "status", std::int64_t{status});
+    add(line, "why", why);
+    rl.Log.write(line);
+  }
+  answerOwn(c, status, why, Duration::zero(), true);
+}
+
 bool refuseUnreadable(Caller &c, ParseState st) {
   switch (st) {
   case ParseState::HeadTooLarge:
-    answerOwn(c, 431, "header too large", Duration::zero(), true);
+    refuseMessage(c, 431, "header too large");
     return true;
   case ParseState::BodyTooLarge:
-    answerOwn(c, 413, "body too large", Duration::zero(), true);
+    refuseMessage(c, 413, "body too large");
     return true;
   case ParseState::Malformed:
-    answerOwn(c, 400, "malformed request", Duration::zero(), true);
+    refuseMessage(c, 400, "malformed request");
     return true;
   default:
     return false;
@@ -106,7 +120,7 @@
 void onCallerTimer(void *ctx, Time /*now*/) {
   Caller &c = *static_cast<Caller *>(ctx);
   if (c.Parser.St && hasBegun(c.Parser) && !c.Ch.EndAfterOut)
-    answerOwn(c, 408, "request not complete in time", Duration::zero(), true);
+    refuseMessage(c, 408, "request not complete in time");
   else
     dropCaller(c);
 }
--- a/src/observe/event_log.cpp
+++ b/src/observe/event_log.cpp
@@ -100,7 +100,9 @@
     const bool end = Ending;
     lk.unlock();
     if (const std::uint64_t lost = Dropped; lost != said) {
-      out += "{\"node\":\"" + Node + "\",\"event\":\"log_lines_dropped\"," +
+      const std::int64_t ms = wallNow().time_since_epoch().count();
+      out += "{\"ms\":" + std::to_string(ms) + ",\"node\":\"" + Node +
+             "\",\"event\":\"log_lines_dropped\"," +
              "\"count\":" + std::to_string(lost - said) + "}\n";
       said = lost;
     }
--- /dev/null
+++ b/tests/process/explain_test.cpp
@@ -0,0 +1,134 @@
+// What "zinniactl explain" says of calls that failed, each in another way: the
+// stated cause comes from the front's log alone.
+#include "support/front_deployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+using nlohmann::json;
+
+namespace {
+
+/// The story of the last call of \p d, once its end is logged.
+json storyOf(const FrontDeployment &d) {
+  const std::string id = "call-" + std::to_string(d.LastCall);
+  json story;
+  REQUIRE(waitUntil([&] {
+    const ProgramResult res =
+        runProgram({ZINNIA_BINARY_DIR "/zinniactl", "explain", "--json", id,
+                    d.Folder.write("log", d.Front->output())});
+    if (res.Exit != 0)
+      return false;
+    story = json::parse(res.Output);
+    return story.at("cause") != "its front logged no end of it";
+  }));
+  return story;
+}
+
+std::string causeOf(const FrontDeployment &d) {
+  return storyOf(d).at("cause").get<std::string>();
+}
+
+std::string reasonOf(const FrontDeployment &d) {
+  return storyOf(d).at("because").get<std::string>();
+}
+
+} // namespace
+
+TEST_CASE("explain tells what the plan didn't allow", "[process][explain]") {
+  const FrontDeployment d;
+  REQUIRE(isStatus(d.call("/safe/a"), 200));
+  CHECK(causeOf(d) == "served");
+  REQUIRE(isStatus(d.call("/safe/a", "k9"), 401));
+  CHECK(causeOf(d) == "the plan has no such key");
+  REQUIRE(isStatus(d.call("/none/a"), 404));
+  CHECK(causeOf(d) == "the plan has no such route");
+  CHECK(reasonOf(d).find("plan 7") != std::string::npos);
+  REQUIRE(
+      isStatus(d.call("/safe/a", "k1", "Transfer-Encoding: chunked\r\n"), 400));
+  CHECK(causeOf(d) == "the request could not be taken");
+}
+
+TEST_CASE("explain tells how a back end failed a call", "[process][explain]") {
+  const FrontDeployment d;
+  d.engines("reset", "reset");
+  REQUIRE(isStatus(d.call("/unsafe/a"), 502));
+  CHECK(causeOf(d) == "it was sent and no sound answer came");
+  CHECK(reasonOf(d).find("reset") != std::string::npos);
+  CHECK(reasonOf(d).find("i-") != std::string::npos);
+  d.engines("fail", "fail");
+  REQUIRE(isStatus(d.call("/unsafe/a"), 500));
+  CHECK(causeOf(d) == "a back end answered with a failure");
+  d.engines("not_run", "not_run");
+  REQUIRE(isStatus(d.call("/unsafe/a"), 503));
+  CHECK(causeOf(d) == "each back end that was tried refused it");
+  d.engines("break", "break");
+  static_cast<void>(d.call("/stream/a"));
+  CHECK(causeOf(d) == "its stream ended early");
+  d.engines("silent", "silent");
+  REQUIRE(isStatus(d.call("/unsafe/a"), 504));
+  CHECK(causeOf(d) == "its time was over while a back end had it");
+}
+
+TEST_CASE("explain tells of spent allowances and missing back ends",
+          "[process][explain]") {
+  const FrontDeployment d;
+  d.putRow("op", "config", configOf(8, {"k1"}, 1));
+  std::string answer;
+  REQUIRE(waitUntil([&] {
+    answer = d.call("/safe/a");
+    return isStatus(answer, 429);
+  }));
+  CHECK(causeOf(d).find("allowance") != std::string::npos);
+  CHECK(reasonOf(d).find("rate_per_s 1") != std::string::npos);
+  d.putRow("op", "config", configOf(9, {"k1"}));
+  for (int n = 0; n < 2; ++n) {
+    json gone = d.entry(n, "ready");
+    gone["address"] = at(d.Ports[6]); // Datagrams only: refuses connections.
+    gone["born"] = 2000 + n;
+    d.putRow("servers", "i-" + std::to_string(n), gone);
+  }
+  REQUIRE(waitUntil([&] { return isStatus(d.call("/unsafe/a"), 503); }));
+  CHECK(causeOf(d) == "no back end that was tried could be reached");
+  for (int n = 0; n < 2; ++n)
+    d.putRow("servers", "i-" + std::to_string(n), d.entry(n, "draining"));
+  REQUIRE(waitUntil([&] {
+    return isStatus(d.call("/unsafe/a"), 503) &&
+           causeOf(d) == "no back end had room in time";
+  }));
+}
+
+TEST_CASE("explain names the outage that made a plan too old",
+          "[process][explain]") {
+  const FrontDeployment d;
+  d.control({{"store", "busy"}});
+  REQUIRE(waitUntil([&] { return isStatus(d.call("/safe/a"), 503); }));
+  CHECK(causeOf(d) == "the front could not prove its plan to be the latest");
+  CHECK(reasonOf(d).find("table service lost for plan") != std::string::npos);
+}
+
+TEST_CASE("causes counts every call, and timeline follows a back end",
+          "[process][explain]") {
+  const FrontDeployment d;
+  REQUIRE(isStatus(d.call("/safe/a"), 200));
+  d.engines("fail", "fail");
+  for (int n = 0; n < 3; ++n)
+    REQUIRE(isStatus(d.call("/unsafe/a"), 500));
+  static_cast<void>(storyOf(d));
+  const std::string log = d.Folder.write("log", d.Front->output());
+  const ProgramResult causes =
+      runProgram({ZINNIA_BINARY_DIR "/zinniactl", "causes", "--json", log});
+  REQUIRE(causes.Exit == 0);
+  const json counts = json::parse(causes.Output);
+  REQUIRE(counts.size() == 2);
+  CHECK(counts[0].at("calls") == 3);
+  CHECK(counts[0].at("cause") == "a back end answered with a failure");
+  CHECK(counts[1].at("calls") == 1);
+  const ProgramResult line =
+      runProgram({ZINNIA_BINARY_DIR "/zinniactl", "timeline", "i-0", log});
+  CHECK(line.Exit == 0);
+  CHECK(line.Output.find("state ready") != std::string::npos);
+  CHECK(runProgram({ZINNIA_BINARY_DIR "/zinniactl", "explain", "call-99", log})
+            .Exit == 1);
+}
