Ask readers and count silent fronts at a pace that fits the number of fronts

Cause: with 68 fronts whole reports are 2.25 s apart. A front that doesn't read asked a reader only then (twice as long as a list may be old), and a peer that had nothing to change was taken for dead after 1.5 s: its loads dropped out and fronts disagreed on who reads. Questions now have a timer of their own (0.6 s); a silent peer counts for three of its whole reports, 1.5 s at least.

--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -85,10 +85,10 @@
   Controllers *Owner = nullptr;
   Watch Socket;
   LoopTimer Timer;
+  LoopTimer AskTimer;
   std::uint64_t Life = 0;
   std::uint64_t Beat = 0;
   Time LastSent;
-  Time LastAsked;
   std::map<std::uint64_t, PeerAddress> Addresses; // Where reports came from.
   std::vector<BackendLoad> Said; // Loads as the peers were told last.
   GossipBook Book;
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -28,18 +28,32 @@
 /// Peers up to which a whole report goes to all of them at that period.
 constexpr std::size_t FewPeers = 8;
 
-/// How long the loads of a silent peer count.
-constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
+/// How long a silent peer is taken to live and its loads count, and for how many
+/// of its whole reports at least: one or two may be lost.
+constexpr Duration PeerMemoryLeast = std::chrono::milliseconds(1500);
+constexpr int ReportsMissed = 3;
 
 /// How often a front that doesn't read the table service asks one that does.
 constexpr Duration AskPeriod = std::chrono::milliseconds(600);
 
-/// How long a silent peer is taken to live.
-constexpr Duration LifeMemory = std::chrono::milliseconds(1500);
-
 /// Fronts of which one more reads for the others.
 constexpr std::size_t FrontsPerReader = 16;
 
+/// How far apart the whole reports of a front with \p peers others are.
+Duration wholePeriod(std::size_t peers) {
+  const std::size_t stretch = (peers + FewPeers - 1) / FewPeers;
+  return WholePeriod * static_cast<int>(std::max<std::size_t>(1, stretch));
+}
+
+/// How long a silent one of \p peers others counts.
+Duration silentFor(std::size_t peers) {
+  return std::max(PeerMemoryLeast, wholePeriod(peers) * ReportsMissed);
+}
+
+std::size_t peerCount(const Gossip &go) {
+  return go.Owner->Peers.Book.Peers.size();
+}
+
 std::uint32_t ageMs(std::int64_t provenboot) {
   const Duration age = bootNow() - fromNanos(provenboot);
   const auto ms =
@@ -73,7 +87,7 @@
 void publish(Gossip &go) {
   Controllers &ct = *go.Owner;
   const Time now = ct.Lp.Now;
-  ct.Board.PeerLoads.publish(peerLoads(go.Book, now, LoadMemory));
+  ct.Board.PeerLoads.publish(peerLoads(go.Book, now, silentFor(peerCount(go))));
   ct.Board.PeerSpent.publish(peerSpent(go.Book));
   Time heard = now;
   for (const auto &[name, entry] : ct.Peers.Book.Peers) {
@@ -126,12 +140,16 @@
   return rep;
 }
 
-/// Finds out who reads, and asks one of them if this front doesn't.
-void askReader(Gossip &go, Time now) {
+/// Finds out who reads, and asks one of them if this front doesn't. On a timer
+/// of its own: the pace of whole reports falls with the number of fronts.
+void onAskTime(void *ctx, Time now) {
+  Gossip &go = *static_cast<Gossip *>(ctx);
+  arm(go.Owner->Lp, go.AskTimer, now + AskPeriod);
   const std::uint64_t self = nameHash(go.Owner->Settings.Node);
+  const Duration memory = silentFor(peerCount(go));
   std::vector<std::uint64_t> living = {self};
   for (const auto &[node, peer] : go.Book.Peers)
-    if (now - peer.Heard < LifeMemory)
+    if (now - peer.Heard < memory)
       living.push_back(node);
   const std::vector<std::uint64_t> readers = readersOf(living);
   const bool reads =
@@ -143,9 +161,8 @@
     add(line, "living", static_cast<std::int64_t>(living.size()));
     go.Owner->Log.write(line);
   }
-  if (reads || now - go.LastAsked < AskPeriod)
+  if (reads)
     return;
-  go.LastAsked = now;
   const auto to = go.Addresses.find(readers[go.Beat % readers.size()]);
   if (to == go.Addresses.end())
     return;
@@ -188,10 +205,7 @@
   const std::size_t count = sendReport(go, rep);
   go.Said = rep.Loads;
   publish(go);
-  askReader(go, now);
-  const auto stretch = static_cast<int>(
-      std::max<std::size_t>(1, (count + FewPeers - 1) / FewPeers));
-  arm(ct.Lp, go.Timer, now + WholePeriod * stretch);
+  arm(ct.Lp, go.Timer, now + wholePeriod(count));
 }
 
 void onDatagram(void *ctx, std::uint32_t /*events*/) {
@@ -280,7 +294,7 @@
 
 void tellChanges(Gossip &go) {
   Controllers &ct = *go.Owner;
-  const auto peers = static_cast<int>(ct.Peers.Book.Peers.size());
+  const auto peers = static_cast<int>(peerCount(go));
   if (ct.Lp.Now - go.LastSent < PausePerPeer * peers)
     return; // The next change or whole report tells it.
   GossipReport rep = ownReport(go);
@@ -347,6 +361,9 @@
   go.Timer.Fn = onTimer;
   go.Timer.Ctx = &go;
   arm(ct.Lp, go.Timer, ct.Lp.Now + WholePeriod);
+  go.AskTimer.Fn = onAskTime;
+  go.AskTimer.Ctx = &go;
+  arm(ct.Lp, go.AskTimer, ct.Lp.Now + WholePeriod);
   return {};
 }
 
