Add a fault soak: real fronts under faults from outside, promises checked

Faults come from a seed, in series and overlapping: kill, stop (one, and all in series), pause, reload, proxies that delay, reset, cut one way or both, a store that is silent, busy, loses answers or its history, engines that fail in five ways, leave and are born again, keys withdrawn and granted again.

Checked, from what callers and engines saw: a call that may run once does; what is refused hasn't run; answers are the call's own and sealed; streams without a gap, a repeat or a false end; an end in time while the front is left alone; a withdrawn key does nothing after 5 s, whatever its front knew; no call reaches an engine 3 s after it said that it leaves, by fronts in touch; repeats within the budget; a stop within its time; all served 8 s after the last fault.

The stand-in of the platform moved to tests/support/consortium, which both use; its streams can be paced, its store can lose answers and history.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Targets over CMake and Ninja. `make help` lists them.
 BUILD ?= build
 
-.PHONY: help packages build check demo platform-demo format lint bench policy soak
+.PHONY: help packages build check demo platform-demo format lint bench policy \
+        soak soak-faults
 
 help:
 	@echo "packages  install the Debian packages that the build needs"
@@ -13,6 +14,7 @@
 	@echo "format    format the sources in place"
 	@echo "bench     added latency and throughput of the request path"
 	@echo "policy    goodput of the scheduling policy against baselines"
+	@echo "soak-faults  fronts under faults: make soak-faults SEED=1 SECONDS=60"
 	@echo "soak      long randomised run: make soak SEED=1 STEPS=1000000"
 
 packages:
@@ -37,6 +39,11 @@
 policy: build
 	$(BUILD)/policy
 
+SECONDS ?= 60
+soak-faults: build
+	mkdir -p $(BUILD)/soak-logs
+	$(BUILD)/fault-soak --seed $(SEED) --seconds $(SECONDS) --logs $(BUILD)/soak-logs
+
 SEED ?= 1
 STEPS ?= 1000000
 soak: build
--- /dev/null
+++ b/tests/support/consortium_rows.cpp
@@ -0,0 +1,95 @@
+#include "support/consortium_rows.h"
+
+#include <string_view>
+
+namespace zinniagauge::testing {
+
+using nlohmann::json;
+
+namespace {
+
+/// "aGk=" of "hi", as the store has values.
+std::string base64(const std::string &raw) {
+  constexpr std::string_view Digits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  for (std::size_t n = 0; n < raw.size(); n += 3) {
+    std::uint32_t word = 0;
+    for (std::size_t k = 0; k < 3; ++k)
+      word = word << 8U |
+             (n + k < raw.size() ? static_cast<unsigned char>(raw[n + k]) : 0U);
+    for (std::size_t k = 0; k < 4; ++k)
+      out += n + k > raw.size() ? '=' : Digits[word >> (18 - 6 * k) & 63U];
+  }
+  return out;
+}
+
+json route(const char *prefix, const char *kind, bool anonymous) {
+  return {{"name", prefix},        {"host", "h.example"},
+          {"prefix", prefix},      {"kind", kind},
+          {"timeout_ms", 3000},    {"target_latency_ms", 500},
+          {"priority", 0},         {"service", "pool"},
+          {"max_attempts", 2},     {"allow_anonymous", anonymous},
+          {"resume_streams", true}};
+}
+
+} // namespace
+
+std::string at(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+json configOf(int version, const json &keys, int rate) {
+  return {{"version", version},
+          {"routes",
+           {route("/safe/", "safe", false), route("/unsafe/", "unsafe", false),
+            route("/stream/", "streaming", false),
+            route("/open/", "unsafe", true)}},
+          {"services", {{{"name", "pool"}, {"connection_limit", 100}}}},
+          {"limits",
+           {{"max_header_bytes", 4096},
+            {"max_body_bytes", 65536},
+            {"header_timeout_ms", 1000},
+            {"idle_timeout_ms", 5000}}},
+          {"tenants",
+           {{{"name", "team"},
+             {"api_keys", keys},
+             {"rate_per_s", rate},
+             {"burst", rate}}}}};
+}
+
+json frontSettings(const std::string &node, const FrontPorts &ports) {
+  return {{"node", node},
+          {"zone", "z"},
+          {"callers", at(ports.Callers)},
+          {"status", at(ports.Status)},
+          {"metrics", at(ports.Metrics)},
+          {"peers", at(ports.Peers)},
+          {"table", at(ports.Table)},
+          {"plan_apply_ms", 2000},
+          {"key_withdrawal_ms", 3200},
+          {"fail_closed", true},
+          {"retry_ratio", 0.2},
+          {"retry_slack", 20},
+          {"retry_window_s", 10},
+          {"allowance_window_s", 8},
+          {"allowance_overage", 0.1},
+          {"allowance_slack", 1000},
+          {"stop_s", 8},
+          {"descriptors", 512}};
+}
+
+json engineEntry(std::uint16_t port, const char *state, int born) {
+  return {{"service", "pool"}, {"address", at(port)}, {"zone", "z"},
+          {"version", "v1"},   {"slots", 4},          {"state", state},
+          {"sequence", 1},     {"born", born}};
+}
+
+json tableRow(const char *table, const std::string &key, const json &value) {
+  return {{"table", table},
+          {"part", ""},
+          {"key", key},
+          {"value", base64(value.dump())}};
+}
+
+} // namespace zinniagauge::testing
--- a/tests/support/front_deployment.h
+++ b/tests/support/front_deployment.h
@@ -2,6 +2,7 @@
 #ifndef ZINNIAGAUGE_TESTS_SUPPORT_FRONT_DEPLOYMENT_H
 #define ZINNIAGAUGE_TESTS_SUPPORT_FRONT_DEPLOYMENT_H
 
+#include "support/consortium_rows.h"
 #include "support/processes.h"
 
 #include <nlohmann/json.hpp>
@@ -13,17 +14,9 @@
 
 namespace zinniagauge::testing {
 
-/// "127.0.0.1:PORT".
-[[nodiscard]] std::string at(std::uint16_t port);
-
 /// Sends \p text to \p port and reads one answer, or until the connection ends.
 [[nodiscard]] std::string rawCall(std::uint16_t port, const std::string &text);
 
-/// A configuration of version \p version with one workspace, "team", that has
-/// \p keys and may spend \p rate requests a second; zero: any number.
-[[nodiscard]] nlohmann::json configOf(int version, const nlohmann::json &keys,
-                                      int rate = 0);
-
 /// Whether \p answer is an HTTP answer with \p status.
 [[nodiscard]] bool isStatus(const std::string &answer, int status);
 
@@ -39,10 +32,12 @@
   void engines(const char *first, const char *second) const;
   /// Calls of all engines, "runs" or "arrivals".
   [[nodiscard]] int count(const char *what) const;
-  /// Calls \p path with an id of its own, "call-N"; LastCall holds the N.
+  /// Calls \p path with an id of its own, "call-N"; LastCall holds the N. At
+  /// \p port if that isn't zero.
   [[nodiscard]] std::string call(const std::string &path,
                                  const std::string &key = "k1",
-                                 const std::string &more = {}) const;
+                                 const std::string &more = {},
+                                 std::uint16_t port = 0) const;
 
   std::vector<std::uint16_t> Ports = freePorts(7);
   ScratchFolder Folder;
