Renew proofs of the plan at a pace that fits the limits

A front that doesn't read for others fell back on a reading of its own when what it was told was 1.7 s old, and that reading asked the service to wait a second for changes, so its proof was up to 2.7 s old: more than the 2.0 s that key_withdrawal_ms 3200 leaves, and more than the 2.2 s after which an unknown key may not be called unknown. The users' sites have 5,000 and 2,000 or 3,000: there it cost refusals of unknown keys only.

Waits now follow from the limits (decide/freshness, proofPace), and a front that reads for itself asks for an answer at once, then looks again after 0.1 s.

Ruled out: a lost question (they were answered); the reader's own age.

--- a/include/zinniagauge/decide/freshness.h
+++ b/include/zinniagauge/decide/freshness.h
@@ -4,6 +4,8 @@
 
 #include "zinniagauge/time/clock.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 /// Ages up to which a proof that no newer configuration exists is good.
@@ -30,6 +32,23 @@
   return {!lim.FailClosed || age <= lim.Serve, age <= lim.Deny};
 }
 
+/// How proofs are renewed.
+struct ProofPace {
+  Duration Wait; // A reading may wait for changes; its proof is as old then.
+  Duration Old;  // Age at which a proof of another's is replaced by an own.
+};
+
+/// The pace under which no proof reaches the tighter of \p lim, with a tenth of
+/// it left for the answers' way. Longer waits would save no calls that count.
+[[nodiscard]] constexpr ProofPace
+proofPace(const FreshnessLimits &lim) noexcept {
+  constexpr Duration MostWait = std::chrono::milliseconds(1000);
+  constexpr Duration MostOld = std::chrono::milliseconds(1700);
+  const Duration least =
+      lim.FailClosed ? std::min(lim.Serve, lim.Deny) : lim.Deny;
+  return {std::min(MostWait, least * 9 / 20), std::min(MostOld, least * 3 / 4)};
+}
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_DECIDE_FRESHNESS_H
--- a/src/store/plan_follower.cpp
+++ b/src/store/plan_follower.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// How long the service is asked to wait for a change. An empty answer proves
-/// the plan up to when it was asked for, so this adds to the proof's age.
-constexpr Duration ChangeWait = std::chrono::milliseconds(1000);
-
 /// How much longer than that an answer may take: the service answers within
 /// some milliseconds, and within a fifth of a second when it is slow.
 constexpr Duration AnswerTime = std::chrono::milliseconds(700);
@@ -22,9 +18,13 @@
 /// How often a front that doesn't read for others looks at what it was told.
 constexpr Duration LookPeriod = std::chrono::milliseconds(100);
 
-/// The age of a proof at which such a front reads by itself: well below the age
-/// up to which unknown keys may be refused.
-constexpr Duration OldProof = std::chrono::milliseconds(1700);
+/// How long the service is asked to wait for a change. An empty answer proves
+/// the plan up to when it was asked for, so this adds to the proof's age; a
+/// front that reads for itself only needs its proof at once.
+Duration changeWait(const PlanFollower &pf) {
+  const Controllers &ct = *pf.Owner;
+  return ct.Board.Reads ? proofPace(ct.Settings.Fresh).Wait : Duration::zero();
+}
 
 void askNext(PlanFollower &pf);
 
@@ -36,7 +36,8 @@
     return false;
   if (board.ToldMark == pf.Mark && board.ToldMarkAt > board.PlanProven)
     board.PlanProven = board.ToldMarkAt.load();
-  return bootNow() - fromNanos(board.PlanProven) < OldProof;
+  const Duration old = proofPace(pf.Owner->Settings.Fresh).Old;
+  return bootNow() - fromNanos(board.PlanProven) < old;
 }
 
 void goOn(PlanFollower &pf) {
@@ -134,11 +135,12 @@
     board.PlanProven = toNanos(asked);
   if (board.PlanVersion != before)
     pf.Owner->OnChange();
-  if (board.PlanVersion > 0) {
+  // One that reads for itself was answered at once: it looks again later.
+  if (board.PlanVersion > 0 && board.Reads)
     goOn(pf);
-    return;
-  }
-  arm(pf.Owner->Lp, pf.Timer, pf.Owner->Lp.Now + MostPause);
+  else
+    arm(pf.Owner->Lp, pf.Timer,
+        pf.Owner->Lp.Now + (board.PlanVersion > 0 ? LookPeriod : MostPause));
 }
 
 void onAnswer(void *ctx, const StoreAnswer &answer) {
@@ -162,8 +164,9 @@
     ask(pf.Link, names.Read(StoreTable::Operators, {}), AnswerTime, onAnswer,
         &pf);
   else
-    ask(pf.Link, names.Changes(StoreTable::Operators, pf.Version, ChangeWait),
-        ChangeWait + AnswerTime, onAnswer, &pf);
+    ask(pf.Link,
+        names.Changes(StoreTable::Operators, pf.Version, changeWait(pf)),
+        changeWait(pf) + AnswerTime, onAnswer, &pf);
 }
 
 } // namespace
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -161,3 +161,28 @@
   d.engines("silent", "silent");
   CHECK(isStatus(d.call("/unsafe/a"), 504));
 }
+
+TEST_CASE("a front that lets another read serves keys all the time",
+          "[process][front]") {
+  FrontDeployment d;
+  const auto ports = freePorts(4);
+  const Process second(
+      {ZINNIA_BINARY_DIR "/zinnia-front",
+       d.Folder.write("second.json",
+                      frontSettings("front-2", {ports[0], ports[1], ports[2],
+                                                ports[3], d.Ports[0]})
+                          .dump())});
+  REQUIRE(waitForStatus("http://" + at(ports[1]) + "/v1/readiness", 200));
+  const std::string lets = "\"event\":\"reads_for_others\",\"reads\":0";
+  REQUIRE(waitUntil([&] {
+    return second.output().find(lets) != std::string::npos ||
+           d.Front->output().find(lets) != std::string::npos;
+  }));
+  // Proofs are renewed every second or two; this is several times that.
+  const Time end = monotonicNow() + std::chrono::seconds(5);
+  while (monotonicNow() < end)
+    for (const std::uint16_t port : {d.Ports[3], ports[0]}) {
+      REQUIRE(isStatus(d.call("/safe/a", "k1", {}, port), 200));
+      REQUIRE(isStatus(d.call("/safe/a", "k9", {}, port), 401));
+    }
+}
