End a stream that can't go on, instead of sending a second answer after it

endOwn, through which all own answers go, breaks off a stream that has begun; an answer that is no stream counts as a lost attempt of one.

Test first: one engine breaks, the other fails; six of six calls held a second status line, none does now.

--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -21,9 +21,23 @@
   return it == rl.Backends.end() ? nullptr : it->second.get();
 }
 
-/// Answers with a status of our own and ends the call.
+/// Ends a call whose caller has the start of a stream, so that it doesn't look
+/// whole.
+void breakOff(const std::shared_ptr<Call> &call, std::string_view why) {
+  Caller *from = call->From;
+  endCall(call, CallEnd::BrokenOff, 0, why);
+  if (from)
+    finishCaller(*from);
+}
+
+/// Answers with a status of our own and ends the call. A caller that has the
+/// start of an answer can't be given another one.
 void endOwn(const std::shared_ptr<Call> &call, CallEnd end, int status,
             std::string_view why, Duration retryafter = Duration::zero()) {
+  if (call->Facts.Begun) {
+    breakOff(call, why);
+    return;
+  }
   Caller *from = call->From;
   if (from)
     answerOwn(*from, status, why, retryafter);
@@ -41,29 +55,19 @@
     endOwn(call, CallEnd::Refused, 503, why, retryafter);
 }
 
-void breakOff(const std::shared_ptr<Call> &call, std::string_view why) {
-  Caller *from = call->From;
-  endCall(call, CallEnd::BrokenOff, 0, why);
-  if (from)
-    finishCaller(*from);
-}
-
 void onDue(void *ctx, Time /*now*/) {
   Call &c = *static_cast<Call *>(ctx);
   const std::shared_ptr<Call> call =
       c.From ? c.From->Active : (c.Link ? c.Link->For : nullptr);
   if (!call)
     return;
-  if (call->Phase == CallPhase::Waiting && !call->Facts.Begun) {
+  if (call->Phase == CallPhase::Waiting) {
     refuse(call, "no back end had room in time");
     return;
   }
   noteEvidence(*call->Owner, *call, true);
   cutLink(*call);
-  if (call->Facts.Begun)
-    breakOff(call, "time is over");
-  else
-    endOwn(call, CallEnd::TimedOut, 504, "time is over");
+  endOwn(call, CallEnd::TimedOut, 504, "time is over");
 }
 
 /// How long a stream that broke may wait to go on elsewhere; callers leave a
@@ -141,7 +145,7 @@
 
 void passFailure(const std::shared_ptr<Call> &call, const MessageHead &head,
                  std::string_view body) {
-  if (promisesNotRun(head.Status)) {
+  if (promisesNotRun(head.Status) || call->Facts.Begun) {
     endOwn(call, CallEnd::Unknown, 502, "back end failed");
     return;
   }
@@ -322,6 +326,8 @@
   }
   if (!sound) {
     onAttemptEnd(call, AttemptEnd::Lost, "answer without its proof");
+  } else if (call->Facts.Begun && !failed) {
+    onAttemptEnd(call, AttemptEnd::Lost, "answer is no stream");
   } else if (failed && call->Phase != CallPhase::Over) {
     onFailure(call, head, body);
   } else {
--- /dev/null
+++ b/tests/process/fault_soak_test.cpp
@@ -0,0 +1,47 @@
+// The fault soak, short: each seed that failed once, and one more.
+#include "support/processes.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace zinniagauge::testing;
+
+namespace {
+
+struct SoakSeed {
+  std::string Seed;
+  std::string Seconds;
+};
+
+std::vector<SoakSeed> knownSeeds() {
+  std::ifstream in(ZINNIA_SOURCE_DIR "/tests/soak/seeds.txt");
+  std::vector<SoakSeed> out;
+  for (std::string line; std::getline(in, line);) {
+    std::istringstream words(line);
+    SoakSeed s;
+    if (!line.starts_with("#") && words >> s.Seed >> s.Seconds)
+      out.push_back(std::move(s));
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("promises hold under faults, also from seeds that once broke them",
+          "[process][soak]") {
+  std::vector<SoakSeed> seeds = knownSeeds();
+  REQUIRE_FALSE(seeds.empty());
+  seeds.push_back({"1001", "10"});
+  std::vector<Process> runs;
+  for (const SoakSeed &s : seeds)
+    runs.emplace_back(std::vector<std::string>{
+        ZINNIA_BINARY_DIR "/fault-soak", "--seed", s.Seed, "--seconds",
+        s.Seconds});
+  for (Process &run : runs) {
+    const auto rc = run.wait(std::chrono::seconds(120));
+    INFO(run.output());
+    CHECK(rc == 0);
+  }
+}
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -86,6 +86,20 @@
   CHECK_FALSE(d.call("/stream/a").ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("a stream that can't go on ends, and nothing else follows it",
+          "[process][front]") {
+  const FrontDeployment d;
+  // One breaks off, the other answers the rest with a failure of its own.
+  d.engines("break", "fail");
+  for (int n = 0; n < 6; ++n) {
+    const std::string answer = d.call("/stream/a");
+    CHECK(answer.starts_with("HTTP/1.1 "));
+    CHECK(answer.find("HTTP/1.1 ", 1) == std::string::npos);
+    if (isStatus(answer, 200))
+      CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+  }
+}
+
 TEST_CASE("a withdrawn key stops, also while the store is out",
           "[process][front]") {
   const FrontDeployment d;
