Don't charge a front for what others spent before it heard of them

What a peer had spent before it was heard first is Past now, not Total, also if its first report lists changes only; a front that doesn't hear the others yet begins like one that joins them.

Ruled out: nothing else reads these totals.

--- a/include/zinniagauge/board/demand.h
+++ b/include/zinniagauge/board/demand.h
@@ -26,6 +26,7 @@
 struct Spent {
   WorkspaceId Workspace;
   std::uint64_t Total = 0;
+  std::uint64_t Past = 0; // Not in it: before those who spent were heard first.
 
   bool operator==(const Spent &) const = default;
 };
--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -94,14 +94,15 @@
 struct PeerSpending {
   bool Heard = false; // All were heard just now, so All may be relied on.
   std::uint64_t Total = 0;
+  std::uint64_t Past = 0; // Spent before this process heard them first.
 };
 
 /// Until when a peer that was heard counts as heard: some reports may be lost.
 inline constexpr Duration HeardFor = std::chrono::milliseconds(700);
 
-/// Begins to follow what all processes spend, once peers are heard. What they
-/// spent before can't be told to be past or recent, so a process that joins
-/// others begins at JoinLevel.
+/// Begins to follow what all processes spend. What they spent before can't be
+/// told to be past or recent, so a process that joins others begins at
+/// JoinLevel, and so does one that doesn't hear them yet.
 void startAllowance(AllowanceState &st, const PlanWorkspace &ws,
                     const PeerSpending &peers, const AllowanceMargin &margin,
                     Time now) noexcept;
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -58,9 +58,11 @@
   struct Peer {
     GossipReport Last;
     Time Heard;
+    bool WholeHeard = false; // A whole report was among those taken in.
   };
   std::map<std::uint64_t, Peer> Peers;           // By node.
   std::map<WorkspaceId, std::uint64_t> Departed; // Spent by earlier lives.
+  std::map<WorkspaceId, std::uint64_t> Past;     // Spent before it was heard.
 };
 
 /// Takes in a report; older ones than the last of its life are passed over. One
@@ -71,7 +73,7 @@
 [[nodiscard]] LoadList peerLoads(const GossipBook &book, Time now,
                                  Duration memory);
 
-/// What all peers ever spent, as far as it was heard. It never falls.
+/// What all peers spent since they were heard first. It never falls.
 [[nodiscard]] SpentList peerSpent(const GossipBook &book);
 
 /// The fronts that read the table service for all: the first of those that
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -116,8 +116,8 @@
   st.All.Started = true;
   st.All.Filled = now;
   const double most = bucketSize(ws, margin);
-  st.All.Level =
-      std::max(most - static_cast<double>(peers.Total), most * JoinLevel);
+  const double past = peers.Heard ? static_cast<double>(peers.Past) : most;
+  st.All.Level = std::max(most - past, most * JoinLevel);
   st.PeersSeen = peers.Total;
 }
 
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -71,8 +71,10 @@
   const ReadGuard guard;
   const SpentList &list = rl.Board.PeerSpent.read(guard);
   for (const Spent &s : list.List)
-    if (s.Workspace == id)
+    if (s.Workspace == id) {
       out.Total = s.Total;
+      out.Past = s.Past;
+    }
   return out;
 }
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -282,6 +282,12 @@
     for (const Spent &s : peer.Last.SpentTotals)
       book.Departed[s.Workspace] += s.Total;
   const bool known = !fresh && peer.Last.Life == rep.Life;
+  if (!peer.WholeHeard)
+    for (const Spent &s :
+         risenSince<Spent>(peer.Last.SpentTotals, rep.SpentTotals, bySpender,
+                           [](const Spent & /*any*/) { return 0; }))
+      book.Past[s.Workspace] += s.Total;
+  peer.WholeHeard = peer.WholeHeard || rep.Whole;
   if (!rep.Whole && known) {
     mergeInto<BackendLoad>(peer.Last.Loads, rep.Loads, byId);
     mergeInto<Spent>(peer.Last.SpentTotals, rep.SpentTotals, bySpender);
@@ -362,8 +368,11 @@
     for (const Spent &s : peer.Last.SpentTotals)
       sum[s.Workspace] += s.Total;
   SpentList out;
-  for (const auto &[id, total] : sum)
-    out.List.push_back({id, total});
+  for (const auto &[id, total] : sum) {
+    const auto it = book.Past.find(id);
+    const std::uint64_t past = it == book.Past.end() ? 0 : it->second;
+    out.List.push_back({id, total - past, past});
+  }
   return out;
 }
 
