Let entries that were missing after an outage go in time, also without a reading

They went only with a later reading. A front that lets another read is told that the list is the same and doesn't read, so it kept them until the list changed: the engine that had left while the front was cut off got a call 0.05 s after the front counted as in touch again. A confirmation now ends them as a reading does.

Test first: 3 s of confirmations leave the missing entry usable; it goes now.

--- a/include/zinniagauge/decide/backend_track.h
+++ b/include/zinniagauge/decide/backend_track.h
@@ -48,8 +48,10 @@
                                std::span<const Backend> listed, Time asked,
                                Time now);
 
-/// A reading that was asked for at \p asked would have given the same list.
-void confirmReading(BackendTrack &track, Time asked) noexcept;
+/// A reading that was asked for at \p asked would have given the same list, as
+/// is known at \p now. True if the usable back ends may have changed: entries
+/// that were missing after an outage go in their time.
+[[nodiscard]] bool confirmReading(BackendTrack &track, Time asked, Time now);
 
 /// A digest of a list, equal wherever the same was read.
 [[nodiscard]] std::uint64_t digestOf(std::span<const Backend> listed);
--- a/src/decide/backend_track.cpp
+++ b/src/decide/backend_track.cpp
@@ -19,6 +19,17 @@
                 [&](const auto &it) { return now - it.second > LeftMemory; });
 }
 
+/// Drops lives that the latest reading didn't list. True if there was one.
+bool dropMissing(BackendTrack &track, Time now) {
+  const auto dropped = std::erase_if(track.Lives, [&](const auto &it) {
+    if (it.second.Listed)
+      return false;
+    noteLeft(track, it.first, now);
+    return true;
+  });
+  return dropped > 0;
+}
+
 } // namespace
 
 bool takeReading(BackendTrack &track, std::span<const Backend> listed,
@@ -37,20 +48,15 @@
       noteLeft(track, life, now);
     track.Lives[life] = {b, true};
   }
-  for (auto it = track.Lives.begin(); it != track.Lives.end();) {
-    if (it->second.Listed || grace) {
-      ++it;
-      continue;
-    }
-    noteLeft(track, it->first, now);
-    it = track.Lives.erase(it);
-  }
+  if (!grace)
+    dropMissing(track, now);
   forgetOld(track, now);
   return usable(track).List != before;
 }
 
-void confirmReading(BackendTrack &track, Time asked) noexcept {
+bool confirmReading(BackendTrack &track, Time asked, Time now) {
   track.LastRead = std::max(track.LastRead, asked);
+  return now >= track.GraceEnds && dropMissing(track, now);
 }
 
 std::uint64_t digestOf(std::span<const Backend> listed) {
--- a/src/store/backend_reader.cpp
+++ b/src/store/backend_reader.cpp
@@ -24,6 +24,8 @@
 
 void askPage(BackendReader &br);
 
+void publish(BackendReader &br);
+
 /// Takes what a reading front said of the list. True if that is enough for now.
 bool takeTold(BackendReader &br) {
   FrontBoard &board = br.Owner->Board;
@@ -34,7 +36,9 @@
       return false;
     const Duration age = bootNow() - fromNanos(board.ToldDigestAt);
     board.BackendsProven = board.ToldDigestAt.load();
-    confirmReading(br.Track, br.Owner->Lp.Now - age);
+    const Time now = br.Owner->Lp.Now;
+    if (confirmReading(br.Track, now - age, now))
+      publish(br);
   }
   return bootNow() - fromNanos(board.BackendsProven) < OldList;
 }
--- a/tests/unit/backend_track_test.cpp
+++ b/tests/unit/backend_track_test.cpp
@@ -56,6 +56,23 @@
   CHECK_FALSE(rd.usableNow("a"));
 }
 
+TEST_CASE("missing entries go in time, also if no reading follows",
+          "[backends]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a"), backend("b")}));
+  static_cast<void>(rd.read({backend("b")}, seconds(6)));
+  CHECK(rd.usableNow("a"));
+  // From now on this process is told that the list hasn't changed.
+  bool changed = false;
+  for (int n = 0; n < 30; ++n) {
+    rd.Now += milliseconds(100);
+    changed = confirmReading(rd.Track, rd.Now, rd.Now) || changed;
+  }
+  CHECK(changed);
+  CHECK_FALSE(rd.usableNow("a"));
+  CHECK(rd.usableNow("b"));
+}
+
 TEST_CASE("a life that was seen to leave stays so", "[backends]") {
   Reader rd;
   static_cast<void>(rd.read({backend("a", 1, true)}));
@@ -78,7 +95,7 @@
 TEST_CASE("a list that was confirmed by another counts as read", "[backends]") {
   Reader rd;
   static_cast<void>(rd.read({backend("a")}));
-  confirmReading(rd.Track, rd.Now + seconds(5));
+  CHECK_FALSE(confirmReading(rd.Track, rd.Now + seconds(5), rd.Now));
   static_cast<void>(rd.read({}, seconds(6)));
   CHECK_FALSE(rd.usableNow("a"));
 }
