--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -49,8 +49,8 @@
     wakeLoop(*SignalLoop);
 }
 
-void takeSignals(Loop &lp) {
-  SignalLoop = &lp;
+/// From the process's first moment, so that none ends it that it would take.
+void catchSignals() {
   struct sigaction act {};
   act.sa_handler = onSignal;
   ::sigaction(SIGTERM, &act, nullptr);
@@ -85,7 +85,6 @@
 Result<void> start(Front &f, const std::string &path) {
   const FrontSettings &set = f.Requests.Settings;
   BOOST_LEAF_CHECK(startRequestLoop(f.Requests));
-  takeSignals(f.Requests.Lp);
   const auto onboard = f.Requests.Lp.OnWake;
   f.Requests.Lp.OnWake = [&f, path, onboard] {
     if (StopAsked != 0)
@@ -96,6 +95,8 @@
     }
     onboard();
   };
+  SignalLoop = &f.Requests.Lp;
+  wakeLoop(f.Requests.Lp); // A signal may have come before.
   f.Control.OnChange = [&f] { wakeLoop(f.Requests.Lp); };
   f.Requests.OnLoads = [&f] { wakeLoop(f.Control.Lp); };
   const auto ready = [&f](std::string_view asked) -> StatusText {
@@ -157,6 +158,7 @@
 } // namespace
 
 int main(int argc, char **argv) {
+  catchSignals();
   bool checkonly = false;
   std::string path;
   const CommandLine line = commandLine(checkonly, path);
--- a/tests/support/soak_world.h
+++ b/tests/support/soak_world.h
@@ -46,6 +46,7 @@
   bool Paused = false;
   int Turn = 0; // Rises whenever it is disturbed anew.
   Time Started;
+  Time Signalled;              // To stop or reload, last.
   Time StopAsked;              // Zero: it wasn't told to stop.
   std::vector<Span> Disturbed; // Paused, killed or not started.
   std::vector<Span> CutOff;    // From the store.
