--- a/src/decide/call_story.cpp
+++ b/src/decide/call_story.cpp
@@ -299,6 +299,7 @@
     c.Example = id;
   }
   std::vector<CauseCount> out;
+  out.reserve(counts.size());
   for (auto &[cause, c] : counts)
     out.push_back({cause, c.Calls, std::move(c.Example)});
   std::stable_sort(out.begin(), out.end(),
--- a/tests/process/explain_test.cpp
+++ b/tests/process/explain_test.cpp
@@ -10,13 +10,15 @@
 
 namespace {
 
+const std::string Ctl = std::string(ZINNIA_BINARY_DIR) + "/zinniactl";
+
 /// The story of the last call of \p d, once its end is logged.
 json storyOf(const FrontDeployment &d) {
   const std::string id = "call-" + std::to_string(d.LastCall);
   json story;
   REQUIRE(waitUntil([&] {
     const ProgramResult res =
-        runProgram({ZINNIA_BINARY_DIR "/zinniactl", "explain", "--json", id,
+        runProgram({Ctl, "explain", "--json", id,
                     d.Folder.write("log", d.Front->output())});
     if (res.Exit != 0)
       return false;
@@ -117,18 +119,15 @@
     REQUIRE(isStatus(d.call("/unsafe/a"), 500));
   static_cast<void>(storyOf(d));
   const std::string log = d.Folder.write("log", d.Front->output());
-  const ProgramResult causes =
-      runProgram({ZINNIA_BINARY_DIR "/zinniactl", "causes", "--json", log});
+  const ProgramResult causes = runProgram({Ctl, "causes", "--json", log});
   REQUIRE(causes.Exit == 0);
   const json counts = json::parse(causes.Output);
   REQUIRE(counts.size() == 2);
   CHECK(counts[0].at("calls") == 3);
   CHECK(counts[0].at("cause") == "a back end answered with a failure");
   CHECK(counts[1].at("calls") == 1);
-  const ProgramResult line =
-      runProgram({ZINNIA_BINARY_DIR "/zinniactl", "timeline", "i-0", log});
+  const ProgramResult line = runProgram({Ctl, "timeline", "i-0", log});
   CHECK(line.Exit == 0);
   CHECK(line.Output.find("state ready") != std::string::npos);
-  CHECK(runProgram({ZINNIA_BINARY_DIR "/zinniactl", "explain", "call-99", log})
-            .Exit == 1);
+  CHECK(runProgram({Ctl, "explain", "call-99", log}).Exit == 1);
 }
--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -35,10 +35,10 @@
   REQUIRE_FALSE(seeds.empty());
   seeds.push_back({"1001", "10"});
   std::vector<Process> runs;
+  const std::string soak = std::string(ZINNIA_BINARY_DIR) + "/fault-soak";
   for (const SoakSeed &s : seeds)
-    runs.emplace_back(std::vector<std::string>{
-        ZINNIA_BINARY_DIR "/fault-soak", "--seed", s.Seed, "--seconds",
-        s.Seconds});
+    runs.emplace_back(std::vector<std::string>{soak, "--seed", s.Seed,
+                                               "--seconds", s.Seconds});
   for (Process &run : runs) {
     const auto rc = run.wait(std::chrono::seconds(120));
     INFO(run.output());
--- a/tests/unit/gossip_pace_test.cpp
+++ b/tests/unit/gossip_pace_test.cpp
@@ -34,7 +34,7 @@
   ~Ear() { ::close(Fd); }
 
   /// Questions that have come since.
-  int questions() const {
+  [[nodiscard]] int questions() const {
     int count = 0;
     std::array<char, 4096> buf{};
     for (ssize_t n = ::recv(Fd, buf.data(), buf.size(), 0); n > 0;
