--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -1,3 +1,5 @@
+#include "zinniagauge/adapt/log_commands.h"
+#include "zinniagauge/adapt/log_text.h"
 // Everything that needs no library of an encoding or transport: the board, the
 // decisions and the timer service. Adapters are included one by one.
 #ifndef ZINNIAGAUGE_ZINNIAGAUGE_H
@@ -27,6 +29,7 @@
 #include "zinniagauge/decide/bundle_spread.h"
 #include "zinniagauge/decide/burn.h"
 #include "zinniagauge/decide/call_order.h"
+#include "zinniagauge/decide/call_story.h"
 #include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
 #include "zinniagauge/decide/dispatch.h"
