Look up a call's cause by one function, and put a comment back in its place

Looked at and left: changesSince copies a report and replaces its lists; the copy is small beside the sends.

--- a/src/decide/call_story.cpp
+++ b/src/decide/call_story.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace zinniagauge {
@@ -57,25 +58,50 @@
   return out;
 }
 
-CallCause causeOfRefusal(const LogLine &end, const LogLine *attempt) {
-  const std::string_view why = textIn(end, "why");
-  struct Reason {
-    std::string_view Why;
-    CallCause Cause;
-  };
-  constexpr std::array<Reason, 7> Reasons = {
-      Reason{"no plan yet", CallCause::NoPlan},
-      Reason{"plan may be outdated", CallCause::PlanOutdated},
-      Reason{"no such route", CallCause::NoRoute},
-      Reason{"unknown key", CallCause::UnknownKey},
-      Reason{"stopping", CallCause::Stopping},
-      Reason{"no back end had room in time", CallCause::NoRoom},
-      Reason{"no socket left", CallCause::NoDescriptor}};
-  for (const Reason &r : Reasons)
-    if (why == r.Why)
-      return r.Cause;
-  if (why == "allowance spent")
-    return CallCause::AllowanceSpent;
+/// A word of the log that decides a cause by itself.
+struct CauseWord {
+  std::string_view Word;
+  CallCause Cause;
+};
+
+/// The cause that \p word stands for; nothing if it isn't among \p words.
+std::optional<CallCause> causeFor(std::string_view word,
+                                  std::span<const CauseWord> words) noexcept {
+  for (const CauseWord &w : words)
+    if (w.Word == word)
+      return w.Cause;
+  return std::nullopt;
+}
+
+/// Of calls that weren't run, by "why".
+constexpr std::array<CauseWord, 8> Refusals = {
+    CauseWord{"no plan yet", CallCause::NoPlan},
+    CauseWord{"plan may be outdated", CallCause::PlanOutdated},
+    CauseWord{"no such route", CallCause::NoRoute},
+    CauseWord{"unknown key", CallCause::UnknownKey},
+    CauseWord{"stopping", CallCause::Stopping},
+    CauseWord{"allowance spent", CallCause::AllowanceSpent},
+    CauseWord{"no back end had room in time", CallCause::NoRoom},
+    CauseWord{"no socket left", CallCause::NoDescriptor}};
+
+/// Of all others, by "end".
+constexpr std::array<CauseWord, 6> Endings = {
+    CauseWord{"served", CallCause::Served},
+    CauseWord{"backend_failed", CallCause::BackendFailed},
+    CauseWord{"unknown", CallCause::OutcomeUnknown},
+    CauseWord{"timed_out", CallCause::TimeOver},
+    CauseWord{"broken_off", CallCause::StreamBroken},
+    CauseWord{"caller_left", CallCause::CallerLeft}};
+
+CallCause causeOfRefusal(const CallStory &story, const LogLine &end) {
+  const LogLine *spent = lastOf(story.Steps, "allowance_spent");
+  const LogLine *attempt = lastOf(story.Steps, "attempt_end");
+  const auto cause = causeFor(textIn(end, "why"), Refusals);
+  if (cause == CallCause::AllowanceSpent && spent &&
+      numberIn(*spent, "peers_heard") == 0)
+    return CallCause::ShareSpent;
+  if (cause)
+    return *cause;
   return attempt && textIn(*attempt, "result") == "not_sent"
              ? CallCause::NotReached
              : CallCause::BackendsRefused;
@@ -90,30 +116,9 @@
   if (!end)
     return CallCause::NoEnd;
   const std::string_view how = textIn(*end, "end");
-  if (how == "refused") {
-    const CallCause cause =
-        causeOfRefusal(*end, lastOf(story.Steps, "attempt_end"));
-    const LogLine *spent = lastOf(story.Steps, "allowance_spent");
-    return cause == CallCause::AllowanceSpent && spent &&
-                   numberIn(*spent, "peers_heard") == 0
-               ? CallCause::ShareSpent
-               : cause;
-  }
-  struct Ending {
-    std::string_view How;
-    CallCause Cause;
-  };
-  constexpr std::array<Ending, 6> Endings = {
-      Ending{"served", CallCause::Served},
-      Ending{"backend_failed", CallCause::BackendFailed},
-      Ending{"unknown", CallCause::OutcomeUnknown},
-      Ending{"timed_out", CallCause::TimeOver},
-      Ending{"broken_off", CallCause::StreamBroken},
-      Ending{"caller_left", CallCause::CallerLeft}};
-  for (const Ending &e : Endings)
-    if (how == e.How)
-      return e.Cause;
-  return CallCause::NoEnd;
+  if (how == "refused")
+    return causeOfRefusal(story, *end);
+  return causeFor(how, Endings).value_or(CallCause::NoEnd);
 }
 
 /// Attempts of other calls at \p backend that were lost around \p ms.
--- a/src/front/caller.cpp
+++ b/src/front/caller.cpp
@@ -42,7 +42,7 @@
     onCallerGone(call);
 }
 
-/// Refuses a message that can't be read; what follows it can't be told from it.
+/// Logs and refuses a message that isn't taken, and ends its connection.
 void refuseMessage(Caller &c, int status, std::string_view why) {
   RequestLoop &rl = *c.Owner;
   if (rl.Log.wantsCalls()) {
@@ -57,6 +57,7 @@
   answerOwn(c, status, why, Duration::zero(), true);
 }
 
+/// Refuses a message that can't be read; what follows it can't be told from it.
 bool refuseUnreadable(Caller &c, ParseState st) {
   switch (st) {
   case ParseState::HeadTooLarge:
--- a/tests/support/soak_world.cpp
+++ b/tests/support/soak_world.cpp
@@ -29,6 +29,12 @@
 constexpr Duration DrainTime = milliseconds(4200);
 constexpr Duration AwayTime = milliseconds(1500);
 
+/// Until the first fault; calls begin meanwhile.
+constexpr Duration WarmUp = std::chrono::seconds(2);
+
+/// All keys that callers use; the first is never withdrawn.
+constexpr std::array<const char *, 3> AllKeys = {"k1", "k2", "k3"};
+
 int upTo(SoakWorld &w, int n) {
   return static_cast<int>(
       pickBelow(w.Random, static_cast<std::size_t>(std::max(n, 1))));
@@ -171,7 +177,7 @@
 
 /// Withdraws a key, or grants it again.
 void turnKey(SoakWorld &w) {
-  const std::string key = "k" + std::to_string(2 + upTo(w, 2));
+  const std::string key = AllKeys[1 + pickBelow(w.Random, AllKeys.size() - 1)];
   if (w.Keys.erase(key) == 1) {
     begin(w, w.Withdrawn[key]);
   } else {
@@ -261,7 +267,7 @@
 }
 
 void grantAll(SoakWorld &w) {
-  for (const char *key : {"k1", "k2", "k3"}) {
+  for (const char *key : AllKeys) {
     w.Keys.insert(key);
     end(w, w.Withdrawn[key]);
   }
@@ -303,7 +309,8 @@
 }
 
 SoakWorld::SoakWorld(const SoakOptions &opt)
-    : Options(opt), Random(mix64(opt.Seed)), Keys({"k1", "k2", "k3"}) {}
+    : Options(opt), Random(mix64(opt.Seed)),
+      Keys(AllKeys.begin(), AllKeys.end()) {}
 
 Result<void> startWorld(SoakWorld &w) {
   Loop &lp = w.Platform.Lp;
@@ -343,18 +350,15 @@
   }
   w.Callers.Lp = &lp;
   w.Callers.Random = mix64(w.Options.Seed + 1);
-  w.Callers.Keys = {"k1", "k2", "k3"};
-  const auto span = std::chrono::seconds(w.Options.Seconds);
-  w.FaultsEnd = lp.Now + std::chrono::seconds(2) + span;
+  w.Callers.Keys.assign(AllKeys.begin(), AllKeys.end());
+  w.FaultsEnd = lp.Now + WarmUp + std::chrono::seconds(w.Options.Seconds);
   w.QuietEnd = w.FaultsEnd + RecoveryTime + WellTime;
   later(w, milliseconds(1200),
         [&w] { startCallers(w.Callers, w.Options.Callers); });
-  later(w, std::chrono::seconds(2), [&w] { disturbOnce(w); });
-  later(w, std::chrono::seconds(2) + span, [&w] { grantAll(w); });
-  later(w,
-        std::chrono::seconds(2) + span + RecoveryTime + WellTime -
-            milliseconds(1000),
-        [&w] { w.Callers.Stopped = true; });
+  later(w, WarmUp, [&w] { disturbOnce(w); });
+  w.Due.emplace(w.FaultsEnd, [&w] { grantAll(w); });
+  w.Due.emplace(w.QuietEnd - milliseconds(1000),
+                [&w] { w.Callers.Stopped = true; });
   w.Tick.Fn = onTick;
   w.Tick.Ctx = &w;
   arm(lp, w.Tick, lp.Now);
