Accept settings numbers with a fraction

Ruled out: the template, which passes values on as they are. Change: retry_slack, allowance_slack and descriptors are read as real numbers; durations were already. The new test failed first for each of these three.

--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -47,15 +47,14 @@
   set.FreshnessBounds.MaxRejectAge = apply + DenyAgeMargin;
   set.FreshnessBounds.FailClosed = rd.flag("fail_closed", true);
   set.Retries.Ratio = rd.realNumber("retry_ratio", -1e-9, 1);
-  set.Retries.Slack =
-      static_cast<double>(rd.number("retry_slack", 0, 1'000'000));
+  set.Retries.Slack = rd.realNumber("retry_slack", -1e-9, 1e6);
   set.Retries.Window = rd.duration("retry_window");
   set.Margin.Window = rd.duration("allowance_window");
   set.Margin.Overage = rd.realNumber("allowance_overage", -1e-9, 10);
-  set.Margin.Slack =
-      static_cast<double>(rd.number("allowance_slack", 0, 1'000'000'000));
+  set.Margin.Slack = rd.realNumber("allowance_slack", -1e-9, 1e9);
   set.StopTimeout = rd.duration("stop");
-  set.MaxDescriptors = rd.number("descriptors", 64, 1'000'000, 1024);
+  set.MaxDescriptors =
+      static_cast<std::size_t>(rd.realNumber("descriptors", 63, 1e6));
 }
 
 std::string joinFaults(const std::vector<BundleFault> &faults) {
--- /dev/null
+++ b/tests/unit/front_settings_test.cpp
@@ -0,0 +1,54 @@
+// Settings of the front: which numbers are accepted, and faults.
+#include "support/consortium_rows.h"
+#include "zinniagauge/front/front_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+using nlohmann::json;
+
+namespace {
+
+json validSettings() {
+  return frontSettings("front-1", {7001, 7002, 7003, 7004, 7005});
+}
+
+/// The settings in \p doc, or nothing if they are invalid.
+std::optional<FrontSettings> parsed(const json &doc) {
+  return handleResult(
+      [&] { return parseFrontSettings(doc.dump()); },
+      [](FrontSettings set) {
+        return std::optional<FrontSettings>(std::move(set));
+      },
+      [](const Error & /*err*/) { return std::optional<FrontSettings>(); });
+}
+
+} // namespace
+
+TEST_CASE("each number of the settings may have a fraction", "[settings]") {
+  const json valid = validSettings();
+  REQUIRE(parsed(valid));
+  for (const auto &item : valid.items())
+    if (item.value().is_number()) {
+      INFO(item.key());
+      json doc = valid;
+      doc[item.key()] = item.value().get<double>() + 0.25;
+      CHECK(parsed(doc));
+    }
+  json doc = valid;
+  doc["retry_slack"] = 33.16;
+  CHECK(parsed(doc)->Retries.Slack == Approx(33.16));
+}
+
+TEST_CASE("numbers out of range are refused", "[settings]") {
+  for (const char *key : {"retry_slack", "allowance_slack", "retry_ratio",
+                          "allowance_overage", "descriptors", "stop_s"}) {
+    INFO(key);
+    json doc = validSettings();
+    doc[key] = -1;
+    CHECK_FALSE(parsed(doc));
+    doc[key] = "8";
+    CHECK_FALSE(parsed(doc));
+  }
+}
