End a planned stop in steps, so that each call that ran is answered

Ruled out: the readiness check, which went to 503 at once. Change: a call is accepted during a stop only if it can end before the process does; others get a true 503. Then the listener closes, waiting calls are refused, and the loop flushes for 100 ms. The test failed first (157 ran, 151 answered); now all are answered. The stand-in engine gains the mode slow.

--- a/include/zinniagauge/front/admission.h
+++ b/include/zinniagauge/front/admission.h
@@ -13,6 +13,10 @@
 /// frees capacity.
 inline constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(400);
 
+/// Retry-After of a call refused during shutdown; another front process can
+/// serve it at once.
+inline constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(20);
+
 /// Why a call isn't admitted, and the response to its caller.
 struct Denial {
   int Status = 503;
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -138,6 +138,9 @@
 /// Starts to accept connections of callers. Fails with Unavailable.
 [[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
 
+/// Closes the listening socket; new connections are refused from now on.
+void stopListening(RequestLoop &rl);
+
 /// Sends a response with \p status and a body that holds \p reason. A
 /// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
 /// connection closes after the response.
@@ -244,6 +247,9 @@
 /// Starts the call of a complete request.
 void startCall(CallerConnection &c, MessageHead head, std::string body);
 
+/// Refuses the calls that wait for a back end.
+void refuseWaitingCalls(RequestLoop &rl, std::string_view reason);
+
 /// Sends \p call to a back end, queues it, or refuses it.
 void dispatchCall(const std::shared_ptr<Call> &call);
 
@@ -292,9 +298,9 @@
 /// platform kills it.
 void beginShutdown(RequestLoop &rl);
 
-/// Whether new streams are accepted. Late in a shutdown they aren't, as a
-/// stream might not end before the process does.
-[[nodiscard]] bool acceptsStreams(const RequestLoop &rl);
+/// Whether the new call \p call is accepted. Late in a shutdown a call isn't,
+/// if it might not end before the process does.
+[[nodiscard]] bool acceptsCall(const RequestLoop &rl, const Call &call);
 
 /// Starts to track the spending of all front processes for the workspaces that
 /// are new in the plan.
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Retry-After of a stream refused during shutdown; another front process can
-/// serve it at once.
-constexpr Duration ShutdownRetryAfter = std::chrono::milliseconds(20);
-
 /// Number of events assumed for a stream whose caller states no length.
 constexpr double DefaultEvents = 16;
 
@@ -157,9 +153,6 @@
     if (!fresh.MayServe)
       ws = nullptr;
   }
-  if (route->Kind == CallKind::Stream && !call.Facts.ResponseStarted &&
-      !acceptsStreams(rl))
-    return Denial{503, "stopping", ShutdownRetryAfter};
   fillPlan(call, plan, *route, ws);
   return std::nullopt;
 }
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -196,6 +196,12 @@
   return {};
 }
 
+void stopListening(RequestLoop &rl) {
+  unwatch(rl.EventLoop, rl.Listener);
+  ::close(rl.Listener.Fd);
+  rl.Listener.Fd = -1;
+}
+
 void respondWithStatus(CallerConnection &c, int status, std::string_view reason,
                        Duration retryafter, bool drop) {
   std::string out;
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -99,6 +99,16 @@
   return std::max(now, std::min(call.Deadline, call.Arrived + wait));
 }
 
+/// When the call must have ended: after its route's timeout, or after the time
+/// that its caller states if that is shorter.
+Time deadlineOf(const Call &call, const HeaderNames &names) {
+  const Time end = call.Arrived + call.Plan.Timeout;
+  const auto left = findField(call.Head.Fields, names.TimeLeft);
+  if (const auto ms = left ? parseNumber(*left) : std::nullopt)
+    return std::min(end, call.Arrived + std::chrono::milliseconds(*ms));
+  return end;
+}
+
 /// Records the back end's time per event after each PaceEvents events.
 void measurePace(RequestLoop &rl, const Call &call, StreamState &st) {
   if (st.Events - st.PaceStartEvents < PaceEvents)
@@ -209,6 +219,9 @@
   c.ActiveCall = call;
   ++rl.ActiveCalls;
   std::optional<Denial> denial = routeCall(rl, *call);
+  call->Deadline = deadlineOf(*call, rl.Names);
+  if (!denial && !acceptsCall(rl, *call))
+    denial = Denial{503, "stopping", ShutdownRetryAfter};
   if (!denial)
     denial = chargeCall(rl, *call);
   if (denial) {
@@ -216,16 +229,21 @@
                   denial->RetryAfter);
     return;
   }
-  call->Deadline = call->Arrived + call->Plan.Timeout;
-  const auto left = findField(call->Head.Fields, rl.Names.TimeLeft);
-  if (const auto ms = left ? parseNumber(*left) : std::nullopt)
-    call->Deadline = std::min(call->Deadline,
-                              call->Arrived + std::chrono::milliseconds(*ms));
   countFirstSend(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries,
                  rl.EventLoop.Now);
   dispatchCall(call);
 }
 
+void refuseWaitingCalls(RequestLoop &rl, std::string_view reason) {
+  std::vector<std::shared_ptr<Call>> waiting;
+  for (const auto &[id, pool] : rl.Pools)
+    for (const auto &[rank, call] : pool.Queue)
+      if (call->Caller)
+        waiting.push_back(call->Caller->ActiveCall);
+  for (const std::shared_ptr<Call> &call : waiting)
+    refuse(call, reason);
+}
+
 void dispatchCall(const std::shared_ptr<Call> &call) {
   RequestLoop &rl = *call->Owner;
   call->Phase = CallPhase::Waiting;
--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -1,6 +1,8 @@
 // The graceful shutdown of a front process.
 #include "zinniagauge/front/request_loop.h"
 
+#include <algorithm>
+
 namespace zinniagauge {
 
 namespace {
@@ -21,15 +23,35 @@
 
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
+/// A call other than a stream is accepted only if it can end before the process
+/// does: by its deadline, or after this time if that is earlier.
+constexpr Duration MaxExpectedCallTime = std::chrono::seconds(2);
+
+/// How long the last responses have to leave after new connections are refused.
+constexpr Duration FlushTime = std::chrono::milliseconds(100);
+
+/// When the process stops to accept connections, at the latest.
+Time closingTime(const RequestLoop &rl) {
+  return rl.StoppingSince + rl.Settings.StopTimeout - StopMargin;
+}
+
+void onFlushTimer(void *ctx, Time /*now*/) {
+  static_cast<RequestLoop *>(ctx)->EventLoop.StopRequested = true;
+}
+
 void onStopTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  const Duration since = now - rl.StoppingSince;
-  const bool idle = rl.ActiveCalls == 0 && since >= MinStopTime;
-  if (idle || since >= rl.Settings.StopTimeout - StopMargin) {
-    rl.EventLoop.StopRequested = true;
+  const bool idle =
+      rl.ActiveCalls == 0 && now - rl.StoppingSince >= MinStopTime;
+  if (!idle && now < closingTime(rl)) {
+    arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
     return;
   }
-  arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
+  stopListening(rl);
+  refuseWaitingCalls(rl, "stopping");
+  closeIdleCallers(rl);
+  rl.StopTimer.Fn = onFlushTimer;
+  arm(rl.EventLoop, rl.StopTimer, now + FlushTime);
 }
 
 } // namespace
@@ -47,9 +69,14 @@
   closeIdleCallers(rl);
 }
 
-bool acceptsStreams(const RequestLoop &rl) {
-  return !rl.Board.Stopping ||
-         rl.EventLoop.Now - rl.StoppingSince < StreamAcceptTime;
+bool acceptsCall(const RequestLoop &rl, const Call &call) {
+  if (!rl.Board.Stopping)
+    return true;
+  if (call.Facts.Kind == CallKind::Stream)
+    return rl.EventLoop.Now - rl.StoppingSince < StreamAcceptTime;
+  const Time end =
+      std::min(call.Deadline, rl.EventLoop.Now + MaxExpectedCallTime);
+  return end <= closingTime(rl);
 }
 
 } // namespace zinniagauge
--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -9,15 +9,20 @@
 
 namespace {
 
-void reply(PortConnection &conn, int status, std::string_view body,
-           std::initializer_list<HeaderField> more = {}) {
+std::string responseText(int status, std::string_view body,
+                         std::initializer_list<HeaderField> more) {
   std::string out;
   writeStatusLine(out, status);
   for (const HeaderField &f : more)
     writeField(out, f.Name, f.Value);
   writeField(out, "Content-Length", std::uint64_t{body.size()});
   out.append("\r\n").append(body);
-  send(conn.Connection, out);
+  return out;
+}
+
+void reply(PortConnection &conn, int status, std::string_view body,
+           std::initializer_list<HeaderField> more = {}) {
+  send(conn.Connection, responseText(status, body, more));
 }
 
 std::string queryValue(std::string_view target, std::string_view name) {
@@ -192,6 +197,11 @@
   onEventTimer(&conn, conn.Port->Owner->Lp.Now);
 }
 
+void onResponseTimer(void *ctx, Time /*now*/) {
+  PortConnection &conn = *static_cast<PortConnection *>(ctx);
+  send(conn.Connection, conn.DelayedResponse);
+}
+
 void serveEngine(PortConnection &conn, const MessageHead &head) {
   ConsortiumPort &p = *conn.Port;
   const std::string id(
@@ -223,8 +233,17 @@
   const std::string workspace(
       findField(head.Fields, "Zinniagauge-Tenant-Name").value_or("none"));
   const bool key = findField(head.Fields, "Zinniagauge-Credential").has_value();
-  reply(conn, 200, "workspace " + workspace + (key ? " with key" : ""),
-        {{"Zinniagauge-Attempt-Id", id}, {"Zinniagauge-Response-Seal", "s"}});
+  std::string response = responseText(
+      200, "workspace " + workspace + (key ? " with key" : ""),
+      {{"Zinniagauge-Attempt-Id", id}, {"Zinniagauge-Response-Seal", "s"}});
+  if (p.Mode == "slow") {
+    conn.DelayedResponse = std::move(response);
+    conn.EventTimer.Fn = onResponseTimer;
+    conn.EventTimer.Ctx = &conn;
+    arm(p.Owner->Lp, conn.EventTimer, p.Owner->Lp.Now + SlowResponseDelay);
+    return;
+  }
+  send(conn.Connection, response);
 }
 
 std::size_t onData(void *ctx, std::string_view part) {
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -24,7 +24,7 @@
 /// the store: "ok", "silent", "busy", "lost" (a write takes effect but its
 /// response is not sent), "gone" (the change history is not available). Modes
 /// of an engine: "ok", "silent", "reset", "fail", "not_run", "break" (streams
-/// end early).
+/// end early), "slow" (responds after SlowResponseDelay).
 struct ConsortiumPort {
   Consortium *Owner = nullptr;
   Watch Listener;
@@ -40,7 +40,8 @@
   ConsortiumPort *Port = nullptr;
   MessageParser Parser;
   std::string Body;
-  LoopTimer EventTimer; // Sends the next event of a stream.
+  LoopTimer EventTimer; // Sends the next event, or DelayedResponse.
+  std::string DelayedResponse;
   int NextEvent = 0;    // Id of the next event to send.
 };
 
@@ -52,6 +53,9 @@
   std::string Body;
 };
 
+/// How long an engine in mode "slow" takes for a call that isn't a stream.
+inline constexpr Duration SlowResponseDelay = std::chrono::milliseconds(300);
+
 /// Number of events in each stream; their ids start at 1.
 inline constexpr int StreamEvents = 8;
 
