--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -5,10 +5,10 @@
 
 #include "zinniagauge/board/backend.h"
 #include "zinniagauge/board/cell.h"
-#include "zinniagauge/board/demand.h"
 #include "zinniagauge/board/load.h"
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
+#include "zinniagauge/board/spend.h"
 #include "zinniagauge/board/traffic_plan.h"
 
 #include <atomic>
@@ -21,12 +21,10 @@
 struct FrontBoard {
   Cell<TrafficPlan> Plan;       // Written by the plan controller.
   Cell<BackendList> Backends;   // Written by the discovery controller.
-  Cell<AllowanceShares> Shares; // Written by the peer controller.
   Cell<PoolMoveList> PoolMoves; // Written by the controller of version moves.
   Cell<VersionStatsList> OwnStats; // Written by the request loop.
   Cell<LoadList> PeerLoads;        // Written by the gossip controller.
   Cell<LoadList> OwnLoads;         // Written by the request loop.
-  Cell<DemandList> Demands;        // Written by the request loop.
   Cell<SpendList> OwnSpend;        // Written by the request loop.
   Cell<SpendList> PeerSpend;       // Written by the gossip controller.
 
@@ -35,10 +33,17 @@
   std::atomic<std::int64_t> PlanConfirmedAt{0};
   std::atomic<std::uint64_t> PlanVersion{0};
 
-  /// The earliest of the times at which each living peer's last report arrived,
-  /// in nanoseconds of monotonicNow; zero while the list of peers or a report
-  /// is missing.
-  std::atomic<std::int64_t> OldestPeerReportAt{0};
+  /// The fronts that are alive as far as is known, and those of them whose
+  /// loads and spending are included in PeerLoads and PeerSpend, this one
+  /// counted in both. Written by the gossip controller. The initial values
+  /// apply until the table of coordinators has been read.
+  std::atomic<std::uint32_t> LivingFronts{20};
+  std::atomic<std::uint32_t> HeardFronts{1};
+  /// When HeardFronts was determined, in nanoseconds of bootNow.
+  std::atomic<std::int64_t> HeardAt{0};
+  /// How long other fronts take to learn of a call that one front sends, in
+  /// nanoseconds. Written by the gossip controller.
+  std::atomic<std::int64_t> LoadDelay{25'000'000};
 
   /// The version of the newest operators' row that was read; increases with
   /// each new row.
@@ -57,7 +62,7 @@
   std::atomic<std::int64_t> ReportedBackendsDigestAt{0};
 
   /// Whether this front also reads the table service on behalf of other fronts.
-  std::atomic<bool> IsStoreReader{true};
+  std::atomic<bool> IsStoreReader{false};
 
   /// Set by the thread that stops the process.
   std::atomic<bool> Stopping{false};
--- a/include/zinniagauge/board/move.h
+++ b/include/zinniagauge/board/move.h
@@ -13,6 +13,7 @@
 
 /// The stage of a version move. The last two are final.
 enum class MoveStage : std::uint8_t { Waiting, Moving, Completed, RolledBack };
+inline constexpr std::size_t MoveStageCount = 4;
 
 /// Whether a move in stage \p st has ended.
 [[nodiscard]] constexpr bool isFinal(MoveStage st) noexcept {
--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -1,10 +1,8 @@
-// Allowances of workspaces: a rate limit over all processes, of which each
-// process may spend a share that follows its part of the demand.
+// Allowances of workspaces: a rate limit over all processes. The processes that
+// hear each other spend their part of it together.
 #ifndef ZINNIAGAUGE_DECIDE_ALLOWANCE_H
 #define ZINNIAGAUGE_DECIDE_ALLOWANCE_H
 
-#include "zinniagauge/board/address.h"
-#include "zinniagauge/board/demand.h"
 #include "zinniagauge/board/traffic_plan.h"
 #include "zinniagauge/time/clock.h"
 
@@ -17,44 +15,6 @@
 
 namespace zinniagauge {
 
-/// The demand that a process published in its row of the table service.
-struct PeerDemand {
-  std::string Name;
-  PeerAddress Address;           // Where it receives spending reports.
-  std::uint64_t Incarnation = 0; // Random; another value means another process.
-  std::uint64_t Heartbeat = 0;   // Increases with each publication.
-  std::vector<Demand> Demands;
-};
-
-/// The fraction of a limit that is split evenly, so that demand that moves to a
-/// process finds some of the limit there. The rest follows demand.
-inline constexpr double EvenShareFraction = 0.5;
-
-/// How long a process that publishes nothing still counts. It may spend until
-/// its proof of the configuration is too old to serve calls with keys
-/// (FreshnessLimits), and one heartbeat period longer.
-inline constexpr Duration PeerDemandTimeout = std::chrono::seconds(9);
-
-/// The latest published demand of each process, by name.
-struct PeerDemandTable {
-  struct Entry {
-    PeerDemand Published;
-    Time ChangedAt; // When this heartbeat or incarnation was first read.
-  };
-  std::map<std::string, Entry> Peers;
-};
-
-/// Updates \p table from a complete reading of the published rows, and drops
-/// processes whose row hasn't changed for PeerDemandTimeout.
-void updatePeers(PeerDemandTable &table, std::span<const PeerDemand> read,
-                 Time now);
-
-/// Computes this process's shares. \p self is its name. \p own is its demand as
-/// measured here, which counts only until its own row was read.
-[[nodiscard]] AllowanceShares computeShares(const PeerDemandTable &table,
-                                            std::string_view self,
-                                            std::span<const Demand> own);
-
 /// The tolerance of a limit: over any span of length Window, the cost spent may
 /// be (rate * Window + burst) * (1 + Overage) + Slack.
 struct AllowanceMargin {
@@ -76,49 +36,69 @@
 [[nodiscard]] double bucketSize(const PlanWorkspace &ws,
                                 const AllowanceMargin &margin) noexcept;
 
-/// A token bucket.
-struct AllowanceBucket {
+/// How long a process counts as heard after its last report; some reports may
+/// be lost.
+inline constexpr Duration PeerReportTimeout = std::chrono::milliseconds(700);
+
+/// The bucket of one workspace, as one process sees it. Level is that of all
+/// processes together. While only a fraction of them is heard, what these spend
+/// counts as many times as it takes to stand for all of them, so that each part
+/// of a divided fleet spends its fraction of the limit.
+struct AllowanceState {
   double Level = 0;
   Time RefilledAt;
   bool Initialized = false;
-};
-
-/// The buckets that one process keeps for one workspace: one for its own share,
-/// and one for all processes that reflects what the others reported as spent.
-struct AllowanceState {
-  AllowanceBucket LocalBucket;
-  AllowanceBucket GlobalBucket;
-  /// Peers' cost already taken from GlobalBucket.
+  /// Taken from Level for processes that weren't heard. It is returned when
+  /// they are heard again, as their reports then say what they spent.
+  double AssumedCost = 0;
+  double HeardFraction = 1; // At the last update.
+  /// What processes that are heard spent recently: in the current span of
+  /// PeerReportTimeout, which began at RecentSince, and in the one before.
+  double RecentCost = 0;
+  double FormerCost = 0;
+  Time RecentSince;
+  /// Peers' cost already taken from Level.
   std::uint64_t PeerCostApplied = 0;
   std::uint64_t SpentTotal = 0; // Spent by this process.
 };
 
-/// What the other processes reported as spent for one workspace.
+/// What is known of the other processes' spending for one workspace.
 struct PeerSpending {
-  /// All reported recently, so GlobalBucket is reliable.
-  bool AllReporting = false;
+  /// The fraction of all living processes that is heard, this one included.
+  double HeardFraction = 1;
+  /// Spent by those that were heard, since their first report.
   std::uint64_t Total = 0;
   /// Spent before their first report to this process.
   std::uint64_t BeforeFirstReport = 0;
 };
 
-/// How long a peer counts as reporting after its last report; some reports may
-/// be lost.
-inline constexpr Duration PeerReportTimeout = std::chrono::milliseconds(700);
+/// The highest level to which returned assumed cost raises a bucket, as a
+/// fraction of its size. While processes weren't heard, a bucket that was full
+/// took in less than its rate, of which their reports say nothing.
+inline constexpr double MaxRejoinFraction = 0.5;
 
-/// Initializes the global bucket, once. It isn't known whether the cost from
-/// before the peers' first reports was spent recently or long ago. It is
-/// therefore taken off the level, but a process that joins others starts with
-/// no less than InitialLevelFraction, and so does one that has no reports yet.
+/// The fraction from which on what is heard stands for all processes.
+inline constexpr double EnoughHeardFraction = 0.9;
+
+/// Initializes the bucket, once. It isn't known whether the cost from before
+/// the peers' first reports was spent recently or long ago. It is therefore
+/// taken off the level, but a process that joins others starts with no less
+/// than InitialLevelFraction, and so does one that hears few of them.
 void initAllowance(AllowanceState &st, const PlanWorkspace &ws,
                    const PeerSpending &peers, const AllowanceMargin &margin,
                    Time now) noexcept;
 
+/// Refills the bucket up to \p now, and takes what peers reported as spent.
+/// Called regularly, also without calls: the level is limited to the bucket's
+/// size before the peers' spending since the last update is taken from it.
+void updateAllowance(AllowanceState &st, const PlanWorkspace &ws,
+                     const PeerSpending &peers, const AllowanceMargin &margin,
+                     Time now) noexcept;
+
 /// Takes \p cost for a call of \p ws. Returns nothing if it fits, else the time
-/// after which it would. While all peers report, the limit applies to what all
-/// processes have spent; otherwise only this process's share may be spent.
+/// after which it would.
 [[nodiscard]] std::optional<Duration>
-takeAllowance(AllowanceState &st, const PlanWorkspace &ws, double share,
+takeAllowance(AllowanceState &st, const PlanWorkspace &ws,
               const PeerSpending &peers, const AllowanceMargin &margin,
               double cost, Time now) noexcept;
 
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -112,8 +112,6 @@
   std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Backends;
   std::unordered_map<PoolId, PoolState> Pools;
   std::unordered_map<WorkspaceId, AllowanceState> Allowances;
-  /// Cost of calls since LastDemandAt.
-  std::unordered_map<WorkspaceId, double> RequestedCost;
   /// Of pools with a version move.
   std::map<VersionStatsKey, VersionStatsCounts> MoveStats;
   OutlierLimits Outliers;
@@ -123,12 +121,11 @@
   std::uint64_t LastSequenceNumber = 0; // Latest CallRank::SequenceNumber.
   std::size_t ActiveCalls = 0;          // Calls that haven't ended.
   LoopTimer DispatchTimer;
-  LoopTimer DemandTimer;
+  LoopTimer TrackTimer;
   LoopTimer LoadTimer;
   LoopTimer HousekeepingTimer;
   LoopTimer StopTimer;
   Time StoppingSince;
-  Time LastDemandAt; // Of the last report of demands.
   std::function<void()>
       OnLoadsChanged; // Called after new loads were published.
 };
@@ -302,8 +299,8 @@
 /// if it might not end before the process does.
 [[nodiscard]] bool acceptsCall(const RequestLoop &rl, const Call &call);
 
-/// Starts to track the spending of all front processes for the workspaces that
-/// are new in the plan.
+/// Updates the allowances with the spending of all front processes, and starts
+/// to track those of workspaces that are new in the plan.
 void trackAllowances(RequestLoop &rl);
 
 /// Whether the process is ready for new connections, for the readiness check.
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -4,8 +4,8 @@
 #define ZINNIAGAUGE_STORE_CONTROLLERS_H
 
 #include "zinniagauge/board/front_board.h"
-#include "zinniagauge/decide/allowance.h"
 #include "zinniagauge/decide/backend_tracker.h"
+#include "zinniagauge/decide/coordinator.h"
 #include "zinniagauge/front/front_settings.h"
 #include "zinniagauge/net/loop.h"
 #include "zinniagauge/observe/event_log.h"
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -51,15 +52,21 @@
   bool StoreUnreachable = false;
 };
 
-/// Writes this front's row to the table of fronts and reads those of the
-/// others.
-struct PeerController {
+/// Reads the table of coordinators, and holds one of its slots if one of this
+/// zone is free.
+struct CoordinatorController {
   Controllers *Owner = nullptr;
   StoreConnection Connection;
-  LoopTimer Timer;
+  LoopTimer RenewTimer; // Of a coordinator.
+  LoopTimer ClaimTimer;
   std::uint64_t Incarnation = 0;
   std::uint64_t Heartbeat = 0;
-  PeerDemandTable PeerDemands;
+  std::uint64_t RandomState = 0;
+  CoordinatorTable Table;
+  bool HoldsSlot = false;
+  bool ClaimDue = false; // A slot that is free at the next reading is claimed.
+  std::vector<SlotWrite> VacantSlots; // Of this zone, by the last summary.
+  Time LastReadAt;
   bool StoreUnreachable = false;
 };
 
@@ -79,7 +86,7 @@
   Loop EventLoop;
   PlanController Plans;
   DiscoveryController Discovery;
-  PeerController Peers;
+  CoordinatorController Coordinators;
   Gossip PeerGossip;
   PoolMoveController Moves;
   std::function<void()> OnChange; // Called on Lp after a change of the board.
@@ -96,7 +103,15 @@
 
 void startPlanController(PlanController &pc);
 void startDiscoveryController(DiscoveryController &dc);
-void startPeerController(PeerController &pc);
+void startCoordinatorController(CoordinatorController &cc);
+
+/// Reads the table of coordinators now, unless that was done recently.
+void requestCoordinators(CoordinatorController &cc);
+
+/// Called with the slots that a coordinator reports as vacant. Claims one of
+/// this front's zone after a delay, unless another front does so first.
+void considerVacantSlots(CoordinatorController &cc,
+                         std::span<const SlotWrite> vacant);
 
 } // namespace zinniagauge
 
--- /dev/null
+++ b/include/zinniagauge/store/gossip_report.h
@@ -0,0 +1,151 @@
+// The reports that fronts send to each other by UDP datagrams, and what a front
+// derives from the reports that it received.
+#ifndef ZINNIAGAUGE_STORE_GOSSIP_REPORT_H
+#define ZINNIAGAUGE_STORE_GOSSIP_REPORT_H
+
+#include "zinniagauge/board/address.h"
+#include "zinniagauge/board/load.h"
+#include "zinniagauge/board/move.h"
+#include "zinniagauge/board/pool_move.h"
+#include "zinniagauge/board/spend.h"
+#include "zinniagauge/decide/coordinator.h"
+#include "zinniagauge/time/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace zinniagauge {
+
+/// Who sends a report, and what it sums up.
+enum class ReportKind : std::uint8_t {
+  Group,   ///< A coordinator's, to other coordinators: itself and its members.
+  Member,  ///< A front's own, to its coordinator.
+  Summary, ///< A coordinator's, to its members: all fronts.
+};
+
+/// One report.
+struct GossipReport {
+  std::uint64_t Node = 0; // nameHash of the sender's name.
+  std::uint64_t Incarnation = 0;
+  std::uint64_t Heartbeat = 0;
+  ReportKind Kind = ReportKind::Group;
+  std::vector<BackendLoad> Loads;
+  std::vector<WorkspaceSpend> SpendTotals;
+  std::vector<VersionStats> Stats; // Of pools with a running version move.
+  /// Of the newest operators' row the sender knows.
+  std::uint64_t OperatorRowVersion = 0;
+  /// Of the list of back ends the sender knows.
+  std::uint64_t BackendsDigest = 0;
+  /// Since OperatorRowVersion was last confirmed.
+  std::uint32_t OperatorRowAgeMs = 0;
+  /// Since BackendsDigest was last confirmed.
+  std::uint32_t BackendsDigestAgeMs = 0;
+  /// In a query: the sender's bootNow, to be echoed.
+  std::int64_t QuerySentAt = 0;
+  /// In a response: QuerySentAt of the query.
+  std::int64_t EchoedQuerySentAt = 0;
+  bool IsFull = true;          // False: lists only what changed.
+  std::uint32_t GroupSize = 1; // Group: fronts that it sums up.
+
+  // Only in summaries.
+  /// Heartbeat of the receiver's last report that is included.
+  std::uint64_t AckedHeartbeat = 0;
+  std::uint32_t LivingFronts = 0;
+  std::uint32_t HeardFronts = 0;            // Those of LivingFronts included.
+  std::vector<CoordinatorRow> Coordinators; // Only Node, Zone and Address.
+  std::vector<SlotWrite> VacantSlots;
+  /// The version moves, if the sender knows their state.
+  std::optional<std::vector<PoolMove>> Moves;
+};
+
+/// The loads of \p now that differ from \p before, both sorted by id. A load
+/// that is missing from \p now is returned with all values zero.
+[[nodiscard]] std::vector<BackendLoad>
+changedLoads(std::span<const BackendLoad> before,
+             std::span<const BackendLoad> now);
+
+/// A partial report with the loads, spend totals and version statistics of \p
+/// now that differ from \p lastsent.
+[[nodiscard]] GossipReport changesSince(const GossipReport &lastsent,
+                                        const GossipReport &now);
+
+/// Encodes \p rep as a datagram.
+[[nodiscard]] std::string encodeReport(const GossipReport &rep);
+
+/// The inverse of encodeReport; nullopt if \p raw isn't a valid report.
+[[nodiscard]] std::optional<GossipReport>
+decodeReport(std::span<const char> raw);
+
+/// The reports of one kind that were received so far.
+struct GossipState {
+  struct Peer {
+    GossipReport LastReport;
+    Time LastReportAt;
+    bool FullReportReceived = false; // At least one full report was applied.
+  };
+  std::map<std::uint64_t, Peer> Peers; // By node.
+  /// Spent by earlier incarnations of all peers.
+  std::map<WorkspaceId, std::uint64_t> EarlierIncarnationSpend;
+  /// What peers spent before their first report.
+  std::map<WorkspaceId, std::uint64_t> SpendBeforeFirstReport;
+};
+
+/// Applies a report. It is ignored unless it is newer than the last one of the
+/// same incarnation. A partial report changes only the entries that it lists.
+/// Returns whether it was applied.
+bool applyReport(GossipState &state, GossipReport rep, Time now);
+
+/// Adds \p loads to \p sum; both are sorted by id. Of the times per event it
+/// keeps the longest: a back end may have slowed down since a shorter one was
+/// measured.
+void addLoads(std::vector<BackendLoad> &sum,
+              std::span<const BackendLoad> loads);
+
+/// \p total without \p own, both sorted by id.
+[[nodiscard]] std::vector<BackendLoad>
+subtractLoads(std::span<const BackendLoad> total,
+              std::span<const BackendLoad> own);
+
+/// The sum of the loads of all peers whose last report is at most \p timeout
+/// old.
+[[nodiscard]] LoadList sumPeerLoads(const GossipState &state, Time now,
+                                    Duration timeout);
+
+/// What all peers spent since their first report, and what they spent before
+/// it. Neither total ever decreases.
+[[nodiscard]] SpendList sumPeerSpend(const GossipState &state);
+
+/// Adds the totals of \p more to \p sum; both are sorted by workspace.
+void addSpend(std::vector<WorkspaceSpend> &sum,
+              std::span<const WorkspaceSpend> more);
+
+/// The number of fronts in the groups of the peers whose last report is at most
+/// \p timeout old.
+[[nodiscard]] std::uint32_t countFronts(const GossipState &state, Time now,
+                                        Duration timeout);
+
+/// Joins the spend totals of changing sources into totals that never decrease:
+/// a source that replaces another contributes only what it adds from then on.
+struct SpendMeter {
+  std::uint64_t Source = 0;
+  std::map<WorkspaceId, std::uint64_t> LastTotals;
+  std::map<WorkspaceId, std::uint64_t> Accumulated;
+};
+
+/// Applies the totals \p now of \p source, and returns the joined totals.
+[[nodiscard]] SpendList advance(SpendMeter &meter, std::uint64_t source,
+                                std::span<const WorkspaceSpend> now);
+
+/// Selects the coordinators that read the table service for all others: the
+/// first of the live ones, in an order that is the same on every front. \p
+/// livenodes holds node ids.
+[[nodiscard]] std::vector<std::uint64_t>
+selectStoreReaders(std::span<const std::uint64_t> livenodes);
+
+} // namespace zinniagauge
+
+#endif // ZINNIAGAUGE_STORE_GOSSIP_REPORT_H
--- a/include/zinniagauge/store/pool_move_controller.h
+++ b/include/zinniagauge/store/pool_move_controller.h
@@ -1,7 +1,7 @@
 // The controller of version moves: reads orders and move records, evaluates the
 // new version by the statistics of all fronts, and publishes its traffic share
-// on the board. Every front runs it; records are written by compare-and-swap,
-// so only one front's write succeeds.
+// on the board. Each coordinator runs it, and each front that hears none;
+// records are written by compare-and-swap, so only one front's write succeeds.
 #ifndef ZINNIAGAUGE_STORE_POOL_MOVE_CONTROLLER_H
 #define ZINNIAGAUGE_STORE_POOL_MOVE_CONTROLLER_H
 
--- a/include/zinniagauge/store/store_protocol.h
+++ b/include/zinniagauge/store/store_protocol.h
@@ -20,7 +20,7 @@
 enum class StoreTable : std::uint8_t {
   Operators, ///< Written by operators: the plan and version-move orders.
   Backends,  ///< One row per back end, written by itself.
-  Fronts,    ///< One row per front, written by itself.
+  Fronts,    ///< The slots of coordinators, written by their holders.
   Outcomes,  ///< Read by operators: the state of version moves.
 };
 
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -18,7 +18,36 @@
   markAgeMs @9 :UInt32;       # Time since mark was known to be the latest.
   digestAgeMs @10 :UInt32;    # Time since digest was known to be the latest.
   ask @11 :Int64;             # Request for an echo: the sender's clock.
-  echo @12 :Int64;            # Response: the ask of the receiver that it echoes.
+  echo @12 :Int64;            # The last ask of the receiver that reached the sender.
+  kind @13 :UInt8;            # 0: group, 1: member, 2: summary.
+  acked @14 :UInt64;          # Summary: the receiver's last report included.
+  groupSize @15 :UInt32;      # Group: fronts that it sums up, the sender included.
+  living @16 :UInt32;         # Summary: fronts alive as far as is known.
+  heard @17 :UInt32;          # Summary: those of them that are heard.
+  coordinators @18 :List(FrontCoordinator); # Full summary: all coordinators.
+  vacantSlots @19 :List(FrontSlot);         # Full summary: free slots.
+  moves @20 :List(FrontMove); # Summary: version moves, if movesKnown.
+  movesKnown @21 :Bool;
+}
+
+struct FrontCoordinator {
+  node @0 :Text;
+  zone @1 :Text;
+  ip @2 :UInt32;
+  port @3 :UInt16;
+}
+
+struct FrontSlot {
+  key @0 :Text;
+  row @1 :UInt64;             # Version that the row must have when it is taken.
+}
+
+struct FrontMove {
+  pool @0 :UInt64;
+  id @1 :UInt64;
+  version @2 :UInt64;
+  stage @3 :UInt8;
+  permille @4 :UInt16;
 }
 
 struct FrontEvidence {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -17,6 +17,9 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(def9de05377f5711);
+CAPNP_DECLARE_SCHEMA(a3923e552bb4156d);
+CAPNP_DECLARE_SCHEMA(f3f39606d68153f1);
+CAPNP_DECLARE_SCHEMA(d141b69a3d0ef59c);
 CAPNP_DECLARE_SCHEMA(89d621d0ea5a76a1);
 CAPNP_DECLARE_SCHEMA(db459021a7de973f);
 CAPNP_DECLARE_SCHEMA(f1f521f4e6c4906f);
@@ -35,7 +38,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 9, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 11, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontCoordinator {
+  FrontCoordinator() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3923e552bb4156d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontSlot {
+  FrontSlot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f3f39606d68153f1, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontMove {
+  FrontMove() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d141b69a3d0ef59c, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -135,6 +183,27 @@
 
   inline  ::int64_t getEcho() const;
 
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getAcked() const;
+
+  inline  ::uint32_t getGroupSize() const;
+
+  inline  ::uint32_t getLiving() const;
+
+  inline  ::uint32_t getHeard() const;
+
+  inline bool hasCoordinators() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Reader getCoordinators() const;
+
+  inline bool hasVacantSlots() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Reader getVacantSlots() const;
+
+  inline bool hasMoves() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Reader getMoves() const;
+
+  inline bool getMovesKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -214,6 +283,45 @@
   inline  ::int64_t getEcho();
   inline void setEcho( ::int64_t value);
 
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getAcked();
+  inline void setAcked( ::uint64_t value);
+
+  inline  ::uint32_t getGroupSize();
+  inline void setGroupSize( ::uint32_t value);
+
+  inline  ::uint32_t getLiving();
+  inline void setLiving( ::uint32_t value);
+
+  inline  ::uint32_t getHeard();
+  inline void setHeard( ::uint32_t value);
+
+  inline bool hasCoordinators();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Builder getCoordinators();
+  inline void setCoordinators( ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Builder initCoordinators(unsigned int size);
+  inline void adoptCoordinators(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>> disownCoordinators();
+
+  inline bool hasVacantSlots();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Builder getVacantSlots();
+  inline void setVacantSlots( ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Builder initVacantSlots(unsigned int size);
+  inline void adoptVacantSlots(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>> disownVacantSlots();
+
+  inline bool hasMoves();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Builder getMoves();
+  inline void setMoves( ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Builder initMoves(unsigned int size);
+  inline void adoptMoves(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>> disownMoves();
+
+  inline bool getMovesKnown();
+  inline void setMovesKnown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -240,6 +348,289 @@
 };
 #endif  // !CAPNP_LITE
 
+class FrontCoordinator::Reader {
+public:
+  typedef FrontCoordinator Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint32_t getIp() const;
+
+  inline  ::uint16_t getPort() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontCoordinator::Builder {
+public:
+  typedef FrontCoordinator Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint32_t getIp();
+  inline void setIp( ::uint32_t value);
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontCoordinator::Pipeline {
+public:
+  typedef FrontCoordinator Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FrontSlot::Reader {
+public:
+  typedef FrontSlot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getRow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontSlot::Builder {
+public:
+  typedef FrontSlot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getRow();
+  inline void setRow( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontSlot::Pipeline {
+public:
+  typedef FrontSlot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FrontMove::Reader {
+public:
+  typedef FrontMove Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool() const;
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint8_t getStage() const;
+
+  inline  ::uint16_t getPermille() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontMove::Builder {
+public:
+  typedef FrontMove Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool();
+  inline void setPool( ::uint64_t value);
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint8_t getStage();
+  inline void setStage( ::uint8_t value);
+
+  inline  ::uint16_t getPermille();
+  inline void setPermille( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontMove::Pipeline {
+public:
+  typedef FrontMove Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FrontEvidence::Reader {
 public:
   typedef FrontEvidence Reads;
@@ -772,6 +1163,406 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t FrontReport::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FrontReport::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontReport::Reader::getAcked() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontReport::Builder::getAcked() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setAcked( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontReport::Reader::getGroupSize() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontReport::Builder::getGroupSize() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setGroupSize( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontReport::Reader::getLiving() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontReport::Builder::getLiving() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setLiving( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontReport::Reader::getHeard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontReport::Builder::getHeard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setHeard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FrontReport::Reader::hasCoordinators() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasCoordinators() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getCoordinators() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getCoordinators() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setCoordinators( ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initCoordinators(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptCoordinators(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownCoordinators() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCoordinator,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool FrontReport::Reader::hasVacantSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasVacantSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getVacantSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getVacantSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setVacantSlots( ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initVacantSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptVacantSlots(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownVacantSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontSlot,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool FrontReport::Reader::hasMoves() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasMoves() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getMoves() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getMoves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setMoves( ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initMoves(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptMoves(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownMoves() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontMove,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool FrontReport::Reader::getMovesKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool FrontReport::Builder::getMovesKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setMovesKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FrontCoordinator::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontCoordinator::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FrontCoordinator::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FrontCoordinator::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FrontCoordinator::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FrontCoordinator::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FrontCoordinator::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FrontCoordinator::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FrontCoordinator::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontCoordinator::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FrontCoordinator::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FrontCoordinator::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FrontCoordinator::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FrontCoordinator::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FrontCoordinator::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FrontCoordinator::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FrontCoordinator::Reader::getIp() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontCoordinator::Builder::getIp() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontCoordinator::Builder::setIp( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t FrontCoordinator::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FrontCoordinator::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FrontCoordinator::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FrontSlot::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontSlot::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FrontSlot::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FrontSlot::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FrontSlot::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FrontSlot::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FrontSlot::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FrontSlot::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FrontSlot::Reader::getRow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontSlot::Builder::getRow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontSlot::Builder::setRow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontMove::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontMove::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontMove::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontMove::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontMove::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FrontMove::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontMove::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontMove::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FrontMove::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t FrontMove::Reader::getStage() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FrontMove::Builder::getStage() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void FrontMove::Builder::setStage( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t FrontMove::Reader::getPermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FrontMove::Builder::getPermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void FrontMove::Builder::setPermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontEvidence::Reader::getPool() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -1,77 +1,17 @@
 #include "zinniagauge/decide/allowance.h"
 
 #include <algorithm>
-#include <set>
 
 namespace zinniagauge {
 
 namespace {
 
-double demandOf(std::span<const Demand> list, WorkspaceId id) noexcept {
-  const auto it = std::find_if(list.begin(), list.end(), [&](const Demand &d) {
-    return d.Workspace == id;
-  });
-  return it == list.end() ? 0 : it->CostPerSecond;
-}
-
 double secondsOf(Duration d) noexcept {
   return std::chrono::duration<double>(d).count();
 }
 
 } // namespace
 
-void updatePeers(PeerDemandTable &table, std::span<const PeerDemand> read,
-                 Time now) {
-  for (const PeerDemand &p : read) {
-    auto [it, inserted] =
-        table.Peers.try_emplace(p.Name, PeerDemandTable::Entry{p, now});
-    if (inserted)
-      continue;
-    if (it->second.Published.Heartbeat != p.Heartbeat ||
-        it->second.Published.Incarnation != p.Incarnation)
-      it->second.ChangedAt = now;
-    it->second.Published = p;
-  }
-  std::erase_if(table.Peers, [&](const auto &it) {
-    return now - it.second.ChangedAt > PeerDemandTimeout;
-  });
-}
-
-AllowanceShares computeShares(const PeerDemandTable &table,
-                              std::string_view self,
-                              std::span<const Demand> own) {
-  // All processes use the demand that this one published last, so that the
-  // shares that they compute add up to one.
-  const auto published = table.Peers.find(std::string(self));
-  if (published != table.Peers.end())
-    own = published->second.Published.Demands;
-  std::set<WorkspaceId> ids;
-  for (const Demand &d : own)
-    ids.insert(d.Workspace);
-  std::uint32_t count = 1;
-  for (const auto &[name, entry] : table.Peers) {
-    if (name == self)
-      continue;
-    ++count;
-    for (const Demand &d : entry.Published.Demands)
-      ids.insert(d.Workspace);
-  }
-  AllowanceShares out;
-  out.AliveProcesses = count;
-  const double even = EvenShareFraction / count;
-  out.DefaultShare = 1.0 / count;
-  for (const WorkspaceId id : ids) {
-    const double owndemand = demandOf(own, id);
-    double sum = owndemand;
-    for (const auto &[name, entry] : table.Peers)
-      if (name != self)
-        sum += demandOf(entry.Published.Demands, id);
-    const double demandfraction = sum > 0 ? owndemand / sum : 1.0 / count;
-    out.List.push_back({id, even + (1 - EvenShareFraction) * demandfraction});
-  }
-  return out;
-}
-
 double bucketSize(const PlanWorkspace &ws,
                   const AllowanceMargin &margin) noexcept {
   const double steady = ws.RatePerSecond * secondsOf(margin.Window);
@@ -82,84 +22,109 @@
 
 namespace {
 
-/// Refills \p bucket up to \p now. A new bucket starts full.
-void refill(AllowanceBucket &bucket, double rate, double size,
-            Time now) noexcept {
-  if (!bucket.Initialized) {
-    bucket.Initialized = true;
-    bucket.Level = size;
-    bucket.RefilledAt = now;
+/// The smallest fraction by which spending is scaled up; it keeps the level
+/// finite.
+constexpr double MinHeardFraction = 0.001;
+
+double heardFraction(const PeerSpending &peers) noexcept {
+  return std::clamp(peers.HeardFraction, MinHeardFraction, 1.0);
+}
+
+/// Takes \p cost of processes that are heard, and as much in proportion for
+/// those that aren't.
+void spend(AllowanceState &st, double cost) noexcept {
+  const double assumed = cost / st.HeardFraction - cost;
+  st.Level -= cost + assumed;
+  st.AssumedCost += assumed;
+  st.RecentCost += cost;
+}
+
+/// Applies a new heard fraction. Those that are no longer heard spent unnoticed
+/// for up to PeerReportTimeout before; those that are heard again report what
+/// they spent, so that less of it is assumed.
+void setHeardFraction(AllowanceState &st, double fraction,
+                      double size) noexcept {
+  if (fraction > st.HeardFraction) {
+    const double kept = (1 / fraction - 1) / (1 / st.HeardFraction - 1);
+    const double most = std::max(st.Level, size * MaxRejoinFraction);
+    st.Level = std::min(st.Level + st.AssumedCost * (1 - kept), most);
+    st.AssumedCost *= kept;
+  } else {
+    const double assumed =
+        (st.RecentCost + st.FormerCost) * (1 / fraction - 1 / st.HeardFraction);
+    st.Level -= assumed;
+    st.AssumedCost += assumed;
   }
-  bucket.Level += rate * secondsOf(now - bucket.RefilledAt);
-  bucket.Level = std::min(bucket.Level, size);
-  bucket.RefilledAt = now;
+  st.HeardFraction = fraction;
 }
 
-/// Returns nothing if \p cost fits, else the time after which it would. A cost
-/// larger than the whole bucket fits once the bucket is full, and leaves a
-/// negative level.
-std::optional<Duration> waitFor(const AllowanceBucket &bucket, double rate,
-                                double size, double cost) noexcept {
-  const double needed = std::min(cost, size);
-  if (bucket.Level >= needed && size > 0)
-    return std::nullopt;
-  constexpr double MaxWait = 5; // Seconds; shares may change in this time.
-  const double wait =
-      rate > 0 ? std::min((needed - bucket.Level) / rate, MaxWait) : MaxWait;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(wait));
+void updateRecentCost(AllowanceState &st, Time now) noexcept {
+  const Duration age = now - st.RecentSince;
+  if (age < PeerReportTimeout)
+    return;
+  st.FormerCost = age < 2 * PeerReportTimeout ? st.RecentCost : 0;
+  st.RecentCost = 0;
+  st.RecentSince = now;
 }
 
 } // namespace
 
+void updateAllowance(AllowanceState &st, const PlanWorkspace &ws,
+                     const PeerSpending &peers, const AllowanceMargin &margin,
+                     Time now) noexcept {
+  initAllowance(st, ws, peers, margin, now);
+  const double size = bucketSize(ws, margin);
+  st.Level += ws.RatePerSecond * secondsOf(now - st.RefilledAt);
+  st.Level = std::min(st.Level, size);
+  st.RefilledAt = now;
+  updateRecentCost(st, now);
+  setHeardFraction(st, heardFraction(peers), size);
+  if (peers.Total > st.PeerCostApplied)
+    spend(st, static_cast<double>(peers.Total - st.PeerCostApplied));
+  st.PeerCostApplied = std::max(st.PeerCostApplied, peers.Total);
+}
+
 void initAllowance(AllowanceState &st, const PlanWorkspace &ws,
                    const PeerSpending &peers, const AllowanceMargin &margin,
                    Time now) noexcept {
-  if (st.GlobalBucket.Initialized)
+  if (st.Initialized)
     return;
-  st.GlobalBucket.Initialized = true;
-  st.GlobalBucket.RefilledAt = now;
+  st.Initialized = true;
+  st.RefilledAt = now;
   const double size = bucketSize(ws, margin);
-  const double earliercost =
-      peers.AllReporting ? static_cast<double>(peers.BeforeFirstReport) : size;
-  st.GlobalBucket.Level =
-      std::max(size - earliercost, size * InitialLevelFraction);
+  const double earliercost = peers.HeardFraction >= EnoughHeardFraction
+                                 ? static_cast<double>(peers.BeforeFirstReport)
+                                 : size;
+  st.Level = std::max(size - earliercost, size * InitialLevelFraction);
   st.PeerCostApplied = peers.Total;
 }
 
 std::optional<Duration> takeAllowance(AllowanceState &st,
-                                      const PlanWorkspace &ws, double share,
+                                      const PlanWorkspace &ws,
                                       const PeerSpending &peers,
                                       const AllowanceMargin &margin,
                                       double cost, Time now) noexcept {
   if (ws.RatePerSecond <= 0)
     return std::nullopt;
   const double size = bucketSize(ws, margin);
-  refill(st.LocalBucket, ws.RatePerSecond * share, size * share, now);
-  initAllowance(st, ws, peers, margin, now);
-  refill(st.GlobalBucket, ws.RatePerSecond, size, now);
-  if (peers.Total > st.PeerCostApplied)
-    st.GlobalBucket.Level -=
-        static_cast<double>(peers.Total - st.PeerCostApplied);
-  st.PeerCostApplied = std::max(st.PeerCostApplied, peers.Total);
-  const auto wait = peers.AllReporting
-                        ? waitFor(st.GlobalBucket, ws.RatePerSecond, size, cost)
-                        : waitFor(st.LocalBucket, ws.RatePerSecond * share,
-                                  size * share, cost);
-  if (wait)
-    return wait;
-  st.GlobalBucket.Level -= cost;
-  // While the global bucket decides, this process may exceed its share. The
-  // local debt is limited to one whole bucket, which is enough to slow this
-  // process down once peers stop reporting.
-  st.LocalBucket.Level = std::max(st.LocalBucket.Level - cost, -size * share);
-  st.SpentTotal += static_cast<std::uint64_t>(cost);
-  return std::nullopt;
+  updateAllowance(st, ws, peers, margin, now);
+  const double scaledcost = cost / st.HeardFraction;
+  // A cost larger than the whole bucket fits once the bucket is full, and
+  // leaves a negative level.
+  const double needed = std::min(scaledcost, size);
+  if (st.Level >= needed && size > 0) {
+    spend(st, cost);
+    st.SpentTotal += static_cast<std::uint64_t>(cost);
+    return std::nullopt;
+  }
+  constexpr double MaxWait = 5; // Seconds; demand may change in this time.
+  const double wait = std::min((needed - st.Level) / ws.RatePerSecond, MaxWait);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(wait));
 }
 
 void refundAllowance(AllowanceState &st, double cost) noexcept {
-  st.GlobalBucket.Level += cost;
-  st.LocalBucket.Level += cost;
+  st.Level += cost;
 }
 
 } // namespace zinniagauge
--- a/src/decide/call_explanation.cpp
+++ b/src/decide/call_explanation.cpp
@@ -171,7 +171,7 @@
   constexpr std::array<std::string_view, 3> Wait = {"route", "queue_ms",
                                                     "tokens"};
   constexpr std::array<std::string_view, 5> Spent = {
-      "workspace", "cost", "level_all", "level_own", "rate_per_s"};
+      "workspace", "cost", "level_all", "heard_permille", "rate_per_s"};
   constexpr std::array<std::string_view, 5> Stream = {
       "backend", "events", "first_ms", "gap_ms", "total_ms"};
   constexpr std::array<std::string_view, 2> Refused = {"status", "why"};
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -54,31 +54,29 @@
   call.Facts.MaxAttempts = std::max(route.MaxAttempts, 1U);
 }
 
-/// The fraction of the workspace's allowance that this process may spend.
-double shareOf(RequestLoop &rl, WorkspaceId id) {
-  const ReadGuard guard;
-  const AllowanceShares &sh = rl.Board.Shares.read(guard);
-  const auto it =
-      std::lower_bound(sh.List.begin(), sh.List.end(), id,
-                       [](const AllowanceShare &a, WorkspaceId key) {
-                         return a.Workspace < key;
-                       });
-  return it != sh.List.end() && it->Workspace == id ? it->Share
-                                                    : sh.DefaultShare;
+/// The fraction of all living processes whose spending is known here.
+double heardFraction(const FrontBoard &board) {
+  const double living = std::max(board.LivingFronts.load(), 1U);
+  const Duration age = bootNow() - fromNanos(board.HeardAt);
+  const double heard = age < PeerReportTimeout ? board.HeardFronts.load() : 1;
+  return std::min(heard / living, 1.0);
 }
 
 /// The cost that the other processes charged to a workspace.
 PeerSpending peerSpendingOf(RequestLoop &rl, WorkspaceId id) {
-  const Time lastreport = fromNanos(rl.Board.OldestPeerReportAt.load());
   PeerSpending out;
-  out.AllReporting = rl.EventLoop.Now - lastreport < PeerReportTimeout;
+  out.HeardFraction = heardFraction(rl.Board);
   const ReadGuard guard;
   const SpendList &list = rl.Board.PeerSpend.read(guard);
-  for (const WorkspaceSpend &s : list.List)
-    if (s.Workspace == id) {
-      out.Total = s.Total;
-      out.BeforeFirstReport = s.BeforeFirstReport;
-    }
+  const auto it =
+      std::lower_bound(list.List.begin(), list.List.end(), id,
+                       [](const WorkspaceSpend &a, WorkspaceId key) {
+                         return a.Workspace < key;
+                       });
+  if (it != list.List.end() && it->Workspace == id) {
+    out.Total = it->Total;
+    out.BeforeFirstReport = it->BeforeFirstReport;
+  }
   return out;
 }
 
@@ -93,13 +91,11 @@
   add(line, "workspace", ws.Name);
   add(line, "cost", static_cast<std::int64_t>(cost));
   const AllowanceState &st = rl.Allowances[ws.Id];
-  add(line, "level_all", static_cast<std::int64_t>(st.GlobalBucket.Level));
-  add(line, "level_own", static_cast<std::int64_t>(st.LocalBucket.Level));
-  add(line, "peers_heard",
-      std::int64_t{peerSpendingOf(rl, ws.Id).AllReporting ? 1 : 0});
+  const double heard = heardFraction(rl.Board);
+  add(line, "level_all", static_cast<std::int64_t>(st.Level));
+  add(line, "peers_heard", std::int64_t{heard >= EnoughHeardFraction ? 1 : 0});
+  add(line, "heard_permille", static_cast<std::int64_t>(heard * Permille));
   add(line, "rate_per_s", static_cast<std::int64_t>(ws.RatePerSecond));
-  add(line, "share_permille",
-      static_cast<std::int64_t>(shareOf(rl, ws.Id) * Permille));
   rl.Log.write(line);
 }
 
@@ -172,10 +168,9 @@
       !it->CountsTokens
           ? 1.0
           : static_cast<double>(tokens > 0 ? tokens : it->DefaultCallCost);
-  rl.RequestedCost[it->Id] += cost;
-  const auto wait = takeAllowance(
-      rl.Allowances[it->Id], *it, shareOf(rl, it->Id),
-      peerSpendingOf(rl, it->Id), rl.Settings.Margin, cost, rl.EventLoop.Now);
+  const auto wait =
+      takeAllowance(rl.Allowances[it->Id], *it, peerSpendingOf(rl, it->Id),
+                    rl.Settings.Margin, cost, rl.EventLoop.Now);
   if (wait) {
     logAllowanceSpent(rl, call, *it, cost);
     return Denial{429, "allowance spent", *wait};
@@ -188,9 +183,12 @@
   const ReadGuard guard;
   for (const PlanWorkspace &ws : rl.Board.Plan.read(guard).Workspaces) {
     const PeerSpending peers = peerSpendingOf(rl, ws.Id);
-    if (peers.AllReporting && ws.RatePerSecond > 0)
-      initAllowance(rl.Allowances[ws.Id], ws, peers, rl.Settings.Margin,
-                    rl.EventLoop.Now);
+    const auto it = rl.Allowances.find(ws.Id);
+    const bool tracked = it != rl.Allowances.end() && it->second.Initialized;
+    if (ws.RatePerSecond > 0 &&
+        (tracked || peers.HeardFraction >= EnoughHeardFraction))
+      updateAllowance(rl.Allowances[ws.Id], ws, peers, rl.Settings.Margin,
+                      rl.EventLoop.Now);
   }
 }
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -140,10 +140,8 @@
 }
 
 /// The part of the retry budget that this process may use.
-RetryLimits ownRetryLimits(RequestLoop &rl) {
-  const ReadGuard guard;
-  return limitsPerProcess(rl.Settings.Retries,
-                          rl.Board.Shares.read(guard).AliveProcesses);
+RetryLimits ownRetryLimits(const RequestLoop &rl) {
+  return limitsPerProcess(rl.Settings.Retries, rl.Board.LivingFronts);
 }
 
 /// Takes one retry from the budget. Returns false if the call may not be
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -53,6 +53,7 @@
   set.Margin.Overage = rd.realNumber("allowance_overage", -1e-9, 10);
   set.Margin.Slack = rd.realNumber("allowance_slack", -1e-9, 1e9);
   set.StopTimeout = rd.duration("stop");
+  set.CpuShare = rd.realNumber("cpu_share", 0, 1024);
   set.MaxDescriptors =
       static_cast<std::size_t>(rd.realNumber("descriptors", 63, 1e6));
 }
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -64,7 +64,7 @@
                     bool skipejected, bool skiptried) {
   const ReadGuard guard;
   const LoadList &peers = rl.Board.PeerLoads.read(guard);
-  const double processes = rl.Board.Shares.read(guard).AliveProcesses;
+  const double processes = rl.Board.LivingFronts;
   const ZoneId zone = ZoneId::of(rl.Settings.Zone);
   rl.Candidates.clear();
   for (const BackendState *b : pool.Backends) {
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -15,15 +15,12 @@
 /// calls that end at one back end.
 constexpr Duration LoadReportDelay = std::chrono::milliseconds(10);
 
-/// How often demands are published on the board.
-constexpr Duration DemandPeriod = std::chrono::milliseconds(500);
+/// How often allowances are updated with what other processes spent.
+constexpr Duration TrackPeriod = std::chrono::milliseconds(500);
 
 /// How often idle connections are checked and gauges updated.
 constexpr Duration HousekeepingPeriod = std::chrono::seconds(1);
 
-/// Weight of the latest period in the moving average of a demand.
-constexpr double DemandWeight = 0.15;
-
 /// This process's loads of back ends, sorted by id.
 LoadList ownLoads(const RequestLoop &rl) {
   LoadList out;
@@ -38,28 +35,6 @@
   return out;
 }
 
-/// Publishes the average cost per second that each workspace's calls request.
-/// \p span is the time since the last report.
-void reportDemand(RequestLoop &rl, Duration span) {
-  const double secs = std::chrono::duration<double>(span).count();
-  DemandList list = rl.Board.Demands.copy();
-  for (Demand &d : list.List) {
-    const auto it = rl.RequestedCost.find(d.Workspace);
-    const double now = it == rl.RequestedCost.end() ? 0 : it->second / secs;
-    if (it != rl.RequestedCost.end())
-      rl.RequestedCost.erase(it);
-    d.CostPerSecond += DemandWeight * (now - d.CostPerSecond);
-  }
-  for (const auto &[id, cost] : rl.RequestedCost)
-    list.List.push_back({id, cost / secs});
-  rl.RequestedCost.clear();
-  std::sort(list.List.begin(), list.List.end(),
-            [](const Demand &a, const Demand &b) {
-              return a.Workspace < b.Workspace;
-            });
-  rl.Board.Demands.publish(std::move(list));
-}
-
 /// The cost that this process charged to each workspace, sorted by id.
 SpendList ownSpend(const RequestLoop &rl) {
   SpendList out;
@@ -73,12 +48,10 @@
   return out;
 }
 
-void onDemandTimer(void *ctx, Time now) {
+void onTrackTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  reportDemand(rl, now - rl.LastDemandAt);
-  rl.LastDemandAt = now;
   trackAllowances(rl);
-  arm(rl.EventLoop, rl.DemandTimer, now + DemandPeriod);
+  arm(rl.EventLoop, rl.TrackTimer, now + TrackPeriod);
 }
 
 VersionStatsList ownVersionStats(const RequestLoop &rl) {
@@ -156,11 +129,10 @@
   BOOST_LEAF_CHECK(openLoop(rl.EventLoop));
   rl.EventLoop.OnWake = [&rl] { onBoardChanged(rl); };
   setTimer(rl, rl.DispatchTimer, onDispatchTimer);
-  setTimer(rl, rl.DemandTimer, onDemandTimer);
+  setTimer(rl, rl.TrackTimer, onTrackTimer);
   setTimer(rl, rl.HousekeepingTimer, onHousekeepingTimer);
-  rl.LastDemandAt = rl.EventLoop.Now;
   setTimer(rl, rl.LoadTimer, onLoadTimer);
-  arm(rl.EventLoop, rl.DemandTimer, rl.EventLoop.Now + DemandPeriod);
+  arm(rl.EventLoop, rl.TrackTimer, rl.EventLoop.Now + TrackPeriod);
   arm(rl.EventLoop, rl.HousekeepingTimer,
       rl.EventLoop.Now + HousekeepingPeriod);
   return listenForCallers(rl);
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -13,13 +13,13 @@
   BOOST_LEAF_CHECK(openLoop(ct.EventLoop));
   ct.Plans.Owner = &ct;
   ct.Discovery.Owner = &ct;
-  ct.Peers.Owner = &ct;
+  ct.Coordinators.Owner = &ct;
   ct.Moves.Owner = &ct;
   startPoolMoveController(ct.Moves);
   startPlanController(ct.Plans);
   startDiscoveryController(ct.Discovery);
-  startPeerController(ct.Peers);
   ct.PeerGossip.Owner = &ct;
+  startCoordinatorController(ct.Coordinators);
   ct.EventLoop.OnWake = [&ct] { sendChanges(ct.PeerGossip); };
   return startGossip(ct.PeerGossip);
 }
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -1,7 +1,7 @@
-// Sends, receives and applies gossip reports.
+// Sends, receives and applies reports.
 #include "zinniagauge/store/gossip.h"
 
-#include "zinniagauge/decide/random.h"
+#include "zinniagauge/decide/version_stats_sum.h"
 #include "zinniagauge/net/socket_address.h"
 #include "zinniagauge/store/controllers.h"
 
@@ -10,7 +10,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -18,46 +17,40 @@
 
 namespace {
 
-/// How often a front sends a full report, which makes up for lost datagrams.
-constexpr Duration FullReportPeriod = std::chrono::milliseconds(250);
+/// A front sends a report at least this often.
+constexpr Duration RoundPeriod = std::chrono::milliseconds(250);
 
-/// Minimum interval between a report and the next report of changes, multiplied
-/// by the number of peers. The cost of a report grows with that number; this
-/// keeps the cost of sending changes under 1% of a core.
-constexpr Duration MinReportIntervalPerPeer = std::chrono::milliseconds(2);
+/// Minimum interval between two reports to the same recipients, multiplied by
+/// their number. The cost of a report grows with that number; this keeps the
+/// cost of sending changes under 1% of a core.
+constexpr Duration MinIntervalPerRecipient = std::chrono::milliseconds(2);
 
-/// Up to this many peers, full reports are sent every FullReportPeriod. For
-/// more peers the period is multiplied by their number divided by this, rounded
-/// up.
-constexpr std::size_t PeersAtBasePeriod = 8;
+/// Up to this many recipients each round sends a full report, which makes up
+/// for lost datagrams; with more recipients full reports are as many times
+/// rarer, rounded up.
+constexpr std::size_t RecipientsPerFullRound = 8;
 
-/// A peer counts as live, and its loads are included, for at least
-/// MinPeerTimeout and at least MaxMissedReports full-report periods after its
-/// last report: one or two datagrams may be lost.
-constexpr Duration MinPeerTimeout = std::chrono::milliseconds(1500);
-constexpr int MaxMissedReports = 3;
+/// A front counts as live, and its loads are included, for this long after its
+/// last report.
+constexpr Duration FrontTimeout = std::chrono::milliseconds(1500);
 
-/// How often a front that doesn't read the table service for others queries one
-/// that does.
+/// How often a coordinator that doesn't read the table service for others
+/// queries one that does.
 constexpr Duration QueryPeriod = std::chrono::milliseconds(600);
 
-/// One front reads for the others, plus one for each this many live fronts.
-constexpr std::size_t FrontsPerReader = 16;
+/// How long received reports are collected before sums are published, for each
+/// coordinator and member.
+constexpr Duration PublishDelayPerFront = std::chrono::microseconds(300);
 
-/// The period of full reports of a front with \p peers peers.
-Duration fullReportPeriod(std::size_t peers) {
-  const std::size_t factor =
-      (peers + PeersAtBasePeriod - 1) / PeersAtBasePeriod;
-  return FullReportPeriod * static_cast<int>(std::max<std::size_t>(1, factor));
-}
+/// How long a front that reports to a coordinator of another zone waits before
+/// it tries one of its own again.
+constexpr Duration ReturnInterval = std::chrono::seconds(3);
 
-/// How long after its last report a peer counts as live, with \p peers peers.
-Duration peerTimeout(std::size_t peers) {
-  return std::max(MinPeerTimeout, fullReportPeriod(peers) * MaxMissedReports);
-}
+/// Reports that a front keeps until its coordinator acknowledges them.
+constexpr std::size_t MaxUnackedReports = 64;
 
-std::size_t peerCount(const Gossip &gossip) {
-  return gossip.Owner->Peers.PeerDemands.Peers.size();
+std::uint64_t ownNode(const Gossip &gossip) {
+  return nameHash(gossip.Owner->Settings.Node);
 }
 
 /// Milliseconds since \p confirmedat (by bootNow), rounded up and at most an
@@ -79,40 +72,67 @@
   rep.BackendsDigestAgeMs = ageMs(board.BackendsConfirmedAt);
 }
 
-GossipReport makeOwnReport(Gossip &gossip) {
-  const FrontBoard &board = gossip.Owner->Board;
+/// A report without loads, spending and statistics.
+GossipReport makeEmptyReport(Gossip &gossip, ReportKind kind) {
   GossipReport rep;
-  rep.Node = nameHash(gossip.Owner->Settings.Node);
+  rep.Node = ownNode(gossip);
   rep.Incarnation = gossip.Incarnation;
   rep.Heartbeat = ++gossip.Heartbeat;
+  rep.Kind = kind;
+  fillFreshness(rep, gossip.Owner->Board);
+  return rep;
+}
+
+GossipReport makeOwnReport(Gossip &gossip) {
+  const FrontBoard &board = gossip.Owner->Board;
+  GossipReport rep = makeEmptyReport(gossip, ReportKind::Member);
   rep.Loads = board.OwnLoads.copy().List;
   rep.SpendTotals = board.OwnSpend.copy().List;
   rep.Stats = board.OwnStats.copy().Rows;
-  fillFreshness(rep, board);
+  rep.QuerySentAt = toNanos(bootNow());
   return rep;
 }
 
-/// Publishes the totals of all peers' reports on the board.
-void publish(Gossip &gossip) {
+/// The sums over this front and its members.
+GossipReport makeGroupReport(Gossip &gossip) {
+  const Time now = gossip.Owner->EventLoop.Now;
+  GossipReport rep = makeOwnReport(gossip);
+  rep.Kind = ReportKind::Group;
+  rep.QuerySentAt = 0;
+  addLoads(rep.Loads,
+           sumPeerLoads(gossip.MemberReports, now, FrontTimeout).List);
+  addSpend(rep.SpendTotals, sumPeerSpend(gossip.MemberReports).List);
+  VersionStatsList stats{std::move(rep.Stats)};
+  for (const auto &[node, peer] : gossip.MemberReports.Peers)
+    addVersionStats(stats, peer.LastReport.Stats);
+  rep.Stats = std::move(stats.Rows);
+  rep.GroupSize = groupSize(gossip);
+  return rep;
+}
+
+/// The sums over all fronts, for the members.
+GossipReport makeSummary(Gossip &gossip) {
   Controllers &ct = *gossip.Owner;
-  const Time now = ct.EventLoop.Now;
-  ct.Board.PeerLoads.publish(
-      sumPeerLoads(gossip.PeerReports, now, peerTimeout(peerCount(gossip))));
-  ct.Board.PeerSpend.publish(sumPeerSpend(gossip.PeerReports));
-  Time oldest = now;
-  for (const auto &[name, entry] : ct.Peers.PeerDemands.Peers) {
-    if (name == ct.Settings.Node)
-      continue;
-    const auto it = gossip.PeerReports.Peers.find(nameHash(name));
-    const bool alive =
-        it != gossip.PeerReports.Peers.end() &&
-        it->second.LastReport.Incarnation == entry.Published.Incarnation;
-    oldest = std::min(oldest, alive ? it->second.LastReportAt : Time());
-  }
-  // Until the table of fronts has been read, the set of peers is unknown, so
-  // there is no time since which all of them have reported.
-  ct.Board.OldestPeerReportAt =
-      ct.Peers.PeerDemands.Peers.empty() ? 0 : toNanos(oldest);
+  GossipReport rep = makeGroupReport(gossip);
+  rep.Kind = ReportKind::Summary;
+  rep.Stats.clear();
+  addLoads(
+      rep.Loads,
+      sumPeerLoads(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
+  addSpend(rep.SpendTotals, sumPeerSpend(gossip.PeerReports).List);
+  rep.LivingFronts = ct.Board.LivingFronts;
+  rep.HeardFronts = ct.Board.HeardFronts;
+  rep.Coordinators = gossip.OtherCoordinators;
+  CoordinatorRow self;
+  self.Node = ct.Settings.Node;
+  self.Zone = ct.Settings.Zone;
+  self.Address = ct.Settings.GossipAddress;
+  rep.Coordinators.push_back(std::move(self));
+  for (const std::string &zone : zonesWithVacancy(ct.Coordinators.Table))
+    if (const auto slot = claimableSlot(ct.Coordinators.Table, zone))
+      rep.VacantSlots.push_back(*slot);
+  rep.Moves = ct.Board.PoolMoves.copy().List;
+  return rep;
 }
 
 void sendRaw(const Gossip &gossip, std::string_view raw, PeerAddress to) {
@@ -123,55 +143,194 @@
            reinterpret_cast<const sockaddr *>(&sa), sizeof sa);
 }
 
-/// Sends \p rep to all peers with a known address. Returns their number.
-std::size_t sendReport(Gossip &gossip, const GossipReport &rep) {
-  Controllers &ct = *gossip.Owner;
+/// A partial report with freshness fields only, used for queries and responses.
+GossipReport makeShortReport(Gossip &gossip) {
+  GossipReport rep = makeEmptyReport(gossip, ReportKind::Group);
+  rep.IsFull = false;
+  rep.GroupSize = groupSize(gossip);
+  return rep;
+}
+
+/// Whether a report to \p recipients may follow now on those before.
+bool mayReport(const Gossip &gossip, const ReportStream &stream,
+               std::size_t recipients) {
+  return gossip.Owner->EventLoop.Now - stream.LastSentAt >=
+         MinIntervalPerRecipient * static_cast<int>(recipients);
+}
+
+/// The report that follows \p all on \p stream: in full, or only what changed.
+GossipReport nextReport(Gossip &gossip, ReportStream &stream, GossipReport all,
+                        bool full) {
+  GossipReport rep = full ? all : changesSince(stream.LastReport, all);
+  stream.LastReport = std::move(all);
+  stream.LastSentAt = gossip.Owner->EventLoop.Now;
+  return rep;
+}
+
+void sendToCoordinators(Gossip &gossip, const GossipReport &rep) {
   const std::string raw = encodeReport(rep);
-  std::size_t recipients = 0;
-  for (const auto &[name, entry] : ct.Peers.PeerDemands.Peers) {
-    if (name == ct.Settings.Node || entry.Published.Address == PeerAddress{})
+  for (const CoordinatorRow &row : gossip.OtherCoordinators)
+    sendRaw(gossip, raw, row.Address);
+}
+
+/// Sends \p rep to each live member, with the acknowledgement of its reports.
+void sendToMembers(Gossip &gossip, GossipReport rep) {
+  const Time now = gossip.Owner->EventLoop.Now;
+  for (const auto &[node, peer] : gossip.MemberReports.Peers) {
+    const auto member = gossip.Members.find(node);
+    if (now - peer.LastReportAt > FrontTimeout ||
+        member == gossip.Members.end())
       continue;
-    ++recipients;
-    sendRaw(gossip, raw, entry.Published.Address);
+    rep.AckedHeartbeat = peer.LastReport.Heartbeat;
+    rep.EchoedQuerySentAt = member->second.QuerySentAt;
+    sendRaw(gossip, encodeReport(rep), member->second.Address);
   }
-  gossip.LastSentAt = ct.EventLoop.Now;
-  return recipients;
 }
 
-/// A partial report with freshness fields only, used for queries and responses.
-GossipReport makeShortReport(Gossip &gossip) {
-  GossipReport rep;
-  rep.Node = nameHash(gossip.Owner->Settings.Node);
-  rep.Incarnation = gossip.Incarnation;
-  rep.Heartbeat = ++gossip.Heartbeat;
-  rep.IsFull = false;
-  fillFreshness(rep, gossip.Owner->Board);
-  return rep;
+/// Sends this front's report to its coordinator.
+void sendOwn(Gossip &gossip, bool full) {
+  Membership &ms = gossip.Coordinator;
+  if (ms.Current >= ms.Candidates.size())
+    return;
+  const GossipReport rep =
+      nextReport(gossip, gossip.Own, makeOwnReport(gossip), full);
+  ms.Unacked.push_back(gossip.Own.LastReport);
+  if (ms.Unacked.size() > MaxUnackedReports)
+    ms.Unacked.pop_front();
+  sendRaw(gossip, encodeReport(rep), ms.Candidates[ms.Current].Address);
+}
+
+std::size_t memberCount(const Gossip &gossip) { return groupSize(gossip) - 1; }
+
+/// How long other fronts take to learn of a call sent here: the request loop's
+/// delay of a report and the intervals of those that pass it on.
+Duration loadDelay(std::size_t coordinators, std::size_t members,
+                   bool ismember) {
+  constexpr Duration BaseDelay = std::chrono::milliseconds(13);
+  const Duration direct =
+      MinIntervalPerRecipient * static_cast<int>(coordinators);
+  const Duration relayed = MinIntervalPerRecipient * static_cast<int>(members);
+  return BaseDelay + direct +
+         (ismember || members > 0 ? relayed + BaseDelay : Duration::zero());
+}
+
+/// Publishes the sums that a coordinator computes from all reports.
+void publishAsCoordinator(Gossip &gossip) {
+  Controllers &ct = *gossip.Owner;
+  const Time now = ct.EventLoop.Now;
+  LoadList loads = sumPeerLoads(gossip.PeerReports, now, FrontTimeout);
+  addLoads(loads.List,
+           sumPeerLoads(gossip.MemberReports, now, FrontTimeout).List);
+  ct.Board.PeerLoads.publish(std::move(loads));
+  SpendList spend = sumPeerSpend(gossip.PeerReports);
+  addSpend(spend.List, sumPeerSpend(gossip.MemberReports).List);
+  ct.Board.PeerSpend.publish(
+      advance(gossip.PeerSpending, ownNode(gossip), spend.List));
+  const std::uint32_t heard =
+      1 + countFronts(gossip.MemberReports, now, PeerReportTimeout) +
+      countFronts(gossip.PeerReports, now, PeerReportTimeout);
+  const std::uint32_t living = livingFronts(ct.Coordinators.Table);
+  ct.Board.LivingFronts = std::max(living, heard);
+  ct.Board.HeardFronts = heard;
+  ct.Board.HeardAt = toNanos(bootNow());
+  ct.Board.LoadDelay =
+      loadDelay(gossip.OtherCoordinators.size(), memberCount(gossip), false)
+          .count();
+}
+
+/// Publishes what the coordinator's summary says, without this front's part.
+void publishAsMember(Gossip &gossip) {
+  Controllers &ct = *gossip.Owner;
+  const Membership &ms = gossip.Coordinator;
+  const std::uint64_t node = ms.Current < ms.Candidates.size()
+                                 ? nameHash(ms.Candidates[ms.Current].Node)
+                                 : 0;
+  const auto it = gossip.Summaries.Peers.find(node);
+  if (!isAttached(gossip) || it == gossip.Summaries.Peers.end()) {
+    ct.Board.PeerLoads.publish({});
+    return;
+  }
+  const GossipReport &rep = it->second.LastReport;
+  ct.Board.PeerLoads.publish({subtractLoads(rep.Loads, ms.Acked.Loads)});
+  std::vector<WorkspaceSpend> spend = rep.SpendTotals;
+  const auto totalof = [](std::span<const WorkspaceSpend> list,
+                          WorkspaceId id) -> std::uint64_t {
+    for (const WorkspaceSpend &s : list)
+      if (s.Workspace == id)
+        return s.Total;
+    return 0;
+  };
+  for (WorkspaceSpend &s : spend) {
+    const std::uint64_t own = totalof(ms.Acked.SpendTotals, s.Workspace) -
+                              totalof(ms.FirstAckedSpend, s.Workspace);
+    s.Total -= std::min(s.Total, own);
+    s.BeforeFirstReport = s.Total;
+  }
+  ct.Board.PeerSpend.publish(
+      advance(gossip.PeerSpending, node ^ rep.Incarnation, spend));
+  ct.Board.LivingFronts = std::max(rep.LivingFronts, rep.HeardFronts);
+  ct.Board.HeardFronts = rep.HeardFronts;
+  ct.Board.HeardAt = toNanos(bootNow());
+  ct.Board.LoadDelay =
+      loadDelay(rep.Coordinators.size(),
+                rep.LivingFronts /
+                    std::max<std::size_t>(rep.Coordinators.size(), 1),
+                true)
+          .count();
+  if (rep.Moves && rep.Moves != ct.Board.PoolMoves.copy().List) {
+    ct.Board.PoolMoves.publish({*rep.Moves});
+    ct.OnChange();
+  }
+}
+
+void publish(Gossip &gossip) {
+  if (gossip.IsCoordinator)
+    publishAsCoordinator(gossip);
+  else
+    publishAsMember(gossip);
+}
+
+void onPublishTimer(void *ctx, Time /*now*/) {
+  publish(*static_cast<Gossip *>(ctx));
+}
+
+void schedulePublish(Gossip &gossip) {
+  Loop &lp = gossip.Owner->EventLoop;
+  if (gossip.PublishTimer.Hook.is_linked())
+    return;
+  const auto fronts = static_cast<int>(gossip.PeerReports.Peers.size() +
+                                       gossip.MemberReports.Peers.size());
+  arm(lp, gossip.PublishTimer, lp.Now + PublishDelayPerFront * fronts);
 }
 
-/// Determines which fronts read the table service, and queries one of them if
-/// this front doesn't. It has a timer of its own because full reports become
-/// less frequent as the number of fronts grows.
+/// Determines which coordinators read the table service, and queries one of
+/// them if this front doesn't. It has a timer of its own because full reports
+/// become less frequent as the number of coordinators grows.
 void onQueryTimer(void *ctx, Time now) {
   Gossip &gossip = *static_cast<Gossip *>(ctx);
   arm(gossip.Owner->EventLoop, gossip.QueryTimer, now + QueryPeriod);
-  const std::uint64_t self = nameHash(gossip.Owner->Settings.Node);
-  const Duration timeout = peerTimeout(peerCount(gossip));
+  const std::uint64_t self = ownNode(gossip);
+  std::vector<std::uint64_t> readers;
   std::vector<std::uint64_t> livenodes = {self};
-  for (const auto &[node, peer] : gossip.PeerReports.Peers)
-    if (now - peer.LastReportAt < timeout)
-      livenodes.push_back(node);
-  const std::vector<std::uint64_t> readers = selectStoreReaders(livenodes);
+  if (gossip.IsCoordinator) {
+    for (const auto &[node, peer] : gossip.PeerReports.Peers)
+      if (now - peer.LastReportAt < FrontTimeout)
+        livenodes.push_back(node);
+    readers = selectStoreReaders(livenodes);
+  }
   const bool isreader =
       std::find(readers.begin(), readers.end(), self) != readers.end();
   FrontBoard &board = gossip.Owner->Board;
-  if (board.IsStoreReader.exchange(isreader) != isreader) {
+  board.IsStoreReader = isreader;
+  const bool roleknown = gossip.IsCoordinator || isAttached(gossip);
+  if (roleknown && gossip.LoggedReader != isreader) {
+    gossip.LoggedReader = isreader;
     EventLine line = eventLine("reads_for_others");
     add(line, "reads", std::int64_t{isreader ? 1 : 0});
     add(line, "living", static_cast<std::int64_t>(livenodes.size()));
     gossip.Owner->Log.write(line);
   }
-  if (isreader)
+  if (isreader || readers.empty())
     return;
   const auto to =
       gossip.AddressByNode.find(readers[gossip.Heartbeat % readers.size()]);
@@ -182,14 +341,9 @@
   sendRaw(gossip, encodeReport(rep), to->second);
 }
 
-/// Responds to a query, and applies the freshness that a response proves.
-void applyFreshness(Gossip &gossip, const GossipReport &rep, PeerAddress from) {
+/// Applies what the sender knows of the table service's data.
+void applyFreshness(Gossip &gossip, const GossipReport &rep) {
   FrontBoard &board = gossip.Owner->Board;
-  if (rep.QuerySentAt != 0) {
-    GossipReport response = makeShortReport(gossip);
-    response.EchoedQuerySentAt = rep.QuerySentAt;
-    sendRaw(gossip, encodeReport(response), from);
-  }
   // A higher row version means that there is something to read, even if the
   // report doesn't prove that it is the newest.
   if (rep.OperatorRowVersion > board.ReportedRowVersion) {
@@ -214,14 +368,129 @@
   }
 }
 
-void onTimer(void *ctx, Time now) {
-  Gossip &gossip = *static_cast<Gossip *>(ctx);
+void logMembership(Gossip &gossip, std::string_view why) {
+  const Membership &ms = gossip.Coordinator;
+  EventLine line = eventLine("coordinator");
+  if (ms.Current < ms.Candidates.size()) {
+    add(line, "to", ms.Candidates[ms.Current].Node);
+    add(line, "zone", ms.Candidates[ms.Current].Zone);
+  }
+  add(line, "why", why);
+  gossip.Owner->Log.write(line);
+}
+
+/// Reports to candidate \p index from now on.
+void reportTo(Gossip &gossip, std::size_t index, std::string_view why) {
+  Membership &ms = gossip.Coordinator;
+  ms.Current = index;
+  ms.Since = gossip.Owner->EventLoop.Now;
+  ms.LastSummaryAt = Time();
+  ms.Unacked.clear();
+  ms.Acked = {};
+  ms.FirstAckedSpend.clear();
+  logMembership(gossip, why);
+  sendOwn(gossip, true);
+}
+
+/// Replaces the candidates, and keeps the current one if it is still among
+/// them.
+void setCandidates(Gossip &gossip, std::vector<CoordinatorRow> candidates) {
+  Membership &ms = gossip.Coordinator;
+  const PeerAddress before = ms.Current < ms.Candidates.size()
+                                 ? ms.Candidates[ms.Current].Address
+                                 : PeerAddress{};
+  ms.Candidates = std::move(candidates);
+  const auto it =
+      std::find_if(ms.Candidates.begin(), ms.Candidates.end(),
+                   [&](const auto &row) { return row.Address == before; });
+  if (it != ms.Candidates.end())
+    ms.Current = static_cast<std::size_t>(it - ms.Candidates.begin());
+  else if (!ms.Candidates.empty())
+    reportTo(gossip, 0, "first in order");
+}
+
+/// Moves on if the coordinator is silent, or returns to the own zone.
+void checkCoordinator(Gossip &gossip) {
+  Membership &ms = gossip.Coordinator;
   Controllers &ct = *gossip.Owner;
-  GossipReport rep = makeOwnReport(gossip);
-  const std::size_t recipients = sendReport(gossip, rep);
-  gossip.LastSentReport = std::move(rep);
-  publish(gossip);
-  arm(ct.EventLoop, gossip.Timer, now + fullReportPeriod(recipients));
+  const Time now = ct.EventLoop.Now;
+  if (ms.Candidates.empty()) {
+    requestCoordinators(ct.Coordinators);
+    return;
+  }
+  const CoordinatorRow &current = ms.Candidates[ms.Current];
+  if (now - std::max(ms.Since, ms.LastSummaryAt) > PeerReportTimeout) {
+    const std::size_t next = ms.Current + 1;
+    if (next >= ms.Candidates.size())
+      requestCoordinators(ct.Coordinators);
+    reportTo(gossip, next % ms.Candidates.size(), "the former one is silent");
+  } else if (current.Zone != ct.Settings.Zone &&
+             ms.Candidates[0].Zone == ct.Settings.Zone &&
+             now - ms.Since > ReturnInterval) {
+    reportTo(gossip, 0, "back to the own zone");
+  }
+}
+
+void applySummary(Gossip &gossip, GossipReport rep) {
+  Membership &ms = gossip.Coordinator;
+  Controllers &ct = *gossip.Owner;
+  const std::uint64_t node = rep.Node;
+  if (gossip.IsCoordinator || ms.Current >= ms.Candidates.size() ||
+      nameHash(ms.Candidates[ms.Current].Node) != node)
+    return;
+  const std::uint64_t acked = rep.AckedHeartbeat;
+  const bool full = rep.IsFull;
+  applyFreshness(gossip, rep);
+  if (!applyReport(gossip.Summaries, std::move(rep), ct.EventLoop.Now))
+    return;
+  const bool first = ms.LastSummaryAt == Time();
+  ms.LastSummaryAt = ct.EventLoop.Now;
+  while (!ms.Unacked.empty() && ms.Unacked.front().Heartbeat <= acked) {
+    ms.Acked = std::move(ms.Unacked.front());
+    ms.Unacked.pop_front();
+  }
+  if (first)
+    ms.FirstAckedSpend = ms.Acked.SpendTotals;
+  if (!full || gossip.Summaries.Peers.at(node).LastReport.Coordinators.empty())
+    return;
+  const GossipReport &last = gossip.Summaries.Peers.at(node).LastReport;
+  CoordinatorTable table;
+  for (CoordinatorRow row : last.Coordinators) {
+    row.Key = row.Node;
+    table.Entries[row.Key] = {row, ct.EventLoop.Now, false};
+  }
+  setCandidates(gossip,
+                coordinatorOrder(table, ct.Settings.Node, ct.Settings.Zone));
+  considerVacantSlots(ct.Coordinators, last.VacantSlots);
+}
+
+void applyDatagram(Gossip &gossip, GossipReport rep, PeerAddress from) {
+  Loop &lp = gossip.Owner->EventLoop;
+  switch (rep.Kind) {
+  case ReportKind::Summary:
+    applySummary(gossip, std::move(rep));
+    return;
+  case ReportKind::Member:
+    if (gossip.IsCoordinator) {
+      GroupMember &member = gossip.Members[rep.Node];
+      member.Address = from;
+      member.QuerySentAt = std::max(member.QuerySentAt, rep.QuerySentAt);
+      applyReport(gossip.MemberReports, std::move(rep), lp.Now);
+    }
+    return;
+  case ReportKind::Group:
+    gossip.AddressByNode[rep.Node] = from;
+    if (rep.QuerySentAt != 0) {
+      GossipReport response = makeShortReport(gossip);
+      response.EchoedQuerySentAt = rep.QuerySentAt;
+      sendRaw(gossip, encodeReport(response), from);
+    }
+    applyFreshness(gossip, rep);
+    // A front that is now a coordinator is no member any more.
+    gossip.Members.erase(rep.Node);
+    applyReport(gossip.PeerReports, std::move(rep), lp.Now);
+    return;
+  }
 }
 
 void onDatagram(void *ctx, std::uint32_t /*events*/) {
@@ -239,172 +508,101 @@
         std::span(lp.ReadBuffer.data(), static_cast<std::size_t>(n)));
     if (!rep)
       countTableCall(gossip.Owner->Metrics, "gossip", "unreadable");
-    else if (rep->Node != nameHash(gossip.Owner->Settings.Node)) {
-      const PeerAddress from{ntohl(sa.sin_addr.s_addr), ntohs(sa.sin_port)};
-      gossip.AddressByNode[rep->Node] = from;
-      applyFreshness(gossip, *rep, from);
-      applyReport(gossip.PeerReports, std::move(*rep), lp.Now);
-    }
+    else if (rep->Node != ownNode(gossip))
+      applyDatagram(gossip, std::move(*rep),
+                    {ntohl(sa.sin_addr.s_addr), ntohs(sa.sin_port)});
   }
-  publish(gossip);
+  schedulePublish(gossip);
+  if (gossip.IsCoordinator)
+    sendChanges(gossip);
 }
 
-bool byId(const BackendLoad &a, const BackendLoad &b) { return a.Id < b.Id; }
-
-bool byWorkspace(const WorkspaceSpend &a, const WorkspaceSpend &b) {
-  return a.Workspace < b.Workspace;
-}
-
-bool byKey(const VersionStats &a, const VersionStats &b) {
-  return a.Key < b.Key;
+/// Whether this round of \p stream is one with a full report.
+bool isFullRound(ReportStream &stream, std::size_t recipients) {
+  const std::size_t rounds =
+      (recipients + RecipientsPerFullRound - 1) / RecipientsPerFullRound;
+  if (++stream.RoundsSinceFull < rounds)
+    return false;
+  stream.RoundsSinceFull = 0;
+  return true;
 }
 
-/// Inserts \p changes into \p all, which is sorted, replacing entries of equal
-/// key.
-template <typename T>
-void mergeInto(std::vector<T> &all, std::span<const T> changes,
-               bool (*less)(const T &, const T &)) {
-  for (const T &c : changes) {
-    const auto it = std::lower_bound(all.begin(), all.end(), c, less);
-    if (it != all.end() && !less(c, *it))
-      *it = c;
-    else
-      all.insert(it, c);
+void onRoundTimer(void *ctx, Time now) {
+  Gossip &gossip = *static_cast<Gossip *>(ctx);
+  arm(gossip.Owner->EventLoop, gossip.RoundTimer, now + RoundPeriod);
+  if (gossip.IsCoordinator) {
+    const std::size_t peers = gossip.OtherCoordinators.size();
+    sendToCoordinators(gossip,
+                       nextReport(gossip, gossip.ToCoordinators,
+                                  makeGroupReport(gossip),
+                                  isFullRound(gossip.ToCoordinators, peers)));
+    if (const std::size_t members = memberCount(gossip); members > 0)
+      sendToMembers(gossip,
+                    nextReport(gossip, gossip.ToMembers, makeSummary(gossip),
+                               isFullRound(gossip.ToMembers, members)));
+  } else {
+    constexpr std::size_t RecipientsForFullEachSecond = 32;
+    checkCoordinator(gossip);
+    sendOwn(gossip, isFullRound(gossip.Own, RecipientsForFullEachSecond));
   }
+  publish(gossip);
 }
 
-/// The entries of \p now that aren't in \p before or have another \p total
-/// there. Both are sorted. Comparing totals suffices because they never
-/// decrease.
-template <typename T, typename Total>
-std::vector<T> changedTotals(std::span<const T> before, std::span<const T> now,
-                             bool (*less)(const T &, const T &), Total total) {
-  std::vector<T> out;
-  for (const T &n : now) {
-    const auto it = std::lower_bound(before.begin(), before.end(), n, less);
-    if (it == before.end() || less(n, *it) || total(*it) != total(n))
-      out.push_back(n);
-  }
-  return out;
-}
+} // namespace
 
-void addToSum(std::map<EndpointId, BackendLoad> &sum, const BackendLoad &l) {
-  BackendLoad &to = sum[l.Id];
-  // Uses the slowest measurement of all fronts: the back end may have slowed
-  // down since the faster ones were made.
-  to = {l.Id, to.Running + l.Running, to.PendingTokens + l.PendingTokens,
-        std::max(to.MicrosPerEvent, l.MicrosPerEvent)};
+bool isAttached(const Gossip &gossip) {
+  const Time last = gossip.Coordinator.LastSummaryAt;
+  return !gossip.IsCoordinator && last != Time() &&
+         gossip.Owner->EventLoop.Now - last < FrontTimeout;
 }
 
-} // namespace
+std::uint32_t groupSize(const Gossip &gossip) {
+  return 1 + countFronts(gossip.MemberReports, gossip.Owner->EventLoop.Now,
+                         FrontTimeout);
+}
 
-void applyReport(GossipState &state, GossipReport rep, Time now) {
-  auto [it, inserted] = state.Peers.try_emplace(rep.Node);
-  GossipState::Peer &peer = it->second;
-  if (!inserted && peer.LastReport.Incarnation == rep.Incarnation &&
-      peer.LastReport.Heartbeat >= rep.Heartbeat)
+void sendChanges(Gossip &gossip) {
+  if (!gossip.IsCoordinator) {
+    if (!mayReport(gossip, gossip.Own, 1))
+      return; // The next change or full report includes it.
+    sendOwn(gossip, false);
     return;
-  if (!inserted && peer.LastReport.Incarnation != rep.Incarnation)
-    for (const WorkspaceSpend &s : peer.LastReport.SpendTotals)
-      state.EarlierIncarnationSpend[s.Workspace] += s.Total;
-  const bool sameincarnation =
-      !inserted && peer.LastReport.Incarnation == rep.Incarnation;
-  if (!peer.FullReportReceived)
-    for (const WorkspaceSpend &s : changedTotals<WorkspaceSpend>(
-             peer.LastReport.SpendTotals, rep.SpendTotals, byWorkspace,
-             [](const WorkspaceSpend & /*any*/) { return 0; }))
-      state.SpendBeforeFirstReport[s.Workspace] += s.Total;
-  peer.FullReportReceived = peer.FullReportReceived || rep.IsFull;
-  if (!rep.IsFull && sameincarnation) {
-    mergeInto<BackendLoad>(peer.LastReport.Loads, rep.Loads, byId);
-    mergeInto<WorkspaceSpend>(peer.LastReport.SpendTotals, rep.SpendTotals,
-                              byWorkspace);
-    mergeInto<VersionStats>(peer.LastReport.Stats, rep.Stats, byKey);
-    rep.Loads = std::move(peer.LastReport.Loads);
-    rep.SpendTotals = std::move(peer.LastReport.SpendTotals);
-    rep.Stats = std::move(peer.LastReport.Stats);
   }
-  peer.LastReport = std::move(rep);
-  peer.LastReportAt = now;
-}
-
-std::vector<BackendLoad> changedLoads(std::span<const BackendLoad> before,
-                                      std::span<const BackendLoad> now) {
-  std::vector<BackendLoad> out;
-  for (const BackendLoad &l : now) {
-    const auto it = std::lower_bound(before.begin(), before.end(), l, byId);
-    if (it == before.end() || it->Id != l.Id || it->Running != l.Running ||
-        it->PendingTokens != l.PendingTokens)
-      out.push_back(l);
+  const std::size_t peers = gossip.OtherCoordinators.size();
+  if (peers > 0 && mayReport(gossip, gossip.ToCoordinators, peers)) {
+    GossipReport all = makeGroupReport(gossip);
+    if (!changedLoads(gossip.ToCoordinators.LastReport.Loads, all.Loads)
+             .empty())
+      sendToCoordinators(gossip, nextReport(gossip, gossip.ToCoordinators,
+                                            std::move(all), false));
   }
-  for (const BackendLoad &l : before)
-    if (!std::binary_search(now.begin(), now.end(), l, byId))
-      out.push_back({l.Id, 0, 0, 0});
-  return out;
-}
-
-GossipReport changesSince(const GossipReport &lastsent,
-                          const GossipReport &now) {
-  GossipReport out = now;
-  out.IsFull = false;
-  out.Loads = changedLoads(lastsent.Loads, now.Loads);
-  out.SpendTotals = changedTotals<WorkspaceSpend>(
-      lastsent.SpendTotals, now.SpendTotals, byWorkspace,
-      [](const WorkspaceSpend &s) { return s.Total; });
-  out.Stats = changedTotals<VersionStats>(
-      lastsent.Stats, now.Stats, byKey,
-      [](const VersionStats &e) { return e.Counts.Requests; });
-  return out;
+  const std::size_t members = memberCount(gossip);
+  if (members == 0 || !mayReport(gossip, gossip.ToMembers, members))
+    return;
+  GossipReport all = makeSummary(gossip);
+  if (!changedLoads(gossip.ToMembers.LastReport.Loads, all.Loads).empty())
+    sendToMembers(gossip,
+                  nextReport(gossip, gossip.ToMembers, std::move(all), false));
 }
 
-void sendChanges(Gossip &gossip) {
+void onCoordinatorsChanged(Gossip &gossip) {
   Controllers &ct = *gossip.Owner;
-  const auto peers = static_cast<int>(peerCount(gossip));
-  if (ct.EventLoop.Now - gossip.LastSentAt < MinReportIntervalPerPeer * peers)
-    return; // The next change or full report includes it.
-  GossipReport all = makeOwnReport(gossip);
-  const GossipReport rep = changesSince(gossip.LastSentReport, all);
-  if (rep.Loads.empty())
-    return;
-  sendReport(gossip, rep);
-  gossip.LastSentReport = std::move(all);
-}
-
-std::vector<std::uint64_t>
-selectStoreReaders(std::span<const std::uint64_t> livenodes) {
-  std::vector<std::uint64_t> order(livenodes.begin(), livenodes.end());
-  std::sort(order.begin(), order.end(), [](std::uint64_t a, std::uint64_t b) {
-    return mix64(a) < mix64(b);
-  });
-  order.resize(std::min(order.size(), 1 + order.size() / FrontsPerReader));
-  return order;
-}
-
-LoadList sumPeerLoads(const GossipState &state, Time now, Duration timeout) {
-  std::map<EndpointId, BackendLoad> sum;
-  for (const auto &[node, peer] : state.Peers)
-    if (now - peer.LastReportAt <= timeout)
-      for (const BackendLoad &l : peer.LastReport.Loads)
-        addToSum(sum, l);
-  LoadList out;
-  for (const auto &[id, l] : sum)
-    out.List.push_back(l);
-  return out;
-}
-
-SpendList sumPeerSpend(const GossipState &state) {
-  std::map<WorkspaceId, std::uint64_t> sum = state.EarlierIncarnationSpend;
-  for (const auto &[node, peer] : state.Peers)
-    for (const WorkspaceSpend &s : peer.LastReport.SpendTotals)
-      sum[s.Workspace] += s.Total;
-  SpendList out;
-  for (const auto &[id, total] : sum) {
-    const auto it = state.SpendBeforeFirstReport.find(id);
-    const std::uint64_t beforefirst =
-        it == state.SpendBeforeFirstReport.end() ? 0 : it->second;
-    out.List.push_back({id, total - beforefirst, beforefirst});
+  const bool before = gossip.IsCoordinator;
+  gossip.IsCoordinator = ct.Coordinators.HoldsSlot;
+  if (before != gossip.IsCoordinator) {
+    EventLine line = eventLine("coordinates");
+    add(line, "holds_slot", std::int64_t{gossip.IsCoordinator ? 1 : 0});
+    ct.Log.write(line);
+    gossip.MemberReports = {};
+    gossip.Members.clear();
+    gossip.ToCoordinators = {};
+    gossip.ToMembers = {};
+    gossip.Coordinator = {};
   }
-  return out;
+  gossip.OtherCoordinators = coordinatorOrder(
+      ct.Coordinators.Table, ct.Settings.Node, ct.Settings.Zone);
+  if (!gossip.IsCoordinator && !isAttached(gossip))
+    setCandidates(gossip, gossip.OtherCoordinators);
 }
 
 Gossip::~Gossip() {
@@ -414,7 +612,7 @@
 
 Result<void> startGossip(Gossip &gossip) {
   Controllers &ct = *gossip.Owner;
-  gossip.Incarnation = ct.Peers.Incarnation;
+  gossip.Incarnation = ct.Coordinators.Incarnation;
   gossip.Socket.Fd =
       ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in sa = socketAddress(ct.Settings.GossipAddress);
@@ -426,12 +624,14 @@
   gossip.Socket.Fn = onDatagram;
   gossip.Socket.Ctx = &gossip;
   watch(ct.EventLoop, gossip.Socket, EPOLLIN);
-  gossip.Timer.Fn = onTimer;
-  gossip.Timer.Ctx = &gossip;
-  arm(ct.EventLoop, gossip.Timer, ct.EventLoop.Now + FullReportPeriod);
+  for (LoopTimer *t :
+       {&gossip.RoundTimer, &gossip.QueryTimer, &gossip.PublishTimer})
+    t->Ctx = &gossip;
+  gossip.RoundTimer.Fn = onRoundTimer;
   gossip.QueryTimer.Fn = onQueryTimer;
-  gossip.QueryTimer.Ctx = &gossip;
-  arm(ct.EventLoop, gossip.QueryTimer, ct.EventLoop.Now + FullReportPeriod);
+  gossip.PublishTimer.Fn = onPublishTimer;
+  arm(ct.EventLoop, gossip.RoundTimer, ct.EventLoop.Now + RoundPeriod);
+  arm(ct.EventLoop, gossip.QueryTimer, ct.EventLoop.Now + RoundPeriod);
   return {};
 }
 
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -1,5 +1,5 @@
 // Encodes and decodes gossip reports as packed Cap'n Proto messages.
-#include "zinniagauge/store/gossip.h"
+#include "zinniagauge/store/gossip_report.h"
 
 #include "gossip.capnp.h"
 
@@ -40,6 +40,70 @@
 
 } // namespace
 
+namespace {
+
+void writeSummary(wire::FrontReport::Builder out, const GossipReport &rep) {
+  out.setAcked(rep.AckedHeartbeat);
+  out.setLiving(rep.LivingFronts);
+  out.setHeard(rep.HeardFronts);
+  auto coordinators =
+      out.initCoordinators(static_cast<unsigned>(rep.Coordinators.size()));
+  for (unsigned n = 0; n < coordinators.size(); ++n) {
+    const CoordinatorRow &row = rep.Coordinators[n];
+    coordinators[n].setNode(row.Node);
+    coordinators[n].setZone(row.Zone);
+    coordinators[n].setIp(row.Address.Ip);
+    coordinators[n].setPort(row.Address.Port);
+  }
+  auto slots =
+      out.initVacantSlots(static_cast<unsigned>(rep.VacantSlots.size()));
+  for (unsigned n = 0; n < slots.size(); ++n) {
+    slots[n].setKey(rep.VacantSlots[n].Key);
+    slots[n].setRow(rep.VacantSlots[n].ExpectedVersion);
+  }
+  out.setMovesKnown(rep.Moves.has_value());
+  if (!rep.Moves)
+    return;
+  auto moves = out.initMoves(static_cast<unsigned>(rep.Moves->size()));
+  for (unsigned n = 0; n < moves.size(); ++n) {
+    const PoolMove &m = (*rep.Moves)[n];
+    moves[n].setPool(m.Pool.Value);
+    moves[n].setId(m.Id.Value);
+    moves[n].setVersion(m.NewVersion.Value);
+    moves[n].setStage(static_cast<std::uint8_t>(m.Stage));
+    moves[n].setPermille(static_cast<std::uint16_t>(m.SharePermille));
+  }
+}
+
+/// Reads the fields of a summary. Returns false if a value isn't known.
+bool readSummary(wire::FrontReport::Reader in, GossipReport &rep) {
+  rep.AckedHeartbeat = in.getAcked();
+  rep.LivingFronts = in.getLiving();
+  rep.HeardFronts = in.getHeard();
+  for (const auto c : in.getCoordinators()) {
+    CoordinatorRow row;
+    row.Node = c.getNode().cStr();
+    row.Zone = c.getZone().cStr();
+    row.Address = {c.getIp(), c.getPort()};
+    rep.Coordinators.push_back(std::move(row));
+  }
+  for (const auto s : in.getVacantSlots())
+    rep.VacantSlots.push_back({s.getKey().cStr(), s.getRow()});
+  if (!in.getMovesKnown())
+    return true;
+  rep.Moves.emplace();
+  for (const auto m : in.getMoves()) {
+    if (m.getStage() >= MoveStageCount)
+      return false;
+    rep.Moves->push_back(
+        {PoolId{m.getPool()}, MoveId{m.getId()}, VersionId{m.getVersion()},
+         static_cast<MoveStage>(m.getStage()), m.getPermille()});
+  }
+  return true;
+}
+
+} // namespace
+
 std::string encodeReport(const GossipReport &rep) {
   capnp::MallocMessageBuilder msg;
   auto out = msg.initRoot<wire::FrontReport>();
@@ -53,6 +117,10 @@
   out.setDigestAgeMs(rep.BackendsDigestAgeMs);
   out.setAsk(rep.QuerySentAt);
   out.setEcho(rep.EchoedQuerySentAt);
+  out.setKind(static_cast<std::uint8_t>(rep.Kind));
+  out.setGroupSize(rep.GroupSize);
+  if (rep.Kind == ReportKind::Summary)
+    writeSummary(out, rep);
   auto loads = out.initLoads(static_cast<unsigned>(rep.Loads.size()));
   for (unsigned n = 0; n < loads.size(); ++n) {
     loads[n].setBackend(rep.Loads[n].Id.Value);
@@ -94,6 +162,12 @@
     report.BackendsDigestAgeMs = rep.getDigestAgeMs();
     report.QuerySentAt = rep.getAsk();
     report.EchoedQuerySentAt = rep.getEcho();
+    if (rep.getKind() > static_cast<std::uint8_t>(ReportKind::Summary))
+      return;
+    report.Kind = static_cast<ReportKind>(rep.getKind());
+    report.GroupSize = rep.getGroupSize();
+    if (!readSummary(rep, report))
+      return;
     for (const auto l : rep.getLoads())
       report.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
                               l.getPendingTokens(), l.getEventMicros()});
--- a/src/store/pool_move_controller.cpp
+++ b/src/store/pool_move_controller.cpp
@@ -62,6 +62,8 @@
 
 void publish(PoolMoveController &mc) {
   Controllers &ct = *mc.Owner;
+  if (isAttached(ct.PeerGossip))
+    return; // The coordinator's summaries say what the moves are.
   PoolMoveList now = currentMoves(mc);
   const PoolMoveList before = ct.Board.PoolMoves.copy();
   if (now.List == before.List)
@@ -109,8 +111,10 @@
 void evaluateNewVersions(PoolMoveController &mc) {
   Controllers &ct = *mc.Owner;
   VersionStatsList all = ct.Board.OwnStats.copy();
-  for (const auto &[node, peer] : ct.PeerGossip.PeerReports.Peers)
-    addVersionStats(all, peer.LastReport.Stats);
+  for (const GossipState *reports :
+       {&ct.PeerGossip.PeerReports, &ct.PeerGossip.MemberReports})
+    for (const auto &[node, peer] : reports->Peers)
+      addVersionStats(all, peer.LastReport.Stats);
   for (VersionStats &e : all.Rows) {
     const auto it = mc.Orders.find(e.Key.Pool);
     if (it != mc.Orders.end() && e.Key.Version != it->second.NewVersion)
@@ -221,6 +225,10 @@
 
 void onTimer(void *ctx, Time now) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
+  if (isAttached(mc.Owner->PeerGossip)) {
+    arm(mc.Owner->EventLoop, mc.Timer, now + ReadPeriod);
+    return;
+  }
   evaluateNewVersions(mc);
   if (mc.LastReadAt != Time())
     publish(mc);
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -42,7 +42,7 @@
   std::string Body;
   LoopTimer EventTimer; // Sends the next event, or DelayedResponse.
   std::string DelayedResponse;
-  int NextEvent = 0;    // Id of the next event to send.
+  int NextEvent = 0; // Id of the next event to send.
 };
 
 /// A call that arrived at an engine.
--- a/tests/support/consortium_rows.cpp
+++ b/tests/support/consortium_rows.cpp
@@ -77,6 +77,7 @@
           {"allowance_overage", 0.1},
           {"allowance_slack", 1000},
           {"stop_s", 8},
+          {"cpu_share", 1},
           {"descriptors", 512}};
 }
 
--- a/tests/unit/allowance_test.cpp
+++ b/tests/unit/allowance_test.cpp
@@ -1,5 +1,5 @@
-// Tests of the split of workspace allowances over processes, and of their
-// buckets.
+// Tests of workspace allowances over processes that hear all others, or only
+// some of them.
 #include "zinniagauge/decide/allowance.h"
 #include "zinniagauge/decide/random.h"
 
@@ -24,55 +24,193 @@
   return w;
 }
 
-PeerDemand peer(const char *name, std::uint64_t beat, double cost) {
-  return {name, {}, 1, beat, {{WorkspaceId::of("w"), cost}}};
+PeerSpending heard(std::uint64_t total = 0, std::uint64_t before = 0) {
+  return {1.0, total, before};
 }
 
-double shareIn(const AllowanceShares &sh) {
-  return sh.List.empty() ? sh.DefaultShare : sh.List.front().Share;
-}
+constexpr AllowanceMargin Margin{seconds(8), 0.1, 140'000};
+
+/// Processes in zones that may be cut off from each other. What one process
+/// spends is known to those that it can reach after ReportDelay; a cut is
+/// noticed after PeerReportTimeout.
+struct Fleet {
+  static constexpr Duration ReportDelay = milliseconds(80);
+  struct Spend {
+    Time At;
+    std::size_t Process = 0;
+    double Cost = 0;
+  };
+
+  Fleet(std::size_t processes, std::size_t zones, PlanWorkspace workspace)
+      : Ws(std::move(workspace)), Buckets(processes), Zones(zones),
+        CutSince(zones), IsCut(zones) {}
+
+  [[nodiscard]] std::size_t zoneOf(std::size_t process) const {
+    return process % Zones;
+  }
+
+  /// Whether \p a knows at \p now what \p b reported at \p at.
+  [[nodiscard]] bool knows(std::size_t a, std::size_t b, Time at,
+                           Time now) const {
+    if (at + ReportDelay > now)
+      return false;
+    const std::size_t za = zoneOf(a);
+    const std::size_t zb = zoneOf(b);
+    if (za == zb)
+      return true;
+    const auto blocked = [&](std::size_t z) {
+      return IsCut[z] && at + ReportDelay > CutSince[z];
+    };
+    return !blocked(za) && !blocked(zb);
+  }
+
+  [[nodiscard]] PeerSpending viewOf(std::size_t a, Time now) const {
+    double total = 0;
+    for (std::size_t b = 0; b < Buckets.size(); ++b) {
+      if (b == a)
+        continue;
+      // Totals are monotone: the newest known entry stands for those before.
+      double sum = 0;
+      double known = 0;
+      for (const Spend &s : History)
+        if (s.Process == b) {
+          sum += s.Cost;
+          if (knows(a, b, s.At, now))
+            known = sum;
+        }
+      total += known;
+    }
+    std::size_t reached = 0;
+    for (std::size_t b = 0; b < Buckets.size(); ++b) {
+      const std::size_t za = zoneOf(a);
+      const std::size_t zb = zoneOf(b);
+      const auto noticed = [&](std::size_t z) {
+        return IsCut[z] && now - CutSince[z] > PeerReportTimeout;
+      };
+      reached += za == zb || (!noticed(za) && !noticed(zb)) ? 1 : 0;
+    }
+    return {static_cast<double>(reached) / static_cast<double>(Buckets.size()),
+            static_cast<std::uint64_t>(total), 0};
+  }
+
+  /// Updates the buckets of all processes, as these do every half a second.
+  void updateAll(Time now) {
+    if (now - UpdatedAt < milliseconds(500))
+      return;
+    UpdatedAt = now;
+    for (std::size_t a = 0; a < Buckets.size(); ++a)
+      updateAllowance(Buckets[a], Ws, viewOf(a, now), Margin, now);
+  }
+
+  bool take(std::size_t a, double cost, Time now) {
+    updateAll(now);
+    if (takeAllowance(Buckets[a], Ws, viewOf(a, now), Margin, cost, now))
+      return false;
+    History.push_back({now, a, cost});
+    return true;
+  }
+
+  [[nodiscard]] double spentSince(Time from) const {
+    double sum = 0;
+    for (const Spend &s : History)
+      if (s.At >= from)
+        sum += s.Cost;
+    return sum;
+  }
+
+  PlanWorkspace Ws;
+  std::vector<AllowanceState> Buckets;
+  std::size_t Zones;
+  std::vector<Time> CutSince;
+  std::vector<bool> IsCut;
+  std::vector<Spend> History;
+  Time UpdatedAt;
+};
 
 } // namespace
 
-TEST_CASE("shares of all processes add up to one", "[allowance]") {
-  PeerDemandTable table;
-  const std::vector<PeerDemand> read = {peer("a", 1, 100), peer("b", 1, 0),
-                                        peer("c", 1, 300)};
-  updatePeers(table, read, Time(seconds(1)));
-  double sum = 0;
-  for (const char *name : {"a", "b", "c"})
-    // Demand measured now doesn't count until all processes have read it.
-    sum += shareIn(computeShares(
-        table, name, std::vector<Demand>{{WorkspaceId::of("w"), 9999}}));
-  CHECK(sum == Approx(1.0));
+TEST_CASE("cut zones together stay within the limit of any window",
+          "[allowance]") {
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  const double limit = (90'000.0 * 8 + 90'000) * 1.1 + 140'000;
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    std::uint64_t rnd = seed;
+    Fleet fleet(9, 3, ws);
+    Time now(seconds(10));
+    for (int n = 0; n < 700; ++n) {
+      now += milliseconds(randomBelow(rnd, 60));
+      if (randomBelow(rnd, 60) == 0) {
+        const std::size_t zone = randomBelow(rnd, fleet.Zones);
+        fleet.IsCut[zone] = !fleet.IsCut[zone];
+        fleet.CutSince[zone] = now;
+      }
+      // Demand is about twice the limit, and moves between zones.
+      const std::size_t process =
+          randomBelow(rnd, 3) * 3 + static_cast<std::size_t>(n / 100) % 3;
+      const double cost = 1000.0 + static_cast<double>(randomBelow(rnd, 9000));
+      static_cast<void>(fleet.take(process, cost, now));
+      INFO("seed " << seed << ", step " << n);
+      REQUIRE(fleet.spentSince(now - Margin.Window) <= limit);
+    }
+  }
 }
 
-TEST_CASE("a process without demand keeps a part of its even share",
+TEST_CASE("a cut zone spends its fraction, and a second after it returns no "
+          "process is refused",
           "[allowance]") {
-  PeerDemandTable table;
-  const std::vector<PeerDemand> read = {peer("a", 1, 100), peer("b", 1, 0)};
-  updatePeers(table, read, Time(seconds(1)));
-  CHECK(shareIn(computeShares(table, "b", {})) ==
-        Approx(EvenShareFraction / 2));
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  Fleet fleet(9, 3, ws);
+  Time now(seconds(10));
+  const auto serve = [&](Duration span, double fraction) {
+    // All processes have equal demand: \p fraction of the limit in all.
+    const Time end = now + span;
+    int refused = 0;
+    for (std::size_t n = 0; now < end; ++n, now += milliseconds(10))
+      refused += fleet.take(n % 9, 900 * fraction, now) ? 0 : 1;
+    return refused;
+  };
+  CHECK(serve(seconds(4), 0.8) == 0);
+  fleet.IsCut[0] = true;
+  fleet.CutSince[0] = now;
+  // Each side may spend its part, which its equal demand doesn't exceed.
+  CHECK(serve(seconds(6), 0.8) == 0);
+  fleet.IsCut[0] = false;
+  static_cast<void>(serve(seconds(1), 0.8));
+  CHECK(serve(seconds(4), 0.8) == 0);
 }
 
-TEST_CASE("a process that publishes nothing counts until it can't serve keys "
-          "any more",
+TEST_CASE("a process that rarely serves a workspace knows its true level",
           "[allowance]") {
-  PeerDemandTable table;
-  updatePeers(table, std::vector{peer("a", 1, 1), peer("b", 1, 1)},
-              Time(seconds(1)));
-  updatePeers(table, std::vector{peer("a", 2, 1), peer("b", 1, 1)},
-              Time(seconds(9)));
-  CHECK(computeShares(table, "a", {}).AliveProcesses == 2);
-  updatePeers(table, std::vector{peer("a", 3, 1), peer("b", 1, 1)},
-              Time(seconds(11)));
-  CHECK(computeShares(table, "a", {}).AliveProcesses == 1);
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceState st;
+  Time now(seconds(10));
+  initAllowance(st, ws, heard(), Margin, now);
+  // The others spend half of the rate for a minute.
+  std::uint64_t total = 0;
+  for (int n = 0; n < 120; ++n) {
+    now += milliseconds(500);
+    total += 22'500;
+    updateAllowance(st, ws, heard(total), Margin, now);
+  }
+  CHECK_FALSE(takeAllowance(st, ws, heard(total), Margin, 9'000, now));
+}
+
+TEST_CASE("a process that was alone recovers as soon as it is heard again",
+          "[allowance]") {
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceState st;
+  Time now(seconds(10));
+  initAllowance(st, ws, heard(), Margin, now);
+  now += seconds(10);
+  // One of 300: a single call uses up many times its share.
+  static_cast<void>(
+      takeAllowance(st, ws, {1.0 / 300, 0, 0}, Margin, 9'000, now));
+  CHECK(takeAllowance(st, ws, {1.0 / 300, 0, 0}, Margin, 9'000, now));
+  CHECK_FALSE(takeAllowance(st, ws, heard(), Margin, 9'000, now));
 }
 
 TEST_CASE("the cost spent in any window stays within the tolerance",
           "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
   const double limit = (90'000.0 * 8 + 90'000) * 1.1 + 140'000;
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
@@ -84,11 +222,11 @@
     for (int n = 0; n < 4000; ++n) {
       now += milliseconds(randomBelow(rnd, 40));
       const double cost = 200.0 + static_cast<double>(randomBelow(rnd, 30'000));
-      if (takeAllowance(bucket, ws, 1.0, {}, margin, cost, now))
+      if (takeAllowance(bucket, ws, {}, Margin, cost, now))
         continue;
       spent.emplace_back(now, cost);
       sum += cost;
-      while (now - spent.front().first > margin.Window) {
+      while (now - spent.front().first > Margin.Window) {
         sum -= spent.front().second;
         spent.pop_front();
       }
@@ -98,78 +236,64 @@
 }
 
 TEST_CASE("cost within the limit isn't refused", "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
   AllowanceState bucket;
   Time now(seconds(10));
   for (int n = 0; n < 2000; ++n) {
     now += milliseconds(100);
-    REQUIRE_FALSE(takeAllowance(bucket, ws, 1.0, {}, margin, 9'000, now));
+    REQUIRE_FALSE(takeAllowance(bucket, ws, {}, Margin, 9'000, now));
   }
 }
 
 TEST_CASE("a workspace without a limit is never refused", "[allowance]") {
   AllowanceState bucket;
   CHECK_FALSE(
-      takeAllowance(bucket, workspace(0, 0), 0, {}, {}, 1e9, Time(seconds(1))));
+      takeAllowance(bucket, workspace(0, 0), {}, {}, 1e9, Time(seconds(1))));
 }
 
-TEST_CASE("while all peers report, the cost spent by all decides",
+TEST_CASE("while all processes are heard, the cost spent by all decides",
           "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
-  const double size = bucketSize(ws, margin);
+  const double size = bucketSize(ws, Margin);
   AllowanceState st;
   const Time now(seconds(10));
-  // A share of a tenth doesn't limit while the others leave enough.
-  CHECK_FALSE(takeAllowance(st, ws, 0.1, {true, 0}, margin, size / 2, now));
+  initAllowance(st, ws, heard(), Margin, now);
+  CHECK_FALSE(takeAllowance(st, ws, heard(), Margin, size / 2, now));
   // Cost that is reported again is charged only once.
   const auto peers = static_cast<std::uint64_t>(size / 2);
-  CHECK(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000, now));
-  CHECK(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000, now));
-  CHECK_FALSE(takeAllowance(st, ws, 0.1, {true, peers}, margin, 1000,
-                            now + seconds(1)));
+  CHECK(takeAllowance(st, ws, heard(peers), Margin, 1000, now));
+  CHECK(takeAllowance(st, ws, heard(peers), Margin, 1000, now));
+  CHECK_FALSE(
+      takeAllowance(st, ws, heard(peers), Margin, 1000, now + seconds(1)));
 }
 
-TEST_CASE("a process without reports from peers spends only its share",
+TEST_CASE("a process that hears no other spends only its share",
           "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
-  const double size = bucketSize(ws, margin);
+  const double size = bucketSize(ws, Margin);
   AllowanceState st;
   const Time now(seconds(10));
-  CHECK_FALSE(takeAllowance(st, ws, 0.1, {false, 0}, margin, size / 20, now));
-  CHECK(takeAllowance(st, ws, 0.1, {false, 0}, margin, size / 12, now));
+  initAllowance(st, ws, heard(), Margin, now);
+  CHECK_FALSE(takeAllowance(st, ws, {0.1, 0, 0}, Margin, size / 20, now));
+  CHECK(takeAllowance(st, ws, {0.1, 0, 0}, Margin, size / 12, now));
 }
 
 TEST_CASE("a process that joins isn't charged for cost spent before",
           "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
   const PlanWorkspace ws = workspace(90'000, 90'000);
   AllowanceState st;
   const Time now(seconds(10));
-  const PeerSpending past{true, 0, 50'000'000};
-  CHECK_FALSE(takeAllowance(st, ws, 0.2, past, margin, 5'000, now));
+  const PeerSpending past = heard(0, 50'000'000);
+  CHECK_FALSE(takeAllowance(st, ws, past, Margin, 5'000, now));
   // Cost reported after that is charged.
-  const PeerSpending later{true, 1'000'000, 50'000'000};
-  CHECK(takeAllowance(st, ws, 0.2, later, margin, 5'000, now));
+  const PeerSpending later = heard(1'000'000, 50'000'000);
+  CHECK(takeAllowance(st, ws, later, Margin, 5'000, now));
 }
 
-TEST_CASE(
-    "calls before the first peer reports leave no debt in the global bucket",
-    "[allowance]") {
-  const AllowanceMargin margin{seconds(8), 0.1, 140'000};
+TEST_CASE("a process that hears few others starts with a low level",
+          "[allowance]") {
   const PlanWorkspace ws = workspace(90'000, 90'000);
-  const double size = bucketSize(ws, margin);
   AllowanceState st;
-  const Time now(seconds(10));
-  // Without reports its share applies, and the level of the global bucket isn't
-  // known.
-  CHECK_FALSE(takeAllowance(st, ws, 0.05, {}, margin, 100, now));
-  // Once peers report, it has the initial level of a process that joins, less
-  // the cost of this call.
-  const PeerSpending heard{true, 0, 50'000'000};
-  CHECK_FALSE(takeAllowance(st, ws, 0.05, heard, margin, 100, now));
-  CHECK(st.GlobalBucket.Level ==
-        Approx(size * InitialLevelFraction).epsilon(0.01));
+  initAllowance(st, ws, {0.05, 0, 0}, Margin, Time(seconds(10)));
+  CHECK(st.Level == Approx(bucketSize(ws, Margin) * InitialLevelFraction));
 }
--- /dev/null
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -0,0 +1,294 @@
+// The exchange between coordinators and members, with real datagrams on fake
+// time: who sends to whom, what is summed up, and how a silent coordinator is
+// replaced.
+#include "zinniagauge/net/socket_address.h"
+#include "zinniagauge/store/controllers.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <memory>
+
+using namespace zinniagauge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Another front: a UDP socket on a port that the system chooses.
+struct OtherFront {
+  std::string Name;
+  int Fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  PeerAddress Address;
+  std::uint64_t Heartbeat = 0;
+
+  explicit OtherFront(std::string name) : Name(std::move(name)) {
+    sockaddr_in sa = socketAddress({INADDR_LOOPBACK, 0});
+    socklen_t len = sizeof sa;
+    REQUIRE(::bind(Fd, reinterpret_cast<sockaddr *>(&sa), len) == 0);
+    REQUIRE(::getsockname(Fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0);
+    Address = {INADDR_LOOPBACK, ntohs(sa.sin_port)};
+  }
+  OtherFront(const OtherFront &) = delete;
+  OtherFront &operator=(const OtherFront &) = delete;
+  ~OtherFront() { ::close(Fd); }
+
+  /// Receives all pending reports.
+  [[nodiscard]] std::vector<GossipReport> takeReports() const {
+    std::vector<GossipReport> out;
+    std::array<char, 16384> buf{};
+    for (ssize_t n = ::recv(Fd, buf.data(), buf.size(), 0); n > 0;
+         n = ::recv(Fd, buf.data(), buf.size(), 0)) {
+      auto rep =
+          decodeReport(std::span(buf.data(), static_cast<std::size_t>(n)));
+      REQUIRE(rep);
+      out.push_back(std::move(*rep));
+    }
+    return out;
+  }
+
+  /// A report of two running calls at back end 7.
+  [[nodiscard]] GossipReport report(ReportKind kind) {
+    GossipReport rep;
+    rep.Node = nameHash(Name);
+    rep.Incarnation = 1;
+    rep.Heartbeat = ++Heartbeat;
+    rep.Kind = kind;
+    rep.Loads = {{EndpointId{7}, 2, 100, 0}};
+    return rep;
+  }
+};
+
+CoordinatorRow rowOf(const OtherFront &front, std::uint32_t slot) {
+  CoordinatorRow row;
+  row.Key = slotKey("z", slot);
+  row.Zone = "z";
+  row.Node = front.Name;
+  row.Address = front.Address;
+  row.GroupSize = 1;
+  return row;
+}
+
+StoreRequest noRequest(StoreTable /*table*/, std::string_view /*from*/) {
+  return {"GET", "/", {}};
+}
+
+Result<TableReadResult> noRows(const StoreResponse & /*response*/) {
+  return fail({ErrorCode::Unavailable, Step::Platform, "store", "test"});
+}
+
+/// The front under test.
+struct TestedFront {
+  FrontBoard Board;
+  FrontSettings Settings;
+  EventLog Log{"front", EventLevel::Changes};
+  FrontMetrics Metrics;
+  StoreProtocol Protocol;
+  std::unique_ptr<Controllers> Ct;
+  PeerAddress Address;
+
+  TestedFront() {
+    Settings.Node = "front-1";
+    Settings.Zone = "z";
+    Settings.GossipAddress = {INADDR_LOOPBACK, 0};
+    Protocol.ReadRequest = noRequest;
+    Protocol.ParseRows = noRows;
+    Ct = std::make_unique<Controllers>(Board, Protocol, Settings, Log, Metrics);
+    Ct->OnChange = [] {};
+    REQUIRE(openLoop(Ct->EventLoop));
+    Ct->Coordinators.Owner = Ct.get();
+    setUpStoreConnection(Ct->Coordinators.Connection, Ct->EventLoop, {});
+    Ct->PeerGossip.Owner = Ct.get();
+    Ct->EventLoop.Now = Time(seconds(100));
+    REQUIRE(startGossip(Ct->PeerGossip));
+    sockaddr_in sa{};
+    socklen_t len = sizeof sa;
+    REQUIRE(::getsockname(Ct->PeerGossip.Socket.Fd,
+                          reinterpret_cast<sockaddr *>(&sa), &len) == 0);
+    Address = {INADDR_LOOPBACK, ntohs(sa.sin_port)};
+  }
+
+  void setCoordinators(std::span<const CoordinatorRow> rows, bool holdsslot) {
+    updateCoordinators(Ct->Coordinators.Table, rows, Ct->EventLoop.Now);
+    Ct->Coordinators.HoldsSlot = holdsslot;
+    onCoordinatorsChanged(Ct->PeerGossip);
+  }
+
+  void receive(const OtherFront &from, const GossipReport &rep) const {
+    const std::string raw = encodeReport(rep);
+    const sockaddr_in sa = socketAddress(Address);
+    REQUIRE(::sendto(from.Fd, raw.data(), raw.size(), 0,
+                     reinterpret_cast<const sockaddr *>(&sa),
+                     sizeof sa) == static_cast<ssize_t>(raw.size()));
+    Ct->PeerGossip.Socket.Fn(Ct->PeerGossip.Socket.Ctx, EPOLLIN);
+  }
+
+  /// Advances the fake time by \p span and runs the timers that are due.
+  void advance(Duration span) const {
+    Loop &lp = Ct->EventLoop;
+    const Time end = lp.Now + span;
+    while (!lp.ArmedTimers.empty() && lp.ArmedTimers.begin()->Deadline <= end) {
+      LoopTimer &t = *lp.ArmedTimers.begin();
+      lp.Now = t.Deadline;
+      disarm(lp, t);
+      t.Fn(t.Ctx, lp.Now);
+    }
+    lp.Now = end;
+  }
+
+  [[nodiscard]] std::uint32_t runningAt(std::uint64_t backend) const {
+    return findLoad(Board.PeerLoads.copy(), EndpointId{backend}).Running;
+  }
+};
+
+/// The three coordinators of a zone.
+struct Coordinators {
+  std::array<OtherFront, 3> Fronts = {OtherFront("c-0"), OtherFront("c-1"),
+                                      OtherFront("c-2")};
+
+  [[nodiscard]] std::vector<CoordinatorRow> rows() const {
+    std::vector<CoordinatorRow> out;
+    for (std::uint32_t n = 0; n < Fronts.size(); ++n)
+      out.push_back(rowOf(Fronts[n], n));
+    return out;
+  }
+
+  /// The index of the one that has received reports since the last call, or -1;
+  /// no two of them may have.
+  [[nodiscard]] int reportedTo() const {
+    int out = -1;
+    for (int n = 0; n < 3; ++n)
+      if (!Fronts[static_cast<std::size_t>(n)].takeReports().empty()) {
+        CHECK(out == -1);
+        out = n;
+      }
+    return out;
+  }
+};
+
+GossipReport summaryOf(OtherFront &front, std::uint64_t acked) {
+  GossipReport rep = front.report(ReportKind::Summary);
+  rep.AckedHeartbeat = acked;
+  rep.LivingFronts = 300;
+  rep.HeardFronts = 299;
+  return rep;
+}
+
+} // namespace
+
+TEST_CASE("a front that isn't a coordinator reports to one of them only",
+          "[gossip]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), false);
+  const int first = c.reportedTo();
+  REQUIRE(first >= 0);
+  for (int n = 0; n < 20; ++n) {
+    OtherFront &to = c.Fronts[static_cast<std::size_t>(first)];
+    f.receive(to, summaryOf(to, 0));
+    f.advance(milliseconds(250));
+    CHECK(c.reportedTo() == first);
+  }
+  CHECK(f.Board.LivingFronts == 300);
+  CHECK(f.Board.HeardFronts == 299);
+  CHECK(f.runningAt(7) == 2);
+  CHECK_FALSE(f.Board.IsStoreReader);
+}
+
+TEST_CASE("a silent coordinator is replaced within a second", "[gossip]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), false);
+  const int first = c.reportedTo();
+  OtherFront &to = c.Fronts.at(static_cast<std::size_t>(first));
+  f.receive(to, summaryOf(to, 0));
+  int next = first;
+  Duration waited{};
+  while (next == first || next == -1) {
+    f.advance(milliseconds(50));
+    waited += milliseconds(50);
+    REQUIRE(waited <= seconds(1));
+    next = c.reportedTo();
+  }
+  // The successor's summary counts from now on; a late one of the former
+  // doesn't, or its calls would be counted twice.
+  OtherFront &successor = c.Fronts.at(static_cast<std::size_t>(next));
+  f.receive(successor, summaryOf(successor, 0));
+  GossipReport late = summaryOf(to, 0);
+  late.Loads[0].Running = 50;
+  f.receive(to, late);
+  f.advance(milliseconds(20));
+  CHECK(f.runningAt(7) == 2);
+}
+
+TEST_CASE("a front's own calls aren't counted as those of others", "[gossip]") {
+  TestedFront f;
+  Coordinators c;
+  LoadList own;
+  own.List = {{EndpointId{7}, 3, 40, 0}};
+  f.Board.OwnLoads.publish(std::move(own));
+  f.setCoordinators(c.rows(), false);
+  const auto n = static_cast<std::size_t>([&] {
+    for (int k = 0; k < 3; ++k) {
+      const auto reps = c.Fronts.at(static_cast<std::size_t>(k)).takeReports();
+      if (!reps.empty()) {
+        CHECK(reps.back().Loads.front().Running == 3);
+        c.Fronts.at(static_cast<std::size_t>(k)).Heartbeat =
+            reps.back().Heartbeat;
+        return k;
+      }
+    }
+    return 0;
+  }());
+  OtherFront &to = c.Fronts.at(n);
+  GossipReport rep = summaryOf(to, to.Heartbeat);
+  rep.Loads[0].Running = 5; // Three of this front and two of others.
+  f.receive(to, rep);
+  f.advance(milliseconds(20));
+  CHECK(f.runningAt(7) == 2);
+}
+
+TEST_CASE("a coordinator sums up its group for others, and all for members",
+          "[gossip]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), true);
+  std::vector<std::unique_ptr<OtherFront>> members;
+  for (int n = 0; n < 10; ++n)
+    members.push_back(std::make_unique<OtherFront>("m-" + std::to_string(n)));
+  for (int round = 0; round < 8; ++round) {
+    for (const auto &m : members)
+      f.receive(*m, m->report(ReportKind::Member));
+    for (OtherFront &front : c.Fronts) {
+      GossipReport rep = front.report(ReportKind::Group);
+      rep.GroupSize = 20;
+      f.receive(front, rep);
+    }
+    f.advance(milliseconds(250));
+  }
+  for (const OtherFront &front : c.Fronts) {
+    std::uint32_t running = 0;
+    for (const GossipReport &rep : front.takeReports())
+      if (rep.Kind == ReportKind::Group && rep.IsFull) {
+        running = rep.Loads.front().Running;
+        CHECK(rep.GroupSize == 11);
+      }
+    CHECK(running == 20);
+  }
+  for (const auto &m : members) {
+    const auto reps = m->takeReports();
+    REQUIRE_FALSE(reps.empty());
+    CHECK(reps.back().AckedHeartbeat >= m->Heartbeat - 1);
+    CHECK(reps.back().HeardFronts == 71);
+  }
+  CHECK(f.runningAt(7) == 26);
+  // Members that fall silent stop counting.
+  for (int round = 0; round < 8; ++round)
+    f.advance(milliseconds(250));
+  CHECK(f.runningAt(7) == 0);
+  CHECK(f.Board.HeardFronts == 1);
+}
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -1,6 +1,6 @@
 // Gossip reports: encoding, partial reports, totals, and the choice of readers.
 #include "zinniagauge/decide/random.h"
-#include "zinniagauge/store/gossip.h"
+#include "zinniagauge/store/gossip_report.h"
 
 #include <catch2/catch.hpp>
 
@@ -115,7 +115,7 @@
   std::vector<std::uint64_t> many(68);
   for (std::size_t n = 0; n < many.size(); ++n)
     many[n] = n + 1;
-  CHECK(selectStoreReaders(many).size() == 5);
+  CHECK(selectStoreReaders(many).size() == 9);
 }
 
 TEST_CASE("unchanged spend and statistics are sent once and kept by receivers",
@@ -196,3 +196,81 @@
   CHECK(sumPeerSpend(state).List.front().Total == 50);
   CHECK(sumPeerSpend(state).List.front().BeforeFirstReport == 5'000);
 }
+
+TEST_CASE("a decoded summary equals the encoded one", "[gossip]") {
+  GossipReport rep = report(1, 2, 3, 4);
+  rep.Kind = ReportKind::Summary;
+  rep.AckedHeartbeat = 77;
+  rep.LivingFronts = 295;
+  rep.HeardFronts = 290;
+  CoordinatorRow row;
+  row.Node = "front-9";
+  row.Zone = "zone-b";
+  row.Address = {0x0a010019, 7601};
+  rep.Coordinators = {row};
+  rep.VacantSlots = {{"zone-b/1", 812}};
+  rep.Moves = {{PoolId{4}, MoveId{5}, VersionId{6}, MoveStage::Moving, 130}};
+  const auto decoded = decodeReport(encodeReport(rep));
+  REQUIRE(decoded);
+  CHECK(decoded->Kind == ReportKind::Summary);
+  CHECK(decoded->AckedHeartbeat == 77);
+  CHECK(decoded->LivingFronts == 295);
+  CHECK(decoded->HeardFronts == 290);
+  REQUIRE(decoded->Coordinators.size() == 1);
+  CHECK(decoded->Coordinators[0].Node == "front-9");
+  CHECK(decoded->Coordinators[0].Zone == "zone-b");
+  CHECK(decoded->Coordinators[0].Address == row.Address);
+  REQUIRE(decoded->VacantSlots.size() == 1);
+  CHECK(decoded->VacantSlots[0].Key == "zone-b/1");
+  CHECK(decoded->VacantSlots[0].ExpectedVersion == 812);
+  CHECK(decoded->Moves == rep.Moves);
+  rep.Moves.reset();
+  CHECK_FALSE(decodeReport(encodeReport(rep))->Moves);
+}
+
+TEST_CASE("a report with an unknown kind or stage is rejected", "[gossip]") {
+  GossipReport rep = report(1, 2, 3, 4);
+  rep.Kind = static_cast<ReportKind>(9);
+  CHECK_FALSE(decodeReport(encodeReport(rep)));
+  rep.Kind = ReportKind::Summary;
+  rep.Moves = {
+      {PoolId{4}, MoveId{5}, VersionId{6}, static_cast<MoveStage>(99), 130}};
+  CHECK_FALSE(decodeReport(encodeReport(rep)));
+}
+
+TEST_CASE("loads that were added can be subtracted again", "[gossip]") {
+  std::vector<BackendLoad> sum = {{EndpointId{2}, 1, 10, 5}};
+  const std::vector<BackendLoad> more = {{EndpointId{1}, 2, 0, 0},
+                                         {EndpointId{2}, 3, 7, 9},
+                                         {EndpointId{3}, 4, 0, 0}};
+  addLoads(sum, more);
+  REQUIRE(sum.size() == 3);
+  CHECK(sum[0] == more[0]);
+  CHECK(sum[1] == BackendLoad{EndpointId{2}, 4, 17, 9});
+  CHECK(sum[2] == more[2]);
+  const auto rest = subtractLoads(sum, more);
+  CHECK(rest[0].Running == 0);
+  CHECK(rest[1] == BackendLoad{EndpointId{2}, 1, 10, 9});
+  // An outdated own part is never more than the total.
+  CHECK(subtractLoads(more, std::vector<BackendLoad>{{EndpointId{1}, 9, 9, 0}})
+            .front()
+            .Running == 0);
+}
+
+TEST_CASE("joined spend totals never decrease when the source changes",
+          "[gossip]") {
+  SpendMeter meter;
+  const auto totalAfter = [&](std::uint64_t source, std::uint64_t total) {
+    return advance(meter, source,
+                   std::vector<WorkspaceSpend>{{WorkspaceId{5}, total}})
+        .List.front()
+        .Total;
+  };
+  CHECK(totalAfter(1, 1000) == 0); // Spent before the source was known.
+  CHECK(totalAfter(1, 1200) == 200);
+  CHECK(totalAfter(2, 50) == 200);
+  CHECK(totalAfter(2, 90) == 240);
+  CHECK(totalAfter(2, 80) == 240); // A lost report, made up for later.
+  CHECK(totalAfter(2, 100) == 250);
+  CHECK(totalAfter(1, 5000) == 250);
+}
