Spread sends over back ends, tell waiting calls, and pass lists on

Change: (1) a front assumes that a random part of the sends that it can't know yet took the cheapest places; while calls wait, the number is that of the calls that wait elsewhere, which reports now carry; up to 16 are ignored. (2) a list that a coordinator reported is read from it over HTTP. The histories now restart processes, too.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -25,6 +25,8 @@
   Cell<VersionStatsList> OwnStats; // Written by the request loop.
   Cell<LoadList> PeerLoads;        // Written by the gossip controller.
   Cell<LoadList> OwnLoads;         // Written by the request loop.
+  Cell<QueueList> PeerQueues;      // Written by the gossip controller.
+  Cell<QueueList> OwnQueues;       // Written by the request loop.
   Cell<SpendList> OwnSpend;        // Written by the request loop.
   Cell<SpendList> PeerSpend;       // Written by the gossip controller.
 
--- a/include/zinniagauge/board/load.h
+++ b/include/zinniagauge/board/load.h
@@ -26,6 +26,23 @@
   std::vector<BackendLoad> List;
 };
 
+/// The calls of one or several processes that wait for a back end of a pool.
+struct PoolQueue {
+  PoolId Pool;
+  std::uint32_t Waiting = 0;
+
+  bool operator==(const PoolQueue &) const = default;
+};
+
+/// Queues sorted by pool. A pool that isn't listed has none.
+struct QueueList {
+  std::vector<PoolQueue> List;
+};
+
+/// The calls that wait for \p pool; zero if it isn't listed.
+[[nodiscard]] std::uint32_t waitingFor(const QueueList &queues,
+                                       PoolId pool) noexcept;
+
 /// The load of \p id; zero if it isn't listed.
 [[nodiscard]] BackendLoad findLoad(const LoadList &loads,
                                    EndpointId id) noexcept;
--- a/include/zinniagauge/decide/allowance.h
+++ b/include/zinniagauge/decide/allowance.h
@@ -27,9 +27,10 @@
 /// The rest covers shares that don't add up to one while they change.
 inline constexpr double UsedMarginFraction = 0.85;
 
-/// The lowest initial level of the global bucket in a process that joins
-/// others, as a fraction of the bucket's size.
-inline constexpr double InitialLevelFraction = 0.3;
+/// The lowest initial level in a process that joins others, as a fraction of
+/// the bucket's size. What several processes that start one after the other
+/// spend of it comes on top of what the others spend.
+inline constexpr double InitialLevelFraction = 0.05;
 
 /// The size of the bucket that all processes share for \p ws: the cost that may
 /// be spent at once without exceeding the limit over a window.
@@ -59,7 +60,8 @@
   Time RecentSince;
   /// Peers' cost already taken from Level.
   std::uint64_t PeerCostApplied = 0;
-  std::uint64_t SpentTotal = 0; // Spent by this process.
+  /// Cost of this process's calls that were sent to a back end.
+  std::uint64_t SpentTotal = 0;
 };
 
 /// What is known of the other processes' spending for one workspace.
@@ -102,6 +104,11 @@
               const PeerSpending &peers, const AllowanceMargin &margin,
               double cost, Time now) noexcept;
 
+/// Counts \p cost, which was taken before, as spent. Called when the call is
+/// first sent: peers are told only of spent cost, as what they were told can't
+/// be taken back from them.
+void recordSpent(AllowanceState &st, double cost) noexcept;
+
 /// Refunds \p cost that was taken but not spent.
 void refundAllowance(AllowanceState &st, double cost) noexcept;
 
--- a/include/zinniagauge/decide/backend_choice.h
+++ b/include/zinniagauge/decide/backend_choice.h
@@ -48,6 +48,22 @@
   double TimeLeftMs = 0;     // Until the caller's deadline.
 };
 
+/// The figures of a pool from which all costs of one choice are computed.
+struct PoolSpeed {
+  double MeanMs = 1;       // Mean time per event.
+  double MaxMs = 1;        // Time per event of the slowest back end.
+  double UsedFraction = 0; // Fraction of all slots in use.
+};
+
+[[nodiscard]] PoolSpeed poolSpeed(std::span<const Candidate> list) noexcept;
+
+/// The cost of running a call at \p c, in ms: the time that it takes, and the
+/// cost for other calls. Infinite if \p c isn't usable, is contended or has no
+/// free slot.
+[[nodiscard]] double placementCost(const Candidate &c, const PoolSpeed &sp,
+                                   const CallEstimate &work,
+                                   const ChoiceWeights &wt) noexcept;
+
 /// The index of the best candidate with a free slot; nothing if there is none.
 [[nodiscard]] std::optional<std::size_t>
 chooseBackend(std::span<const Candidate> list, const CallEstimate &work,
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -99,7 +99,8 @@
   CallFacts Facts;
   CallPhase Phase = CallPhase::Waiting;
   CallRank Rank;
-  bool Queued = false; // In the queue of its pool.
+  bool CostReported = false; // Counted as spent, since it was sent once.
+  bool Queued = false;       // In the queue of its pool.
   Time QueuedSince;
   Duration QueueTime = Duration::zero(); // Total over all attempts.
   std::vector<EndpointId> TriedBackends;
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -10,6 +10,7 @@
 #include "zinniagauge/decide/outlier.h"
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/retry_window.h"
+#include "zinniagauge/decide/unseen_sends.h"
 #include "zinniagauge/front/call.h"
 #include "zinniagauge/front/front_settings.h"
 #include "zinniagauge/front/header_names.h"
@@ -82,6 +83,8 @@
 struct PoolState {
   std::vector<BackendState *> Backends;
   std::set<std::pair<CallRank, Call *>> Queue; // Calls that wait.
+  ArrivalRate Arrivals;
+  ChoicePlace Place;
   RetryWindow Retries;
   VersionSplit Split; // Split of the calls during a version move.
   ResultStats Results;
--- a/include/zinniagauge/front/status_server.h
+++ b/include/zinniagauge/front/status_server.h
@@ -32,6 +32,9 @@
 /// A server at one listening address. Its loop must outlive it.
 struct StatusServer {
   Loop *EventLoop = nullptr;
+  /// A further connection replaces the oldest. The platform checks readiness
+  /// once a second.
+  std::size_t MaxConnections = 16;
   Watch Listener;
   std::function<StatusResponse(std::string_view path)> Handler;
   std::unordered_map<StatusConnection *, std::shared_ptr<StatusConnection>>
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/decide/backend_tracker.h"
 #include "zinniagauge/decide/coordinator.h"
 #include "zinniagauge/front/front_settings.h"
+#include "zinniagauge/front/status_server.h"
 #include "zinniagauge/net/loop.h"
 #include "zinniagauge/observe/event_log.h"
 #include "zinniagauge/observe/front_metrics.h"
@@ -38,10 +39,18 @@
   Duration Backoff = Duration::zero();
 };
 
-/// Reads the list of back ends, page by page.
+/// Reads the list of back ends, page by page: from the table service, or from
+/// the front that reported a new list if this one doesn't read for others.
 struct DiscoveryController {
   Controllers *Owner = nullptr;
   StoreConnection Connection;
+  StoreConnection PeerConnection;
+  StatusServer Server;   // Passes the list on to other fronts.
+  bool FromPeer = false; // The current reading is from PeerConnection.
+  Time PeerFailedAt;     // The last reading from a peer failed then.
+  std::vector<std::string> Bodies; // Responses of the current reading.
+  /// Responses of the last complete reading, for other fronts.
+  std::vector<std::string> ServedBodies;
   LoopTimer Timer;
   std::vector<Backend> BackendsRead; // Rows of the pages read so far.
   std::string NextKey;               // First key of the next page.
@@ -102,7 +111,8 @@
                        const Error *err);
 
 void startPlanController(PlanController &pc);
-void startDiscoveryController(DiscoveryController &dc);
+/// Fails with Unavailable if the port for other fronts can't be opened.
+[[nodiscard]] Result<void> startDiscoveryController(DiscoveryController &dc);
 void startCoordinatorController(CoordinatorController &cc);
 
 /// Reads the table of coordinators now, unless that was done recently.
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -71,6 +71,7 @@
   /// Source addresses of group reports.
   std::map<std::uint64_t, PeerAddress> AddressByNode;
   Membership Coordinator;
+  PeerAddress LastResponder; // Of a coordinator's last query.
   SpendMeter PeerSpending;
   std::optional<bool> LoggedReader; // Whether this front reads for others.
 };
@@ -80,6 +81,11 @@
 /// is too recent; a later report then covers the change.
 void sendChanges(Gossip &gossip);
 
+/// The front from which to read the list of back ends that was last reported:
+/// the coordinator, or a coordinator that reads for others. Nothing if none is
+/// known.
+[[nodiscard]] std::optional<PeerAddress> backendsSource(const Gossip &gossip);
+
 /// Whether a coordinator's summaries arrive, so that this front needn't act for
 /// itself.
 [[nodiscard]] bool isAttached(const Gossip &gossip);
--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -34,6 +34,7 @@
   std::uint64_t Heartbeat = 0;
   ReportKind Kind = ReportKind::Group;
   std::vector<BackendLoad> Loads;
+  std::vector<PoolQueue> Queues; // In full, also in partial reports.
   std::vector<WorkspaceSpend> SpendTotals;
   std::vector<VersionStats> Stats; // Of pools with a running version move.
   /// Of the newest operators' row the sender knows.
@@ -110,6 +111,19 @@
 subtractLoads(std::span<const BackendLoad> total,
               std::span<const BackendLoad> own);
 
+/// Adds \p queues to \p sum; both are sorted by pool.
+void addQueues(std::vector<PoolQueue> &sum, std::span<const PoolQueue> queues);
+
+/// \p total without \p own, both sorted by pool.
+[[nodiscard]] std::vector<PoolQueue>
+subtractQueues(std::span<const PoolQueue> total,
+               std::span<const PoolQueue> own);
+
+/// The sum of the queues of all peers whose last report is at most \p timeout
+/// old.
+[[nodiscard]] QueueList sumPeerQueues(const GossipState &state, Time now,
+                                      Duration timeout);
+
 /// The sum of the loads of all peers whose last report is at most \p timeout
 /// old.
 [[nodiscard]] LoadList sumPeerLoads(const GossipState &state, Time now,
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -28,6 +28,7 @@
   vacantSlots @19 :List(FrontSlot);         # Full summary: free slots.
   moves @20 :List(FrontMove); # Summary: version moves, if movesKnown.
   movesKnown @21 :Bool;
+  queues @22 :List(FrontQueue); # Pools for which calls wait.
 }
 
 struct FrontCoordinator {
@@ -37,6 +38,11 @@
   port @3 :UInt16;
 }
 
+struct FrontQueue {
+  pool @0 :UInt64;
+  waiting @1 :UInt32;
+}
+
 struct FrontSlot {
   key @0 :Text;
   row @1 :UInt64;             # Version that the row must have when it is taken.
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(def9de05377f5711);
 CAPNP_DECLARE_SCHEMA(a3923e552bb4156d);
+CAPNP_DECLARE_SCHEMA(862591e08edf0d8e);
 CAPNP_DECLARE_SCHEMA(f3f39606d68153f1);
 CAPNP_DECLARE_SCHEMA(d141b69a3d0ef59c);
 CAPNP_DECLARE_SCHEMA(89d621d0ea5a76a1);
@@ -38,7 +39,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 11, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 11, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -60,6 +61,21 @@
   };
 };
 
+struct FrontQueue {
+  FrontQueue() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(862591e08edf0d8e, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FrontSlot {
   FrontSlot() = delete;
 
@@ -204,6 +220,9 @@
 
   inline bool getMovesKnown() const;
 
+  inline bool hasQueues() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Reader getQueues() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -322,6 +341,13 @@
   inline bool getMovesKnown();
   inline void setMovesKnown(bool value);
 
+  inline bool hasQueues();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Builder getQueues();
+  inline void setQueues( ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Builder initQueues(unsigned int size);
+  inline void adoptQueues(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>> disownQueues();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -449,6 +475,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class FrontQueue::Reader {
+public:
+  typedef FrontQueue Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontQueue::Builder {
+public:
+  typedef FrontQueue Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool();
+  inline void setPool( ::uint64_t value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontQueue::Pipeline {
+public:
+  typedef FrontQueue Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FrontSlot::Reader {
 public:
   typedef FrontSlot Reads;
@@ -1349,6 +1456,40 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FrontReport::Reader::hasQueues() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasQueues() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getQueues() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getQueues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setQueues( ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initQueues(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptQueues(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownQueues() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontQueue,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool FrontCoordinator::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1445,6 +1586,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FrontQueue::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontQueue::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontQueue::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontQueue::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontQueue::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FrontQueue::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FrontSlot::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/board/load.cpp
+++ b/src/board/load.cpp
@@ -5,6 +5,13 @@
 
 namespace zinniagauge {
 
+std::uint32_t waitingFor(const QueueList &queues, PoolId pool) noexcept {
+  for (const PoolQueue &q : queues.List)
+    if (q.Pool == pool)
+      return q.Waiting;
+  return 0;
+}
+
 BackendLoad findLoad(const LoadList &loads, EndpointId id) noexcept {
   const auto it = std::lower_bound(
       loads.List.begin(), loads.List.end(), id,
--- a/src/decide/allowance.cpp
+++ b/src/decide/allowance.cpp
@@ -82,6 +82,9 @@
   if (peers.Total > st.PeerCostApplied)
     spend(st, static_cast<double>(peers.Total - st.PeerCostApplied));
   st.PeerCostApplied = std::max(st.PeerCostApplied, peers.Total);
+  // A debt of more than a bucket would refuse calls for longer than the window
+  // lasts that it protects.
+  st.Level = std::max(st.Level, -size / st.HeardFraction);
 }
 
 void initAllowance(AllowanceState &st, const PlanWorkspace &ws,
@@ -114,7 +117,6 @@
   const double needed = std::min(scaledcost, size);
   if (st.Level >= needed && size > 0) {
     spend(st, cost);
-    st.SpentTotal += static_cast<std::uint64_t>(cost);
     return std::nullopt;
   }
   constexpr double MaxWait = 5; // Seconds; demand may change in this time.
@@ -123,8 +125,16 @@
       std::chrono::duration<double>(wait));
 }
 
+void recordSpent(AllowanceState &st, double cost) noexcept {
+  st.SpentTotal += static_cast<std::uint64_t>(cost);
+}
+
 void refundAllowance(AllowanceState &st, double cost) noexcept {
-  st.Level += cost;
+  const double assumed =
+      std::min(cost / st.HeardFraction - cost, st.AssumedCost);
+  st.Level += cost + assumed;
+  st.AssumedCost -= assumed;
+  st.RecentCost = std::max(st.RecentCost - cost, 0.0);
 }
 
 } // namespace zinniagauge
--- a/src/decide/backend_choice.cpp
+++ b/src/decide/backend_choice.cpp
@@ -1,19 +1,11 @@
 #include "zinniagauge/decide/backend_choice.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace zinniagauge {
 
-namespace {
-
-/// The figures of the pool from which all costs of one choice are computed.
-struct PoolSpeed {
-  double MeanMs = 1;       // Mean time per event.
-  double MaxMs = 1;        // Time per event of the slowest back end.
-  double UsedFraction = 0; // Fraction of all slots in use.
-};
-
-PoolSpeed speedOf(std::span<const Candidate> list) noexcept {
+PoolSpeed poolSpeed(std::span<const Candidate> list) noexcept {
   PoolSpeed sp;
   const double mean = meanEventMs(list);
   sp.MeanMs = mean > 0 ? mean : 1;
@@ -31,10 +23,13 @@
   return sp;
 }
 
-/// The cost of running the call at \p c, in ms: the time that it takes, and the
-/// cost for other calls.
-double costAt(const Candidate &c, const PoolSpeed &sp, const CallEstimate &work,
-              const ChoiceWeights &wt) noexcept {
+double placementCost(const Candidate &c, const PoolSpeed &sp,
+                     const CallEstimate &work,
+                     const ChoiceWeights &wt) noexcept {
+  constexpr double Rounding = 1e-9;
+  if (!c.Usable || c.Contended ||
+      c.Running + 1 > c.Slots * wt.MaxUtilization + Rounding)
+    return std::numeric_limits<double>::infinity();
   const double event = c.EventMs > 0 ? c.EventMs : sp.MeanMs;
   const double slowness = event / sp.MeanMs;
   const double crowd = 1 + wt.LoadSlowdown * c.Running / c.Slots;
@@ -55,8 +50,6 @@
   return cost;
 }
 
-} // namespace
-
 double meanEventMs(std::span<const Candidate> list) noexcept {
   double sum = 0;
   double count = 0;
@@ -71,17 +64,12 @@
 std::optional<std::size_t> chooseBackend(std::span<const Candidate> list,
                                          const CallEstimate &work,
                                          const ChoiceWeights &wt) noexcept {
-  const PoolSpeed sp = speedOf(list);
+  const PoolSpeed sp = poolSpeed(list);
   std::optional<std::size_t> best;
-  double bestcost = 0;
+  double bestcost = std::numeric_limits<double>::infinity();
   for (std::size_t n = 0; n < list.size(); ++n) {
-    const Candidate &c = list[n];
-    constexpr double Rounding = 1e-9;
-    if (!c.Usable || c.Contended ||
-        c.Running + 1 > c.Slots * wt.MaxUtilization + Rounding)
-      continue;
-    const double cost = costAt(c, sp, work, wt);
-    if (!best || cost < bestcost) {
+    const double cost = placementCost(list[n], sp, work, wt);
+    if (cost < bestcost) {
       best = n;
       bestcost = cost;
     }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -227,6 +227,7 @@
                   denial->RetryAfter);
     return;
   }
+  countArrival(rl.Pools[call->Plan.Pool].Arrivals, rl.EventLoop.Now);
   countFirstSend(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries,
                  rl.EventLoop.Now);
   dispatchCall(call);
@@ -272,6 +273,9 @@
   }
   call->Phase = CallPhase::Sent;
   ++call->Facts.SentAttempts;
+  if (call->Plan.Cost > 0 && !call->CostReported)
+    recordSpent(rl.Allowances[call->Plan.Workspace], call->Plan.Cost);
+  call->CostReported = true;
   arm(rl.EventLoop, call->Timer, call->Deadline);
 }
 
@@ -446,7 +450,7 @@
   call->Phase = CallPhase::Ended;
   disarm(rl.EventLoop, call->Timer);
   --rl.ActiveCalls;
-  if (end == CallEnd::Refused && call->Plan.Cost > 0)
+  if (end == CallEnd::Refused && call->Plan.Cost > 0 && !call->CostReported)
     refundAllowance(rl.Allowances[call->Plan.Workspace], call->Plan.Cost);
   countCall(rl.Metrics, call->Facts.Kind, toString(end), status);
   recordQueueTime(rl.Metrics, call->Facts.Kind, call->QueueTime);
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -16,7 +16,7 @@
 /// stops.
 constexpr std::size_t MaxSkipped = 8;
 
-/// How long it takes until other processes learn of a call that was sent.
+/// For this long after a send other processes may not know of it.
 constexpr Duration ContentionWindow = std::chrono::milliseconds(25);
 
 /// Weights of the latest measurement in the moving averages of the time per
@@ -27,6 +27,10 @@
 /// Shorter prompts say little about the time per prompt token.
 constexpr std::uint64_t MinPromptTokens = 500;
 
+/// Up to this many unseen sends are ignored: a back end that looks second best
+/// then costs more than a slot that is taken at the same time.
+constexpr double IgnoredSends = 16;
+
 double millisOf(Duration d) {
   return std::chrono::duration<double, std::milli>(d).count();
 }
@@ -112,6 +116,23 @@
         rl.Candidates[n].Usable && (fallback || matches(n));
 }
 
+/// How many calls of other processes to assume at the back ends of pool \p id
+/// beyond the known loads. While calls wait, each process that has some sees
+/// the same free slots.
+std::size_t unseenSends(RequestLoop &rl, PoolState &pool, PoolId id) {
+  const Duration delay(rl.Board.LoadDelay.load());
+  const double others = rl.Board.LivingFronts.load() - 1.0;
+  double expected = arrivalsPerSecond(pool.Arrivals, rl.EventLoop.Now) *
+                    std::chrono::duration<double>(delay).count() * others;
+  if (!pool.Queue.empty()) {
+    const ReadGuard guard;
+    const double waiting = waitingFor(rl.Board.PeerQueues.read(guard), id);
+    expected = std::max(expected, std::min(waiting, others));
+  }
+  return assumedSends(pool.Place, expected - IgnoredSends, delay,
+                      rl.EventLoop.Now, rl.RandomState);
+}
+
 bool anyUsable(const RequestLoop &rl) {
   return std::any_of(rl.Candidates.begin(), rl.Candidates.end(),
                      [](const Candidate &c) { return c.Usable; });
@@ -181,6 +202,8 @@
   work.TargetLeftMs =
       millisOf(call.Arrived + call.Plan.LatencyTarget - rl.EventLoop.Now);
   work.TimeLeftMs = millisOf(call.Deadline - rl.EventLoop.Now);
+  placeAssumedSends(rl.Candidates, work, rl.Weights,
+                    unseenSends(rl, pool, call.Plan.Pool));
   const auto at = chooseBackend(rl.Candidates, work, rl.Weights);
   return at ? rl.Backends[rl.Candidates[*at].Id].get() : nullptr;
 }
@@ -241,6 +264,7 @@
   call.Queued = true;
   call.QueuedSince = rl.EventLoop.Now;
   poolOf(rl, call.Plan.Pool).Queue.emplace(call.Rank, &call);
+  scheduleLoadReport(rl);
   if (!rl.DispatchTimer.Hook.is_linked())
     arm(rl.EventLoop, rl.DispatchTimer, rl.EventLoop.Now + DispatchPeriod);
 }
@@ -250,6 +274,7 @@
     return;
   poolOf(rl, call.Plan.Pool).Queue.erase({call.Rank, &call});
   call.Queued = false;
+  scheduleLoadReport(rl);
   call.QueueTime += rl.EventLoop.Now - call.QueuedSince;
 }
 
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -35,6 +35,18 @@
   return out;
 }
 
+/// The calls that wait here, sorted by pool.
+QueueList ownQueues(const RequestLoop &rl) {
+  QueueList out;
+  for (const auto &[id, pool] : rl.Pools)
+    if (!pool.Queue.empty())
+      out.List.push_back({id, static_cast<std::uint32_t>(pool.Queue.size())});
+  std::sort(
+      out.List.begin(), out.List.end(),
+      [](const PoolQueue &a, const PoolQueue &b) { return a.Pool < b.Pool; });
+  return out;
+}
+
 /// The cost that this process charged to each workspace, sorted by id.
 SpendList ownSpend(const RequestLoop &rl) {
   SpendList out;
@@ -64,6 +76,7 @@
 void onLoadTimer(void *ctx, Time /*now*/) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
   rl.Board.OwnLoads.publish(ownLoads(rl));
+  rl.Board.OwnQueues.publish(ownQueues(rl));
   rl.Board.OwnSpend.publish(ownSpend(rl));
   if (!rl.MoveStats.empty()) {
     {
--- a/src/front/status_server.cpp
+++ b/src/front/status_server.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Concurrent connections; the platform checks readiness once a second.
-constexpr std::size_t MaxConnections = 16;
-
 /// Limit of a request's header, and of its body.
 constexpr std::size_t MaxHeadBytes = 4096;
 
@@ -82,7 +79,7 @@
     const int fd = acceptFrom(server.Listener.Fd);
     if (fd < 0)
       return;
-    if (server.Connections.size() >= MaxConnections) {
+    if (server.Connections.size() >= server.MaxConnections) {
       const auto oldest = server.Connections.begin()->second;
       close(oldest->Tcp);
       removeConnection(*oldest);
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -17,7 +17,7 @@
   ct.Moves.Owner = &ct;
   startPoolMoveController(ct.Moves);
   startPlanController(ct.Plans);
-  startDiscoveryController(ct.Discovery);
+  BOOST_LEAF_CHECK(startDiscoveryController(ct.Discovery));
   ct.PeerGossip.Owner = &ct;
   startCoordinatorController(ct.Coordinators);
   ct.EventLoop.OnWake = [&ct] { sendChanges(ct.PeerGossip); };
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -14,6 +14,10 @@
 
 constexpr Duration ResponseTimeout = std::chrono::milliseconds(700);
 
+/// Another front responds within some round trips, or the table service is
+/// asked.
+constexpr Duration PeerResponseTimeout = std::chrono::milliseconds(300);
+
 /// Up to this many unreadable rows are logged; further ones are only counted.
 constexpr std::size_t MaxLoggedRows = 64;
 
@@ -25,6 +29,13 @@
 /// itself.
 constexpr Duration MaxListAge = std::chrono::milliseconds(1800);
 
+/// For this long after a failed reading from another front, lists are read from
+/// the table service.
+constexpr Duration PeerRetryInterval = std::chrono::seconds(1);
+
+/// Connections of other fronts to one that passes its list on.
+constexpr std::size_t MaxPeerConnections = 128;
+
 void requestPage(DiscoveryController &dc);
 
 void publish(DiscoveryController &dc);
@@ -48,13 +59,44 @@
   return bootNow() - fromNanos(board.BackendsConfirmedAt) < MaxListAge;
 }
 
+/// The path under which a front passes on page \p page of its list.
+std::string peerPath(std::size_t page) {
+  return "/backends/" + std::to_string(page);
+}
+
+StatusResponse servePage(const DiscoveryController &dc, std::string_view path) {
+  for (std::size_t n = 0; n < dc.ServedBodies.size(); ++n)
+    if (path == peerPath(n))
+      return {200, dc.ServedBodies[n]};
+  return {404, {}};
+}
+
+/// Chooses where the next reading comes from. A list that another front
+/// reported as current is read from that front, so that a change of it isn't
+/// read from the table service by every front.
+void chooseSource(DiscoveryController &dc) {
+  const FrontBoard &board = dc.Owner->Board;
+  const Time now = dc.Owner->EventLoop.Now;
+  const auto peer = backendsSource(dc.Owner->PeerGossip);
+  dc.FromPeer =
+      peer && !board.IsStoreReader && board.BackendsConfirmedAt != 0 &&
+      board.ReportedBackendsDigestAt > board.BackendsConfirmedAt &&
+      (dc.PeerFailedAt == Time() || now - dc.PeerFailedAt > PeerRetryInterval);
+  if (!dc.FromPeer || dc.PeerConnection.ServerAddress == *peer)
+    return;
+  closeStoreConnection(dc.PeerConnection);
+  setUpStoreConnection(dc.PeerConnection, dc.Owner->EventLoop, *peer);
+}
+
 void onTimer(void *ctx, Time now) {
   DiscoveryController &dc = *static_cast<DiscoveryController *>(ctx);
   if (applyReaderReport(dc)) {
     arm(dc.Owner->EventLoop, dc.Timer, now + CheckPeriod);
     return;
   }
+  chooseSource(dc);
   dc.BackendsRead.clear();
+  dc.Bodies.clear();
   dc.ReadStartedAtBoot = bootNow();
   dc.NextKey.clear();
   dc.ReadStartedAt = now;
@@ -118,49 +160,93 @@
   ct.OnChange();
 }
 
+/// Applies a reading from the table service. Returns when to read again.
+Time applyOwnReading(DiscoveryController &dc) {
+  FrontBoard &board = dc.Owner->Board;
+  if (applyReading(dc.Track, dc.BackendsRead, dc.ReadStartedAt,
+                   dc.Owner->EventLoop.Now))
+    publish(dc);
+  board.BackendsDigest = digestOf(dc.BackendsRead);
+  board.BackendsConfirmedAt = toNanos(dc.ReadStartedAtBoot);
+  return dc.ReadStartedAt + (board.IsStoreReader ? ReadPeriod : CheckPeriod);
+}
+
+/// Applies a reading from another front if it is the list that was reported as
+/// current. Returns when to read again.
+Time applyPeerReading(DiscoveryController &dc) {
+  FrontBoard &board = dc.Owner->Board;
+  const Time now = dc.Owner->EventLoop.Now;
+  if (digestOf(dc.BackendsRead) != board.ReportedBackendsDigest) {
+    dc.PeerFailedAt = now;
+    return now;
+  }
+  const std::int64_t confirmedat = board.ReportedBackendsDigestAt;
+  const Duration age = bootNow() - fromNanos(confirmedat);
+  if (applyReading(dc.Track, dc.BackendsRead, now - age, now))
+    publish(dc);
+  board.BackendsDigest = board.ReportedBackendsDigest.load();
+  board.BackendsConfirmedAt = confirmedat;
+  return now + CheckPeriod;
+}
+
 void onResponse(void *ctx, const StoreResponse &response) {
   DiscoveryController &dc = *static_cast<DiscoveryController *>(ctx);
   Loop &lp = dc.Owner->EventLoop;
-  handleResult(
-      [&] { return dc.Owner->Protocol.ParseRows(response); },
-      [&](const TableReadResult &rd) {
-        recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends", nullptr);
-        parseRows(dc, rd);
-        if (rd.HasMore && !rd.Rows.empty()) {
-          dc.NextKey = rd.Rows.back().Key + '\0';
-          requestPage(dc);
-          return 0;
-        }
-        if (applyReading(dc.Track, dc.BackendsRead, dc.ReadStartedAt, lp.Now))
-          publish(dc);
-        dc.Owner->Board.BackendsDigest = digestOf(dc.BackendsRead);
-        dc.Owner->Board.BackendsConfirmedAt = toNanos(dc.ReadStartedAtBoot);
-        arm(lp, dc.Timer,
-            dc.ReadStartedAt +
-                (dc.Owner->Board.IsStoreReader ? ReadPeriod : CheckPeriod));
-        return 0;
-      },
-      [&](const Error &err) {
-        recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends", &err);
-        arm(lp, dc.Timer, lp.Now + RetryInterval);
-        return 0;
-      });
+  handleResult([&] { return dc.Owner->Protocol.ParseRows(response); },
+               [&](const TableReadResult &rd) {
+                 if (!dc.FromPeer)
+                   recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
+                                     nullptr);
+                 parseRows(dc, rd);
+                 dc.Bodies.push_back(response.Body);
+                 if (rd.HasMore && !rd.Rows.empty()) {
+                   dc.NextKey = rd.Rows.back().Key + '\0';
+                   requestPage(dc);
+                   return 0;
+                 }
+                 const Time next =
+                     dc.FromPeer ? applyPeerReading(dc) : applyOwnReading(dc);
+                 dc.ServedBodies = std::move(dc.Bodies);
+                 arm(lp, dc.Timer, next);
+                 return 0;
+               },
+               [&](const Error &err) {
+                 if (dc.FromPeer) {
+                   dc.PeerFailedAt = lp.Now;
+                   arm(lp, dc.Timer, lp.Now);
+                   return 0;
+                 }
+                 recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
+                                   &err);
+                 arm(lp, dc.Timer, lp.Now + RetryInterval);
+                 return 0;
+               });
 }
 
 void requestPage(DiscoveryController &dc) {
-  sendRequest(dc.Connection,
-              dc.Owner->Protocol.ReadRequest(StoreTable::Backends, dc.NextKey),
-              ResponseTimeout, onResponse, &dc);
+  if (dc.FromPeer)
+    sendRequest(dc.PeerConnection, {"GET", peerPath(dc.Bodies.size()), {}},
+                PeerResponseTimeout, onResponse, &dc);
+  else
+    sendRequest(
+        dc.Connection,
+        dc.Owner->Protocol.ReadRequest(StoreTable::Backends, dc.NextKey),
+        ResponseTimeout, onResponse, &dc);
 }
 
 } // namespace
 
-void startDiscoveryController(DiscoveryController &dc) {
+Result<void> startDiscoveryController(DiscoveryController &dc) {
   setUpStoreConnection(dc.Connection, dc.Owner->EventLoop,
                        dc.Owner->Settings.TableServiceAddress);
+  setUpStoreConnection(dc.PeerConnection, dc.Owner->EventLoop, {});
   dc.Timer.Fn = onTimer;
   dc.Timer.Ctx = &dc;
   onTimer(&dc, dc.Owner->EventLoop.Now);
+  dc.Server.MaxConnections = MaxPeerConnections;
+  return startStatusServer(
+      dc.Server, dc.Owner->EventLoop, dc.Owner->Settings.GossipAddress,
+      [&dc](std::string_view path) { return servePage(dc, path); });
 }
 
 } // namespace zinniagauge
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -87,6 +87,7 @@
   const FrontBoard &board = gossip.Owner->Board;
   GossipReport rep = makeEmptyReport(gossip, ReportKind::Member);
   rep.Loads = board.OwnLoads.copy().List;
+  rep.Queues = board.OwnQueues.copy().List;
   rep.SpendTotals = board.OwnSpend.copy().List;
   rep.Stats = board.OwnStats.copy().Rows;
   rep.QuerySentAt = toNanos(bootNow());
@@ -101,6 +102,8 @@
   rep.QuerySentAt = 0;
   addLoads(rep.Loads,
            sumPeerLoads(gossip.MemberReports, now, FrontTimeout).List);
+  addQueues(rep.Queues,
+            sumPeerQueues(gossip.MemberReports, now, FrontTimeout).List);
   addSpend(rep.SpendTotals, sumPeerSpend(gossip.MemberReports).List);
   VersionStatsList stats{std::move(rep.Stats)};
   for (const auto &[node, peer] : gossip.MemberReports.Peers)
@@ -119,6 +122,9 @@
   addLoads(
       rep.Loads,
       sumPeerLoads(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
+  addQueues(
+      rep.Queues,
+      sumPeerQueues(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
   addSpend(rep.SpendTotals, sumPeerSpend(gossip.PeerReports).List);
   rep.LivingFronts = ct.Board.LivingFronts;
   rep.HeardFronts = ct.Board.HeardFronts;
@@ -167,6 +173,12 @@
   return rep;
 }
 
+/// Whether loads or queues differ, so that a report is worth sending at once.
+bool changesLoad(const GossipReport &before, const GossipReport &now) {
+  return before.Queues != now.Queues ||
+         !changedLoads(before.Loads, now.Loads).empty();
+}
+
 void sendToCoordinators(Gossip &gossip, const GossipReport &rep) {
   const std::string raw = encodeReport(rep);
   for (const CoordinatorRow &row : gossip.OtherCoordinators)
@@ -222,6 +234,10 @@
   addLoads(loads.List,
            sumPeerLoads(gossip.MemberReports, now, FrontTimeout).List);
   ct.Board.PeerLoads.publish(std::move(loads));
+  QueueList queues = sumPeerQueues(gossip.PeerReports, now, FrontTimeout);
+  addQueues(queues.List,
+            sumPeerQueues(gossip.MemberReports, now, FrontTimeout).List);
+  ct.Board.PeerQueues.publish(std::move(queues));
   SpendList spend = sumPeerSpend(gossip.PeerReports);
   addSpend(spend.List, sumPeerSpend(gossip.MemberReports).List);
   ct.Board.PeerSpend.publish(
@@ -248,10 +264,12 @@
   const auto it = gossip.Summaries.Peers.find(node);
   if (!isAttached(gossip) || it == gossip.Summaries.Peers.end()) {
     ct.Board.PeerLoads.publish({});
+    ct.Board.PeerQueues.publish({});
     return;
   }
   const GossipReport &rep = it->second.LastReport;
   ct.Board.PeerLoads.publish({subtractLoads(rep.Loads, ms.Acked.Loads)});
+  ct.Board.PeerQueues.publish({subtractQueues(rep.Queues, ms.Acked.Queues)});
   std::vector<WorkspaceSpend> spend = rep.SpendTotals;
   const auto totalof = [](std::span<const WorkspaceSpend> list,
                           WorkspaceId id) -> std::uint64_t {
@@ -485,6 +503,8 @@
       response.EchoedQuerySentAt = rep.QuerySentAt;
       sendRaw(gossip, encodeReport(response), from);
     }
+    if (rep.EchoedQuerySentAt != 0)
+      gossip.LastResponder = from;
     applyFreshness(gossip, rep);
     // A front that is now a coordinator is no member any more.
     gossip.Members.erase(rep.Node);
@@ -550,6 +570,14 @@
 
 } // namespace
 
+std::optional<PeerAddress> backendsSource(const Gossip &gossip) {
+  if (isAttached(gossip))
+    return gossip.Coordinator.Candidates[gossip.Coordinator.Current].Address;
+  if (gossip.IsCoordinator && gossip.LastResponder != PeerAddress{})
+    return gossip.LastResponder;
+  return std::nullopt;
+}
+
 bool isAttached(const Gossip &gossip) {
   const Time last = gossip.Coordinator.LastSummaryAt;
   return !gossip.IsCoordinator && last != Time() &&
@@ -571,8 +599,7 @@
   const std::size_t peers = gossip.OtherCoordinators.size();
   if (peers > 0 && mayReport(gossip, gossip.ToCoordinators, peers)) {
     GossipReport all = makeGroupReport(gossip);
-    if (!changedLoads(gossip.ToCoordinators.LastReport.Loads, all.Loads)
-             .empty())
+    if (changesLoad(gossip.ToCoordinators.LastReport, all))
       sendToCoordinators(gossip, nextReport(gossip, gossip.ToCoordinators,
                                             std::move(all), false));
   }
@@ -580,7 +607,7 @@
   if (members == 0 || !mayReport(gossip, gossip.ToMembers, members))
     return;
   GossipReport all = makeSummary(gossip);
-  if (!changedLoads(gossip.ToMembers.LastReport.Loads, all.Loads).empty())
+  if (changesLoad(gossip.ToMembers.LastReport, all))
     sendToMembers(gossip,
                   nextReport(gossip, gossip.ToMembers, std::move(all), false));
 }
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -128,6 +128,11 @@
     loads[n].setPendingTokens(rep.Loads[n].PendingTokens);
     loads[n].setEventMicros(rep.Loads[n].MicrosPerEvent);
   }
+  auto queues = out.initQueues(static_cast<unsigned>(rep.Queues.size()));
+  for (unsigned n = 0; n < queues.size(); ++n) {
+    queues[n].setPool(rep.Queues[n].Pool.Value);
+    queues[n].setWaiting(rep.Queues[n].Waiting);
+  }
   auto spent = out.initSpent(static_cast<unsigned>(rep.SpendTotals.size()));
   for (unsigned n = 0; n < spent.size(); ++n) {
     spent[n].setWorkspace(rep.SpendTotals[n].Workspace.Value);
@@ -171,6 +176,8 @@
     for (const auto l : rep.getLoads())
       report.Loads.push_back({EndpointId{l.getBackend()}, l.getRunning(),
                               l.getPendingTokens(), l.getEventMicros()});
+    for (const auto q : rep.getQueues())
+      report.Queues.push_back({PoolId{q.getPool()}, q.getWaiting()});
     for (const auto s : rep.getSpent())
       report.SpendTotals.push_back(
           {WorkspaceId{s.getWorkspace()}, s.getTotal()});
--- a/src/store/gossip_report.cpp
+++ b/src/store/gossip_report.cpp
@@ -180,6 +180,31 @@
   return out;
 }
 
+void addQueues(std::vector<PoolQueue> &sum, std::span<const PoolQueue> queues) {
+  addSorted(
+      sum, queues,
+      [](const PoolQueue &a, const PoolQueue &b) { return a.Pool < b.Pool; },
+      [](PoolQueue &to, const PoolQueue &q) { to.Waiting += q.Waiting; });
+}
+
+std::vector<PoolQueue> subtractQueues(std::span<const PoolQueue> total,
+                                      std::span<const PoolQueue> own) {
+  std::vector<PoolQueue> out(total.begin(), total.end());
+  for (PoolQueue &q : out)
+    for (const PoolQueue &o : own)
+      if (o.Pool == q.Pool)
+        q.Waiting -= std::min(q.Waiting, o.Waiting);
+  return out;
+}
+
+QueueList sumPeerQueues(const GossipState &state, Time now, Duration timeout) {
+  QueueList out;
+  for (const auto &[node, peer] : state.Peers)
+    if (now - peer.LastReportAt <= timeout)
+      addQueues(out.List, peer.LastReport.Queues);
+  return out;
+}
+
 LoadList sumPeerLoads(const GossipState &state, Time now, Duration timeout) {
   LoadList out;
   for (const auto &[node, peer] : state.Peers)
--- a/tests/unit/allowance_test.cpp
+++ b/tests/unit/allowance_test.cpp
@@ -43,7 +43,7 @@
 
   Fleet(std::size_t processes, std::size_t zones, PlanWorkspace workspace)
       : Ws(std::move(workspace)), Buckets(processes), Zones(zones),
-        CutSince(zones), IsCut(zones) {}
+        TotalAtStart(processes), CutSince(zones), IsCut(zones) {}
 
   [[nodiscard]] std::size_t zoneOf(std::size_t process) const {
     return process % Zones;
@@ -89,8 +89,16 @@
       };
       reached += za == zb || (!noticed(za) && !noticed(zb)) ? 1 : 0;
     }
+    const auto before = static_cast<std::uint64_t>(TotalAtStart[a]);
     return {static_cast<double>(reached) / static_cast<double>(Buckets.size()),
-            static_cast<std::uint64_t>(total), 0};
+            static_cast<std::uint64_t>(total) - before, before};
+  }
+
+  /// Process \p a restarts: it knows nothing but what the others report.
+  void restart(std::size_t a, Time now) {
+    TotalAtStart[a] = 0;
+    TotalAtStart[a] = static_cast<double>(viewOf(a, now).Total);
+    Buckets[a] = {};
   }
 
   /// Updates the buckets of all processes, as these do every half a second.
@@ -121,6 +129,7 @@
   PlanWorkspace Ws;
   std::vector<AllowanceState> Buckets;
   std::size_t Zones;
+  std::vector<double> TotalAtStart; // What peers had spent then, by process.
   std::vector<Time> CutSince;
   std::vector<bool> IsCut;
   std::vector<Spend> History;
@@ -129,7 +138,8 @@
 
 } // namespace
 
-TEST_CASE("cut zones together stay within the limit of any window",
+TEST_CASE("cut zones and restarted processes together stay within the limit of "
+          "any window",
           "[allowance]") {
   const PlanWorkspace ws = workspace(90'000, 90'000);
   const double limit = (90'000.0 * 8 + 90'000) * 1.1 + 140'000;
@@ -144,6 +154,8 @@
         fleet.IsCut[zone] = !fleet.IsCut[zone];
         fleet.CutSince[zone] = now;
       }
+      if (randomBelow(rnd, 40) == 0)
+        fleet.restart(randomBelow(rnd, fleet.Buckets.size()), now);
       // Demand is about twice the limit, and moves between zones.
       const std::size_t process =
           randomBelow(rnd, 3) * 3 + static_cast<std::size_t>(n / 100) % 3;
@@ -195,6 +207,39 @@
   CHECK_FALSE(takeAllowance(st, ws, heard(total), Margin, 9'000, now));
 }
 
+TEST_CASE("a call that is refused after it was charged costs nothing",
+          "[allowance]") {
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceState st;
+  const Time now(seconds(10));
+  initAllowance(st, ws, heard(), Margin, now);
+  const double before = st.Level;
+  for (const double fraction : {1.0, 0.25}) {
+    const PeerSpending peers{fraction, 0, 0};
+    for (int n = 0; n < 50; ++n) {
+      REQUIRE_FALSE(takeAllowance(st, ws, peers, Margin, 9'000, now));
+      refundAllowance(st, 9'000);
+    }
+    CHECK(st.Level == Approx(before));
+  }
+  // Peers are told of nothing until the call is sent.
+  CHECK(st.SpentTotal == 0);
+  recordSpent(st, 9'000);
+  CHECK(st.SpentTotal == 9'000);
+}
+
+TEST_CASE("a debt is paid off within the time of a bucket", "[allowance]") {
+  const PlanWorkspace ws = workspace(90'000, 90'000);
+  AllowanceState st;
+  Time now(seconds(10));
+  initAllowance(st, ws, heard(), Margin, now);
+  updateAllowance(st, ws, heard(50'000'000), Margin, now);
+  CHECK(takeAllowance(st, ws, heard(50'000'000), Margin, 1'000, now));
+  now += milliseconds(3200); // The bucket holds 2.9 s of the rate.
+  updateAllowance(st, ws, heard(50'000'000), Margin, now);
+  CHECK_FALSE(takeAllowance(st, ws, heard(50'000'000), Margin, 1'000, now));
+}
+
 TEST_CASE("a process that was alone recovers as soon as it is heard again",
           "[allowance]") {
   const PlanWorkspace ws = workspace(90'000, 90'000);
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -200,6 +200,7 @@
 TEST_CASE("a decoded summary equals the encoded one", "[gossip]") {
   GossipReport rep = report(1, 2, 3, 4);
   rep.Kind = ReportKind::Summary;
+  rep.Queues = {{PoolId{4}, 19}};
   rep.AckedHeartbeat = 77;
   rep.LivingFronts = 295;
   rep.HeardFronts = 290;
@@ -214,6 +215,7 @@
   REQUIRE(decoded);
   CHECK(decoded->Kind == ReportKind::Summary);
   CHECK(decoded->AckedHeartbeat == 77);
+  CHECK(decoded->Queues == rep.Queues);
   CHECK(decoded->LivingFronts == 295);
   CHECK(decoded->HeardFronts == 290);
   REQUIRE(decoded->Coordinators.size() == 1);
@@ -257,6 +259,15 @@
             .Running == 0);
 }
 
+TEST_CASE("calls that wait are summed up over fronts", "[gossip]") {
+  std::vector<PoolQueue> sum = {{PoolId{2}, 4}};
+  addQueues(sum, std::vector<PoolQueue>{{PoolId{1}, 3}, {PoolId{2}, 5}});
+  CHECK(sum == std::vector<PoolQueue>{{PoolId{1}, 3}, {PoolId{2}, 9}});
+  const auto rest = subtractQueues(sum, std::vector<PoolQueue>{{PoolId{2}, 4}});
+  CHECK(waitingFor({rest}, PoolId{2}) == 5);
+  CHECK(waitingFor({rest}, PoolId{7}) == 0);
+}
+
 TEST_CASE("joined spend totals never decrease when the source changes",
           "[gossip]") {
   SpendMeter meter;
