Let plain calls wait half of their target, and read lists from peers first

Lists whose digest changed during a reading were then read from the store for a second by each member, and members claimed slots that a coordinator's older reading showed as vacant.

Change: a call that isn't a stream may wait for half of its target. A reading from a peer that doesn't match is repeated at the peer until the list is too old. A slot reported as vacant is claimed one renewal period later.

--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -47,7 +47,6 @@
   StoreConnection PeerConnection;
   StatusServer Server;   // Passes the list on to other fronts.
   bool FromPeer = false; // The current reading is from PeerConnection.
-  Time PeerFailedAt;     // The last reading from a peer failed then.
   std::vector<std::string> Bodies; // Responses of the current reading.
   /// Responses of the last complete reading, for other fronts.
   std::vector<std::string> ServedBodies;
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -84,6 +84,10 @@
 /// is among the most urgent. An early refusal lets the caller retry sooner.
 constexpr double QueueTimeFraction = 0.125;
 
+/// Maximum queue time of a call whose response isn't a stream. Its back end's
+/// slots free up within a fraction of the target, so a short wait is enough.
+constexpr double PlainQueueTimeFraction = 0.5;
+
 /// Maximum queue time of the most urgent calls as a fraction of their latency
 /// target. They get the next free capacity anyway and are still useful late.
 constexpr double MostUrgentQueueTimeFraction = 2.0;
@@ -92,8 +96,11 @@
 Time queueDeadline(const Call &call, Time now) {
   if (call.Facts.ResponseStarted)
     return std::min(call.Deadline, now + MaxResumeWait);
-  const double fraction =
-      call.Plan.MostUrgent ? MostUrgentQueueTimeFraction : QueueTimeFraction;
+  double fraction = QueueTimeFraction;
+  if (call.Facts.Kind != CallKind::Stream)
+    fraction = PlainQueueTimeFraction;
+  else if (call.Plan.MostUrgent)
+    fraction = MostUrgentQueueTimeFraction;
   const auto wait =
       std::chrono::duration_cast<Duration>(call.Plan.LatencyTarget * fraction);
   return std::max(now, std::min(call.Deadline, call.Arrived + wait));
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -64,14 +64,15 @@
 /// Writes this front's row to \p slot if the row's version is the expected one.
 void writeSlot(CoordinatorController &cc, const SlotWrite &slot);
 
-void armClaim(CoordinatorController &cc) {
+/// Arms the timer of a claim, for a random time after \p wait.
+void armClaim(CoordinatorController &cc, Duration wait) {
   if (cc.ClaimTimer.Hook.is_linked())
     return;
   constexpr double Scale = 1.0 / 1'000'000;
   const double random =
       static_cast<double>(randomBelow(cc.RandomState, 1'000'000)) * Scale;
   arm(cc.Owner->EventLoop, cc.ClaimTimer,
-      cc.Owner->EventLoop.Now +
+      cc.Owner->EventLoop.Now + wait +
           claimDelay(cc.Owner->Settings.CpuShare, random));
 }
 
@@ -99,7 +100,7 @@
   if (free && cc.ClaimDue)
     writeSlot(cc, *free);
   else if (free)
-    armClaim(cc);
+    armClaim(cc, Duration::zero());
   cc.ClaimDue = false;
 }
 
@@ -193,8 +194,9 @@
   for (const SlotWrite &s : vacant)
     if (s.Key.substr(0, s.Key.rfind('/')) == cc.Owner->Settings.Zone)
       cc.VacantSlots.push_back(s);
+  // The coordinator may have read the table just before a slot was taken.
   if (!cc.VacantSlots.empty())
-    armClaim(cc);
+    armClaim(cc, RenewPeriod);
 }
 
 void startCoordinatorController(CoordinatorController &cc) {
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -29,10 +29,6 @@
 /// itself.
 constexpr Duration MaxListAge = std::chrono::milliseconds(1800);
 
-/// For this long after a failed reading from another front, lists are read from
-/// the table service.
-constexpr Duration PeerRetryInterval = std::chrono::seconds(1);
-
 /// Connections of other fronts to one that passes its list on.
 constexpr std::size_t MaxPeerConnections = 128;
 
@@ -76,12 +72,11 @@
 /// read from the table service by every front.
 void chooseSource(DiscoveryController &dc) {
   const FrontBoard &board = dc.Owner->Board;
-  const Time now = dc.Owner->EventLoop.Now;
   const auto peer = backendsSource(dc.Owner->PeerGossip);
-  dc.FromPeer =
-      peer && !board.IsStoreReader && board.BackendsConfirmedAt != 0 &&
-      board.ReportedBackendsDigestAt > board.BackendsConfirmedAt &&
-      (dc.PeerFailedAt == Time() || now - dc.PeerFailedAt > PeerRetryInterval);
+  dc.FromPeer = peer && !board.IsStoreReader &&
+                board.BackendsConfirmedAt != 0 &&
+                board.ReportedBackendsDigestAt > board.BackendsConfirmedAt &&
+                bootNow() - fromNanos(board.BackendsConfirmedAt) < MaxListAge;
   if (!dc.FromPeer || dc.PeerConnection.ServerAddress == *peer)
     return;
   closeStoreConnection(dc.PeerConnection);
@@ -176,10 +171,9 @@
 Time applyPeerReading(DiscoveryController &dc) {
   FrontBoard &board = dc.Owner->Board;
   const Time now = dc.Owner->EventLoop.Now;
-  if (digestOf(dc.BackendsRead) != board.ReportedBackendsDigest) {
-    dc.PeerFailedAt = now;
-    return now;
-  }
+  // The list may have changed since it was reported.
+  if (digestOf(dc.BackendsRead) != board.ReportedBackendsDigest)
+    return now + CheckPeriod;
   const std::int64_t confirmedat = board.ReportedBackendsDigestAt;
   const Duration age = bootNow() - fromNanos(confirmedat);
   if (applyReading(dc.Track, dc.BackendsRead, now - age, now))
@@ -212,8 +206,7 @@
                },
                [&](const Error &err) {
                  if (dc.FromPeer) {
-                   dc.PeerFailedAt = lp.Now;
-                   arm(lp, dc.Timer, lp.Now);
+                   arm(lp, dc.Timer, lp.Now + CheckPeriod);
                    return 0;
                  }
                  recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
