--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -73,6 +73,8 @@
   Membership Coordinator;
   PeerAddress LastResponder; // Of a coordinator's last query.
   SpendMeter PeerSpending;
+  /// bootNow minus the loop's clock; it grows while the machine is suspended.
+  Duration ClockOffset = Duration::zero();
   std::optional<bool> LoggedReader; // Whether this front reads for others.
 };
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -49,6 +49,10 @@
 /// Reports that a front keeps until its coordinator acknowledges them.
 constexpr std::size_t MaxUnackedReports = 64;
 
+/// The loop's clock doesn't count the time for which the machine is suspended.
+/// Above this time everything that was received before is forgotten.
+constexpr Duration MaxSuspension = std::chrono::milliseconds(300);
+
 std::uint64_t ownNode(const Gossip &gossip) {
   return nameHash(gossip.Owner->Settings.Node);
 }
@@ -301,6 +305,26 @@
   }
 }
 
+/// After a suspension of the machine, counts no front as heard until it reports
+/// again: by the loop's clock old reports would look recent.
+void checkSuspension(Gossip &gossip) {
+  const Duration offset = bootNow() - gossip.Owner->EventLoop.Now;
+  const Duration suspended = offset - gossip.ClockOffset;
+  const bool first = gossip.ClockOffset == Duration::zero();
+  gossip.ClockOffset = offset;
+  if (first || suspended < MaxSuspension)
+    return;
+  EventLine line = eventLine("suspended");
+  add(line, "for_ms", suspended);
+  gossip.Owner->Log.write(line);
+  for (GossipState *reports :
+       {&gossip.PeerReports, &gossip.MemberReports, &gossip.Summaries})
+    for (auto &[node, peer] : reports->Peers)
+      peer.LastReportAt = Time();
+  gossip.Coordinator.LastSummaryAt = Time();
+  gossip.Owner->Board.HeardAt = 0;
+}
+
 void publish(Gossip &gossip) {
   if (gossip.IsCoordinator)
     publishAsCoordinator(gossip);
@@ -516,6 +540,7 @@
 void onDatagram(void *ctx, std::uint32_t /*events*/) {
   Gossip &gossip = *static_cast<Gossip *>(ctx);
   Loop &lp = gossip.Owner->EventLoop;
+  checkSuspension(gossip);
   for (;;) {
     sockaddr_in sa{};
     socklen_t len = sizeof sa;
@@ -550,6 +575,7 @@
 void onRoundTimer(void *ctx, Time now) {
   Gossip &gossip = *static_cast<Gossip *>(ctx);
   arm(gossip.Owner->EventLoop, gossip.RoundTimer, now + RoundPeriod);
+  checkSuspension(gossip);
   if (gossip.IsCoordinator) {
     const std::size_t peers = gossip.OtherCoordinators.size();
     sendToCoordinators(gossip,
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -292,3 +292,25 @@
   CHECK(f.runningAt(7) == 0);
   CHECK(f.Board.HeardFronts == 1);
 }
+
+TEST_CASE("after a suspension no report from before counts", "[gossip]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), true);
+  OtherFront member("m-1");
+  f.receive(member, member.report(ReportKind::Member));
+  f.advance(milliseconds(50));
+  REQUIRE(f.runningAt(7) == 2);
+  REQUIRE(f.Board.HeardFronts == 2);
+  // The machine was suspended for two seconds that the loop's clock doesn't
+  // count. A late datagram of the time before is the first thing to arrive.
+  f.Ct->PeerGossip.ClockOffset -= seconds(2);
+  OtherFront other("m-2");
+  f.receive(other, other.report(ReportKind::Member));
+  f.advance(milliseconds(50));
+  CHECK(f.runningAt(7) == 2);
+  CHECK(f.Board.HeardFronts == 2); // Itself and m-2.
+  f.receive(member, member.report(ReportKind::Member));
+  f.advance(milliseconds(50));
+  CHECK(f.runningAt(7) == 4);
+}
