--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -92,9 +92,6 @@
 /// itself.
 [[nodiscard]] bool isAttached(const Gossip &gossip);
 
-/// The number of fronts that this one sums up: itself and its live members.
-[[nodiscard]] std::uint32_t groupSize(const Gossip &gossip);
-
 /// Called after the table of coordinators was read or this front's slot was won
 /// or lost.
 void onCoordinatorsChanged(Gossip &gossip);
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -1,5 +1,6 @@
 // Claims, renews and reads the slots of coordinators in the table service.
 #include "zinniagauge/store/controllers.h"
+#include "zinniagauge/store/report_builder.h"
 
 #include "zinniagauge/decide/random.h"
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -1,9 +1,9 @@
 // Sends, receives and applies reports.
 #include "zinniagauge/store/gossip.h"
 
-#include "zinniagauge/decide/version_stats_sum.h"
 #include "zinniagauge/net/socket_address.h"
 #include "zinniagauge/store/controllers.h"
+#include "zinniagauge/store/report_builder.h"
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -30,10 +30,6 @@
 /// rarer, rounded up.
 constexpr std::size_t RecipientsPerFullRound = 8;
 
-/// A front counts as live, and its loads are included, for this long after its
-/// last report.
-constexpr Duration FrontTimeout = std::chrono::milliseconds(1500);
-
 /// How often a coordinator that doesn't read the table service for others
 /// queries one that does.
 constexpr Duration QueryPeriod = std::chrono::milliseconds(600);
@@ -53,98 +49,6 @@
 /// Above this time everything that was received before is forgotten.
 constexpr Duration MaxSuspension = std::chrono::milliseconds(300);
 
-std::uint64_t ownNode(const Gossip &gossip) {
-  return nameHash(gossip.Owner->Settings.Node);
-}
-
-/// Milliseconds since \p confirmedat (by bootNow), rounded up and at most an
-/// hour.
-std::uint32_t ageMs(std::int64_t confirmedat) {
-  const Duration age = bootNow() - fromNanos(confirmedat);
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1;
-  constexpr std::int64_t MaxAgeMs = 3'600'000;
-  return static_cast<std::uint32_t>(std::min(ms, MaxAgeMs));
-}
-
-/// Sets the fields on how recently this front confirmed the table service's
-/// data.
-void fillFreshness(GossipReport &rep, const FrontBoard &board) {
-  rep.OperatorRowVersion = board.OperatorRowVersion;
-  rep.BackendsDigest = board.BackendsDigest;
-  rep.OperatorRowAgeMs = ageMs(board.PlanConfirmedAt);
-  rep.BackendsDigestAgeMs = ageMs(board.BackendsConfirmedAt);
-}
-
-/// A report without loads, spending and statistics.
-GossipReport makeEmptyReport(Gossip &gossip, ReportKind kind) {
-  GossipReport rep;
-  rep.Node = ownNode(gossip);
-  rep.Incarnation = gossip.Incarnation;
-  rep.Heartbeat = ++gossip.Heartbeat;
-  rep.Kind = kind;
-  fillFreshness(rep, gossip.Owner->Board);
-  return rep;
-}
-
-GossipReport makeOwnReport(Gossip &gossip) {
-  const FrontBoard &board = gossip.Owner->Board;
-  GossipReport rep = makeEmptyReport(gossip, ReportKind::Member);
-  rep.Loads = board.OwnLoads.copy().List;
-  rep.Queues = board.OwnQueues.copy().List;
-  rep.SpendTotals = board.OwnSpend.copy().List;
-  rep.Stats = board.OwnStats.copy().Rows;
-  rep.QuerySentAt = toNanos(bootNow());
-  return rep;
-}
-
-/// The sums over this front and its members.
-GossipReport makeGroupReport(Gossip &gossip) {
-  const Time now = gossip.Owner->EventLoop.Now;
-  GossipReport rep = makeOwnReport(gossip);
-  rep.Kind = ReportKind::Group;
-  rep.QuerySentAt = 0;
-  addLoads(rep.Loads,
-           sumPeerLoads(gossip.MemberReports, now, FrontTimeout).List);
-  addQueues(rep.Queues,
-            sumPeerQueues(gossip.MemberReports, now, FrontTimeout).List);
-  addSpend(rep.SpendTotals, sumPeerSpend(gossip.MemberReports).List);
-  VersionStatsList stats{std::move(rep.Stats)};
-  for (const auto &[node, peer] : gossip.MemberReports.Peers)
-    addVersionStats(stats, peer.LastReport.Stats);
-  rep.Stats = std::move(stats.Rows);
-  rep.GroupSize = groupSize(gossip);
-  return rep;
-}
-
-/// The sums over all fronts, for the members.
-GossipReport makeSummary(Gossip &gossip) {
-  Controllers &ct = *gossip.Owner;
-  GossipReport rep = makeGroupReport(gossip);
-  rep.Kind = ReportKind::Summary;
-  rep.Stats.clear();
-  addLoads(
-      rep.Loads,
-      sumPeerLoads(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
-  addQueues(
-      rep.Queues,
-      sumPeerQueues(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
-  addSpend(rep.SpendTotals, sumPeerSpend(gossip.PeerReports).List);
-  rep.LivingFronts = ct.Board.LivingFronts;
-  rep.HeardFronts = ct.Board.HeardFronts;
-  rep.Coordinators = gossip.OtherCoordinators;
-  CoordinatorRow self;
-  self.Node = ct.Settings.Node;
-  self.Zone = ct.Settings.Zone;
-  self.Address = ct.Settings.GossipAddress;
-  rep.Coordinators.push_back(std::move(self));
-  for (const std::string &zone : zonesWithVacancy(ct.Coordinators.Table))
-    if (const auto slot = claimableSlot(ct.Coordinators.Table, zone))
-      rep.VacantSlots.push_back(*slot);
-  rep.Moves = ct.Board.PoolMoves.copy().List;
-  return rep;
-}
-
 void sendRaw(const Gossip &gossip, std::string_view raw, PeerAddress to) {
   const sockaddr_in sa = socketAddress(to);
   // Errors are ignored: a datagram that can't be sent is handled like a lost
@@ -153,14 +57,6 @@
            reinterpret_cast<const sockaddr *>(&sa), sizeof sa);
 }
 
-/// A partial report with freshness fields only, used for queries and responses.
-GossipReport makeShortReport(Gossip &gossip) {
-  GossipReport rep = makeEmptyReport(gossip, ReportKind::Group);
-  rep.IsFull = false;
-  rep.GroupSize = groupSize(gossip);
-  return rep;
-}
-
 /// Whether a report to \p recipients may follow now on those before.
 bool mayReport(const Gossip &gossip, const ReportStream &stream,
                std::size_t recipients) {
@@ -610,11 +506,6 @@
          gossip.Owner->EventLoop.Now - last < FrontTimeout;
 }
 
-std::uint32_t groupSize(const Gossip &gossip) {
-  return 1 + countFronts(gossip.MemberReports, gossip.Owner->EventLoop.Now,
-                         FrontTimeout);
-}
-
 void sendChanges(Gossip &gossip) {
   if (!gossip.IsCoordinator) {
     if (!mayReport(gossip, gossip.Own, 1))
