--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -271,17 +271,17 @@
 TEST_CASE("joined spend totals never decrease when the source changes",
           "[gossip]") {
   SpendMeter meter;
-  const auto totalAfter = [&](std::uint64_t source, std::uint64_t total) {
+  const auto totalafter = [&](std::uint64_t source, std::uint64_t total) {
     return advance(meter, source,
                    std::vector<WorkspaceSpend>{{WorkspaceId{5}, total}})
         .List.front()
         .Total;
   };
-  CHECK(totalAfter(1, 1000) == 0); // Spent before the source was known.
-  CHECK(totalAfter(1, 1200) == 200);
-  CHECK(totalAfter(2, 50) == 200);
-  CHECK(totalAfter(2, 90) == 240);
-  CHECK(totalAfter(2, 80) == 240); // A lost report, made up for later.
-  CHECK(totalAfter(2, 100) == 250);
-  CHECK(totalAfter(1, 5000) == 250);
+  CHECK(totalafter(1, 1000) == 0); // Spent before the source was known.
+  CHECK(totalafter(1, 1200) == 200);
+  CHECK(totalafter(2, 50) == 200);
+  CHECK(totalafter(2, 90) == 240);
+  CHECK(totalafter(2, 80) == 240); // A lost report, made up for later.
+  CHECK(totalafter(2, 100) == 250);
+  CHECK(totalafter(1, 5000) == 250);
 }
