--- a/tests/process/explain_test.cpp
+++ b/tests/process/explain_test.cpp
@@ -86,10 +86,10 @@
   CHECK(causeOf(d).find("allowance") != std::string::npos);
   CHECK(reasonOf(d).find("rate_per_s 1") != std::string::npos);
   d.putRow("op", "config", configOf(9, {"k1"}));
+  const std::uint16_t unusedport = freePorts(1)[0]; // Refuses connections.
   for (int n = 0; n < 2; ++n) {
     json unreachable = d.engineEntryOf(n, "ready");
-    // A UDP port, so TCP connections to it are refused.
-    unreachable["address"] = loopbackAddress(d.Ports[6]);
+    unreachable["address"] = loopbackAddress(unusedport);
     unreachable["born"] = 2000 + n;
     d.putRow("servers", "i-" + std::to_string(n), unreachable);
   }
