Log the table service's era and what confirms a plan

Now each answer's era is read in the adapter, an era that is new to a front is logged (store_era), the line of a plan tells era and row, plan_confirmed tells on what a confirmation rests each time that changes, and an order's line tells its number.

No behaviour changes.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -36,6 +36,10 @@
   Cell<BackendLimitList> OwnLimits;  // All that are known; by the request loop.
   Cell<BackendLimitList> PeerLimits; // Written by the gossip controller.
 
+  /// The newest era of the table service that a response named; zero: none
+  /// did. Written by the controllers' thread.
+  std::atomic<std::uint64_t> StoreEra{0};
+
   /// When the newest read that confirmed the plan to be the latest was
   /// requested, in nanoseconds of bootNow; zero before the first.
   std::atomic<std::int64_t> PlanConfirmedAt{0};
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -4,6 +4,7 @@
 #define ZINNIAGAUGE_STORE_CONTROLLERS_H
 
 #include "zinniagauge/board/front_board.h"
+#include "zinniagauge/board/table.h"
 #include "zinniagauge/decide/backend_tracker.h"
 #include "zinniagauge/decide/coordinator.h"
 #include "zinniagauge/front/front_settings.h"
@@ -37,6 +38,8 @@
   bool FullyRead = false;        // StoreVersion started from a full read.
   bool StoreUnreachable = false; // The last request failed.
   Duration Backoff = Duration::zero();
+  std::string_view LoggedSource; // Of the plan's confirmation, as last logged.
+  TableVersion LoggedRows;
 };
 
 /// Reads the list of back ends, page by page: from the table service, or from
@@ -110,6 +113,10 @@
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
                        const Error *err);
 
+/// Takes \p era, named by \p source, as the table service's if it is newer than
+/// the one known so far, and logs that. Zero is no era.
+void applyStoreEra(Controllers &ct, std::uint64_t era, std::string_view source);
+
 void startPlanController(PlanController &pc);
 /// Fails with Unavailable if the port for other fronts can't be opened.
 [[nodiscard]] Result<void> startDiscoveryController(DiscoveryController &dc);
--- a/include/zinniagauge/store/store_connection.h
+++ b/include/zinniagauge/store/store_connection.h
@@ -21,6 +21,7 @@
 /// The response to a request, or the reason why there is none.
 struct StoreResponse {
   int Status = 0; // Zero: no response; the request may have had its effect.
+  HeaderList Fields;
   std::string Body;
   std::string FailureReason; // Set if Status is zero.
   Time RequestedAtBoot;      // When the request was made, by bootNow.
--- a/include/zinniagauge/store/store_protocol.h
+++ b/include/zinniagauge/store/store_protocol.h
@@ -35,6 +35,9 @@
   /// Requests that \p tx be applied to \p table atomically. Rows are identified
   /// by key.
   StoreRequest (*WriteRequest)(StoreTable table, const TableTransaction &tx);
+  /// The era of the service's rows, from any response; zero if it names none.
+  /// It rises each time the service was restored from a copy.
+  std::uint64_t (*EraOf)(const StoreResponse &response);
   /// Parses the response to ReadRequest or ChangesRequest. Fails with
   /// Unavailable, Overloaded or Broken.
   Result<TableReadResult> (*ParseRows)(const StoreResponse &response);
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -24,6 +24,19 @@
   return startGossip(ct.PeerGossip);
 }
 
+void applyStoreEra(Controllers &ct, std::uint64_t era,
+                   std::string_view source) {
+  const std::uint64_t before = ct.Board.StoreEra;
+  if (era <= before)
+    return;
+  ct.Board.StoreEra = era;
+  EventLine line = eventLine("store_era");
+  add(line, "era", static_cast<std::int64_t>(era));
+  add(line, "before", static_cast<std::int64_t>(before));
+  add(line, "source", source);
+  ct.Log.write(line);
+}
+
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
                        const Error *err) {
   countTableCall(ct.Metrics, use, err ? toString(err->Code) : "ok");
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -218,6 +218,7 @@
 void onResponse(void *ctx, const StoreResponse &response) {
   DiscoveryController &dc = *static_cast<DiscoveryController *>(ctx);
   Loop &lp = dc.Owner->EventLoop;
+  applyStoreEra(*dc.Owner, dc.Owner->Protocol.EraOf(response), "backends");
   handleResult([&] { return dc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  if (!dc.FromPeer)
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -33,6 +33,23 @@
 
 void requestNext(PlanController &pc);
 
+/// Logs what confirms the plan if that, or the rows that it rests on, changed.
+void logConfirmation(PlanController &pc, std::string_view source) {
+  const FrontBoard &board = pc.Owner->Board;
+  const TableVersion rows{board.StoreEra, pc.OperatorRowVersion};
+  if (pc.LoggedSource == source && pc.LoggedRows == rows)
+    return;
+  pc.LoggedSource = source;
+  pc.LoggedRows = rows;
+  EventLine line = eventLine("plan_confirmed");
+  add(line, "source", source);
+  add(line, "era", static_cast<std::int64_t>(rows.Era));
+  add(line, "row", static_cast<std::int64_t>(rows.Number));
+  add(line, "version", static_cast<std::int64_t>(board.PlanVersion.load()));
+  add(line, "age_ms", bootNow() - fromNanos(board.PlanConfirmedAt));
+  pc.Owner->Log.write(line);
+}
+
 /// Confirms the plan by what a reading front reported. Returns true if the plan
 /// was confirmed recently enough, so that this front needn't read it.
 bool applyReaderReport(PlanController &pc) {
@@ -41,8 +58,10 @@
       board.ReportedRowVersion > pc.OperatorRowVersion)
     return false;
   if (board.ReportedRowVersion == pc.OperatorRowVersion &&
-      board.ReportedRowVersionAt > board.PlanConfirmedAt)
+      board.ReportedRowVersionAt > board.PlanConfirmedAt) {
     board.PlanConfirmedAt = board.ReportedRowVersionAt.load();
+    logConfirmation(pc, "another front's report");
+  }
   const Duration maxage =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).MaxSharedAge;
   return bootNow() - fromNanos(board.PlanConfirmedAt) < maxage;
@@ -67,12 +86,15 @@
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
 
-void activatePlan(PlanController &pc, TrafficPlan plan) {
+void activatePlan(PlanController &pc, TrafficPlan plan,
+                  std::uint64_t rowversion) {
   FrontBoard &board = pc.Owner->Board;
   const std::uint64_t before = board.PlanVersion;
   EventLine line = eventLine("plan");
   add(line, "version", static_cast<std::int64_t>(plan.Version));
   add(line, "before", static_cast<std::int64_t>(before));
+  add(line, "era", static_cast<std::int64_t>(board.StoreEra.load()));
+  add(line, "row", static_cast<std::int64_t>(rowversion));
   add(line, "routes", static_cast<std::int64_t>(plan.Routes.size()));
   add(line, "workspaces", static_cast<std::int64_t>(plan.Workspaces.size()));
   add(line, "outcome",
@@ -106,7 +128,7 @@
 bool applyPlanRow(PlanController &pc, const TableRow &row) {
   return handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
                       [&](TrafficPlan plan) {
-                        activatePlan(pc, std::move(plan));
+                        activatePlan(pc, std::move(plan), row.Version);
                         return true;
                       },
                       [&](const Error &err) {
@@ -142,8 +164,10 @@
   pc.FullyRead = true;
   FrontBoard &board = pc.Owner->Board;
   board.OperatorRowVersion = pc.OperatorRowVersion;
-  if (allreadable && board.PlanVersion > 0)
+  if (allreadable && board.PlanVersion > 0) {
     board.PlanConfirmedAt = toNanos(requestedat);
+    logConfirmation(pc, "own reading");
+  }
   if (board.PlanVersion != before)
     pc.Owner->OnChange();
   // A front that reads for itself doesn't use long polling: its response came
@@ -158,6 +182,7 @@
 
 void onResponse(void *ctx, const StoreResponse &response) {
   PlanController &pc = *static_cast<PlanController *>(ctx);
+  applyStoreEra(*pc.Owner, pc.Owner->Protocol.EraOf(response), "plan");
   handleResult([&] { return pc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan",
--- a/src/store/pool_move_controller.cpp
+++ b/src/store/pool_move_controller.cpp
@@ -226,6 +226,7 @@
 
 void onWriteResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
+  applyStoreEra(*mc.Owner, mc.Owner->Protocol.EraOf(response), "moves");
   handleResult(
       [&] { return mc.Owner->Protocol.ParseWriteResult(response); },
       [&](const TableResult & /*res*/) {
@@ -282,6 +283,7 @@
 
 void onReadResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
+  applyStoreEra(*mc.Owner, mc.Owner->Protocol.EraOf(response), "moves");
   handleResult(
       [&] { return mc.Owner->Protocol.ParseRows(response); },
       [&](const TableReadResult &rd) {
@@ -333,6 +335,7 @@
   add(line, "pool", order.PoolName);
   add(line, "to", order.Label);
   add(line, "limit_ms", order.TimeLimit);
+  add(line, "number", static_cast<std::int64_t>(order.Number));
   mc.Owner->Log.write(line);
   mc.Orders.insert_or_assign(order.Pool, std::move(order));
   publish(mc);
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -14,9 +14,9 @@
 constexpr Duration AckTimeout = std::chrono::milliseconds(1500);
 
 /// Ends the request in progress, if any, and calls its callback. Closes the
-/// connection unless \p keepopen.
-void finish(StoreConnection &conn, int status, std::string_view failure,
-            bool keepopen) {
+/// connection unless \p keepopen. \p head is null if there is no response.
+void finish(StoreConnection &conn, const MessageHead *head,
+            std::string_view failure, bool keepopen) {
   disarm(*conn.Lp, conn.Timer);
   if (!keepopen)
     close(conn.Tcp);
@@ -24,7 +24,10 @@
     return;
   conn.Busy = false;
   StoreResponse response;
-  response.Status = status;
+  if (head) {
+    response.Status = head->Status;
+    response.Fields = head->Fields;
+  }
   response.Body = std::move(conn.Body);
   response.FailureReason = failure;
   response.RequestedAtBoot = conn.RequestedAtBoot;
@@ -43,11 +46,11 @@
   const ParseState st = stateOf(conn.Parser);
   if (st == ParseState::Done) {
     const MessageHead &head = headOf(conn.Parser);
-    finish(conn, head.Status, {}, head.KeepAlive && n == data.size());
+    finish(conn, &head, {}, head.KeepAlive && n == data.size());
     return data.size();
   }
   if (st != ParseState::InHead && st != ParseState::InBody) {
-    finish(conn, 0, "malformed answer", false);
+    finish(conn, nullptr, "malformed answer", false);
     return data.size();
   }
   return n;
@@ -55,12 +58,13 @@
 
 void onEnd(void *ctx, ConnectionEnd end, int /*err*/) {
   StoreConnection &conn = *static_cast<StoreConnection *>(ctx);
-  finish(conn, 0, end == ConnectionEnd::Refused ? "refused" : "connection lost",
-         false);
+  finish(conn, nullptr,
+         end == ConnectionEnd::Refused ? "refused" : "connection lost", false);
 }
 
 void onTimer(void *ctx, Time /*now*/) {
-  finish(*static_cast<StoreConnection *>(ctx), 0, "no answer in time", false);
+  finish(*static_cast<StoreConnection *>(ctx), nullptr, "no answer in time",
+         false);
 }
 
 const ConnectionHandlers Handlers = {nullptr, onData, onEnd, nullptr};
@@ -104,7 +108,7 @@
 }
 
 void closeStoreConnection(StoreConnection &conn) {
-  finish(conn, 0, "given up", false);
+  finish(conn, nullptr, "given up", false);
 }
 
 } // namespace zinniagauge
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -81,6 +81,8 @@
   return fail({ErrorCode::Unavailable, Step::Platform, "store", "test"});
 }
 
+std::uint64_t noEra(const StoreResponse & /*response*/) { return 0; }
+
 /// The front under test.
 struct TestedFront {
   FrontBoard Board;
@@ -97,6 +99,7 @@
     Settings.GossipAddress = {INADDR_LOOPBACK, 0};
     Protocol.ReadRequest = noRequest;
     Protocol.ParseRows = noRows;
+    Protocol.EraOf = noEra;
     Ct = std::make_unique<Controllers>(Board, Protocol, Settings, Log, Metrics);
     Ct->OnChange = [] {};
     REQUIRE(openLoop(Ct->EventLoop));
