--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -39,6 +39,11 @@
   return {};
 }
 
+void replyFromStore(PortConnection &conn, int status, std::string_view body) {
+  const std::string era = std::to_string(conn.Port->Owner->Era);
+  reply(conn, status, body, {{"Store-Era", era}});
+}
+
 /// The rows of \p table that changed after version \p after.
 json rowsResponse(const Consortium &st, const std::string &table,
                   std::uint64_t after) {
@@ -60,7 +65,7 @@
     if (doc.at("rows").empty() && st.Lp.Now < w.Deadline)
       return false;
     if (st.Connections.contains(w.Reader))
-      reply(*w.Reader, 200, doc.dump());
+      replyFromStore(*w.Reader, 200, doc.dump());
     return true;
   });
 }
@@ -81,7 +86,7 @@
             ? 0
             : it->second.at("schema_version").get<std::uint64_t>();
     if (stored != cond.at("schema_version").get<std::uint64_t>()) {
-      reply(conn, 412, rowsResponse(st, cond.at("table"), 0).dump());
+      replyFromStore(conn, 412, rowsResponse(st, cond.at("table"), 0).dump());
       return;
     }
   }
@@ -91,11 +96,12 @@
     close(conn.Connection, true);
     return;
   }
-  reply(conn, 200, json{{"schema_version", st.Version}, {"now_ms", 1}}.dump());
+  replyFromStore(conn, 200,
+                 json{{"schema_version", st.Version}, {"now_ms", 1}}.dump());
 }
 
-/// Serves /stand-in: POST writes a row or sets a mode; GET returns how many
-/// calls arrived at each engine and ran there.
+/// Serves /stand-in: POST writes a row, sets a mode, or copies or restores the
+/// store; GET returns how many calls arrived at each engine and ran there.
 void handleControl(Consortium &st, PortConnection &conn,
                    const MessageHead &head) {
   if (head.Method == "POST") {
@@ -104,6 +110,10 @@
       putRow(st, doc.at("row"));
     else if (doc.contains("store"))
       st.Ports[0]->Mode = doc.at("store");
+    else if (doc.contains("copy"))
+      st.LastCopy = copyStore(st, doc.value("without", std::string()));
+    else if (doc.contains("restore"))
+      restoreStore(st, st.LastCopy);
     else
       st.Ports.at(doc.at("engine").get<std::size_t>() + 1)->Mode =
           doc.at("mode");
@@ -125,14 +135,18 @@
   } else if (st.Ports[0]->Mode == "silent") {
     return;
   } else if (st.Ports[0]->Mode == "busy") {
-    reply(conn, 503, "");
+    replyFromStore(conn, 503, "");
   } else if (path == "/v1/rows-tx") {
     handleTransaction(st, conn, json::parse(conn.Body));
-  } else if (st.Ports[0]->Mode == "gone" && path == "/v1/rows-feed") {
-    reply(conn, 410, "");
+  } else if (path == "/v1/rows-feed" &&
+             (st.Ports[0]->Mode == "gone" ||
+              std::stoull(queryValue(head.Target, "after_revision")) >
+                  st.Version)) {
+    replyFromStore(conn, 410, "");
   } else if (path == "/v1/rows-get") {
-    reply(conn, 200,
-          rowsResponse(st, queryValue(head.Target, "table"), 0).dump());
+    replyFromStore(
+        conn, 200,
+        rowsResponse(st, queryValue(head.Target, "table"), 0).dump());
   } else if (path == "/v1/rows-feed") {
     const auto wait = std::chrono::milliseconds(
         std::stoll(queryValue(head.Target, "wait_ms")));
@@ -315,6 +329,24 @@
   st.Rows[{row.at("table"), row.at("key")}] = std::move(stored);
 }
 
+StoreCopy copyStore(const Consortium &st, const std::string &without) {
+  StoreCopy copy{st.Rows, st.Version};
+  std::erase_if(copy.Rows,
+                [&](const auto &row) { return row.first.first == without; });
+  return copy;
+}
+
+void restoreStore(Consortium &st, const StoreCopy &copy) {
+  st.Rows = copy.Rows;
+  st.Version = copy.Version;
+  ++st.Era;
+  const auto pending = std::move(st.PendingReads);
+  st.PendingReads.clear();
+  for (const PendingRead &r : pending)
+    if (st.Connections.contains(r.Reader))
+      close(r.Reader->Connection, true);
+}
+
 Result<void> startConsortium(Consortium &st, const std::string &store,
                              const std::vector<std::string> &engines) {
   BOOST_LEAF_CHECK(addPort(st, store, -1));
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -70,6 +70,12 @@
   Time Deadline;
 };
 
+/// A copy of the store's rows.
+struct StoreCopy {
+  std::map<std::pair<std::string, std::string>, nlohmann::json> Rows;
+  std::uint64_t Version = 0;
+};
+
 /// The state of the store and the engines.
 struct Consortium {
   Loop Lp;
@@ -78,6 +84,8 @@
   std::map<PortConnection *, std::shared_ptr<PortConnection>> Connections;
   std::map<std::pair<std::string, std::string>, nlohmann::json> Rows;
   std::uint64_t Version = 1;
+  std::uint64_t Era = 1; // Rises with each restore.
+  StoreCopy LastCopy;    // Of the control endpoint.
   std::vector<PendingRead> PendingReads;
   LoopTimer Timer;
   Duration EventInterval = Duration::zero(); // Zero: all at once.
@@ -89,6 +97,14 @@
 /// base64), and assigns it the next version.
 void putRow(Consortium &st, const nlohmann::json &row);
 
+/// A copy of the rows as they are now, but for those of table \p without.
+[[nodiscard]] StoreCopy copyStore(const Consortium &st,
+                                  const std::string &without = {});
+
+/// Replaces the rows by \p copy and begins a new era: versions go back and are
+/// assigned again. Pending reads are dropped with their connections.
+void restoreStore(Consortium &st, const StoreCopy &copy);
+
 /// Listens at the "ip:port" of the store and of each engine. The loop must be
 /// open. Fails with Unavailable if an address can't be bound.
 [[nodiscard]] Result<void>
--- /dev/null
+++ b/tests/support/front_fleet.cpp
@@ -0,0 +1,47 @@
+// Implements the fleet of fronts.
+#include "support/front_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace zinniagauge::testing {
+
+FrontFleet::FrontFleet() {
+  for (int n = 2; n <= 5; ++n) {
+    const std::string name = "front-" + std::to_string(n);
+    Ports.push_back(freePorts(4));
+    const auto &p = Ports.back();
+    More.push_back(std::make_unique<Process>(std::vector<std::string>{
+        ZINNIA_BINARY_DIR "/zinnia-front",
+        D.Folder.write(name + ".json",
+                       frontSettings(name, {p[0], p[1], p[2], p[3], D.Ports[0]})
+                           .dump())}));
+  }
+  for (const auto &p : Ports)
+    REQUIRE(waitForStatus("http://" + loopbackAddress(p[1]) + "/v1/readiness",
+                          200));
+}
+
+bool FrontFleet::holdsSlot(const Process &front) {
+  return front.output().find("\"event\":\"coordinates\",\"holds_slot\":1") !=
+         std::string::npos;
+}
+
+std::size_t FrontFleet::holders() const {
+  std::size_t count = holdsSlot(*D.Front) ? 1 : 0;
+  for (const auto &f : More)
+    count += holdsSlot(*f) ? 1 : 0;
+  return count;
+}
+
+bool FrontFleet::allRespond(const char *key, int status,
+                            const char *path) const {
+  if (!hasStatus(D.call(path, key), status))
+    return false;
+  return std::all_of(Ports.begin(), Ports.end(), [&](const auto &p) {
+    return p.empty() || hasStatus(D.call(path, key, {}, p[0]), status);
+  });
+}
+
+} // namespace zinniagauge::testing
--- /dev/null
+++ b/tests/support/front_fleet.h
@@ -0,0 +1,35 @@
+// Several fronts of one zone with a stand-in for the users' platform, for
+// process tests.
+#ifndef ZINNIAGAUGE_TESTS_SUPPORT_FRONT_FLEET_H
+#define ZINNIAGAUGE_TESTS_SUPPORT_FRONT_FLEET_H
+
+#include "support/front_deployment.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace zinniagauge::testing {
+
+/// The front of FrontDeployment and four more. The constructor waits until all
+/// are ready.
+struct FrontFleet {
+  FrontFleet();
+
+  [[nodiscard]] static bool holdsSlot(const Process &front);
+  /// The fronts that hold a coordinator's slot.
+  [[nodiscard]] std::size_t holders() const;
+  /// Whether a call of \p path with \p key gets \p status at the first front
+  /// and at each of the others that runs.
+  [[nodiscard]] bool allRespond(const char *key, int status,
+                                const char *path = "/unsafe/a") const;
+
+  FrontDeployment D;
+  std::vector<std::vector<std::uint16_t>> Ports; // Empty: it was ended.
+  std::vector<std::unique_ptr<Process>> More;
+};
+
+} // namespace zinniagauge::testing
+
+#endif // ZINNIAGAUGE_TESTS_SUPPORT_FRONT_FLEET_H
