Compare the table service's versions only within an era

Cause: versions were compared as plain numbers, and the newest so far was kept. After a restore they go back and are given out again. The row version that a front had read before was higher than all new ones, so a report of a reading front looked old; an equal number confirmed a plan that wasn't the newest; changes since a number of the former era left some out; and a copy with an older plan confirmed the newer one in force.

Evidence: from the logs, all fronts have plan 13 before the restore and find it again in row 50 (64 before). The operator's next plan is in row 51. The front that reads for the others takes it, and none of the five others.

Change: a version is now a pair of era and number. The era of each answer is read; a new one makes a front read all rows, an answer that was on its way is dropped, and reports name the era of their rows and of their list, so a front that doesn't read learns of it by a version that is later than its own. A reading confirms a plan only if the rows hold it, and if it was written in this era or operators have had a second to write again what the copy lacks. The first era needs no such wait.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -11,6 +11,7 @@
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
 #include "zinniagauge/board/spend.h"
+#include "zinniagauge/board/store_era.h"
 #include "zinniagauge/board/traffic_plan.h"
 
 #include <atomic>
@@ -36,9 +37,7 @@
   Cell<BackendLimitList> OwnLimits;  // All that are known; by the request loop.
   Cell<BackendLimitList> PeerLimits; // Written by the gossip controller.
 
-  /// The newest era of the table service that a response named; zero: none
-  /// did. Written by the controllers' thread.
-  std::atomic<std::uint64_t> StoreEra{0};
+  Cell<StoreEra> TableEra; // Written by the controllers' thread.
 
   /// When the newest read that confirmed the plan to be the latest was
   /// requested, in nanoseconds of bootNow; zero before the first.
@@ -57,13 +56,13 @@
   /// nanoseconds. Written by the gossip controller.
   std::atomic<std::int64_t> LoadDelay{25'000'000};
 
-  /// The version of the newest operators' row that was read; increases with
-  /// each new row.
-  std::atomic<std::uint64_t> OperatorRowVersion{0};
+  /// The newest operators' row that was read. Written by the plan controller.
+  Cell<ConfirmedVersion> OperatorRows;
   /// A digest of the last list of back ends that was read, and when that read
   /// was requested, in nanoseconds of bootNow.
   std::atomic<std::uint64_t> BackendsDigest{0};
   std::atomic<std::int64_t> BackendsConfirmedAt{0};
+  std::atomic<std::uint64_t> BackendsEra{0}; // In which it was read.
 
   /// Since when this front has read the list without an outage, in nanoseconds
   /// of bootNow; zero while it keeps entries that may have lapsed in one.
@@ -76,11 +75,11 @@
   /// the gossip controller.
   std::atomic<std::int64_t> ReportedReadableSince{0};
 
-  /// The row version and the digest that a front which reads the table service
-  /// reported, each with the latest time at which it was certainly current, in
-  /// nanoseconds of this machine's bootNow. Written by the gossip controller.
-  std::atomic<std::uint64_t> ReportedRowVersion{0};
-  std::atomic<std::int64_t> ReportedRowVersionAt{0};
+  /// The newest operators' row, and the digest of the current era, that a front
+  /// which reads the table service reported, each with the latest time at which
+  /// it was certainly current, in nanoseconds of this machine's bootNow.
+  /// Written by the gossip controller.
+  Cell<ConfirmedVersion> ReportedOperatorRows;
   std::atomic<std::uint64_t> ReportedBackendsDigest{0};
   std::atomic<std::int64_t> ReportedBackendsDigestAt{0};
 
--- a/include/zinniagauge/board/table.h
+++ b/include/zinniagauge/board/table.h
@@ -3,23 +3,12 @@
 #ifndef ZINNIAGAUGE_BOARD_TABLE_H
 #define ZINNIAGAUGE_BOARD_TABLE_H
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace zinniagauge {
 
-/// A version of the table service's rows. Versions are given out anew after the
-/// service was restored from a copy, which begins a new era, so numbers of
-/// different eras can't be compared.
-struct TableVersion {
-  std::uint64_t Era = 0; // Zero: the service names no eras.
-  std::uint64_t Number = 0;
-
-  auto operator<=>(const TableVersion &) const = default;
-};
-
 /// The effect of one operation of a transaction on its row.
 enum class TableOpKind : std::uint8_t {
   Get,            ///< Reads the row.
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -4,9 +4,10 @@
 #define ZINNIAGAUGE_STORE_CONTROLLERS_H
 
 #include "zinniagauge/board/front_board.h"
-#include "zinniagauge/board/table.h"
+#include "zinniagauge/board/store_era.h"
 #include "zinniagauge/decide/backend_tracker.h"
 #include "zinniagauge/decide/coordinator.h"
+#include "zinniagauge/decide/store_era.h"
 #include "zinniagauge/front/front_settings.h"
 #include "zinniagauge/front/status_server.h"
 #include "zinniagauge/net/loop.h"
@@ -33,10 +34,15 @@
   Controllers *Owner = nullptr;
   StoreConnection Connection;
   LoopTimer Timer;
-  std::uint64_t StoreVersion = 0;       // Changes up to it were read.
-  std::uint64_t OperatorRowVersion = 0; // Of the newest operators' row.
-  bool FullyRead = false;        // StoreVersion started from a full read.
+  TableVersion ReadUpTo;  // Changes up to it were read.
+  TableVersion NewestRow; // Of the operators' rows; number zero: none.
+  PlanRow Row;
+  bool ReadsAll = false;         // The request in progress is a full read.
+  bool FullyRead = false;        // ReadUpTo started from a full read.
   bool StoreUnreachable = false; // The last request failed.
+  /// A front that doesn't read for others reads again then, unless there is
+  /// news earlier.
+  Time NextReadAt;
   Duration Backoff = Duration::zero();
   std::string_view LoggedSource; // Of the plan's confirmation, as last logged.
   TableVersion LoggedRows;
@@ -113,9 +119,15 @@
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
                        const Error *err);
 
-/// Takes \p era, named by \p source, as the table service's if it is newer than
-/// the one known so far, and logs that. Zero is no era.
-void applyStoreEra(Controllers &ct, std::uint64_t era, std::string_view source);
+/// Compares the era that \p response names with the known one. A new one is
+/// published and logged with \p use, and the controllers are told that what
+/// they read of the one before no longer holds.
+[[nodiscard]] EraOrder applyStoreEra(Controllers &ct,
+                                     const StoreResponse &response,
+                                     std::string_view use);
+
+/// Called when the table service was restored from a copy.
+void onStoreRestored(PlanController &pc);
 
 void startPlanController(PlanController &pc);
 /// Fails with Unavailable if the port for other fronts can't be opened.
--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -10,6 +10,7 @@
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
 #include "zinniagauge/board/spend.h"
+#include "zinniagauge/board/store_era.h"
 #include "zinniagauge/decide/coordinator.h"
 #include "zinniagauge/time/clock.h"
 
@@ -44,10 +45,11 @@
   /// Likewise.
   BackendLimitList Limits;
   /// Of the newest operators' row the sender knows.
-  std::uint64_t OperatorRowVersion = 0;
-  /// Of the list of back ends the sender knows.
+  TableVersion OperatorRows;
+  /// Of the list of back ends the sender knows, and the era of that list.
   std::uint64_t BackendsDigest = 0;
-  /// Since OperatorRowVersion was last confirmed.
+  std::uint64_t BackendsEra = 0;
+  /// Since OperatorRows were last confirmed.
   std::uint32_t OperatorRowAgeMs = 0;
   /// Since BackendsDigest was last confirmed.
   std::uint32_t BackendsDigestAgeMs = 0;
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -34,6 +34,8 @@
   crashes @25 :List(FrontCrash); # All that the sender knows, or nothing new.
   answers @26 :List(FrontAnswer);
   limits @27 :List(FrontLimit); # All that the sender knows, or nothing new.
+  markEra @28 :UInt64;        # Era of the table service that mark belongs to.
+  digestEra @29 :UInt64;      # Era in which the list of digest was read.
 }
 
 struct FrontCrash {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -42,7 +42,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 13, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 15, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -284,6 +284,10 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::zinniagauge::wire::FrontLimit,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline  ::uint64_t getMarkEra() const;
+
+  inline  ::uint64_t getDigestEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -436,6 +440,12 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontLimit,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline  ::uint64_t getMarkEra();
+  inline void setMarkEra( ::uint64_t value);
+
+  inline  ::uint64_t getDigestEra();
+  inline void setDigestEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1971,6 +1981,34 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FrontReport::Reader::getMarkEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontReport::Builder::getMarkEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setMarkEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontReport::Reader::getDigestEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontReport::Builder::getDigestEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setDigestEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontCrash::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -24,17 +24,26 @@
   return startGossip(ct.PeerGossip);
 }
 
-void applyStoreEra(Controllers &ct, std::uint64_t era,
-                   std::string_view source) {
-  const std::uint64_t before = ct.Board.StoreEra;
-  if (era <= before)
-    return;
-  ct.Board.StoreEra = era;
+EraOrder applyStoreEra(Controllers &ct, const StoreResponse &response,
+                       std::string_view use) {
+  const StoreEra before = ct.Board.TableEra.copy();
+  const std::uint64_t era = ct.Protocol.EraOf(response);
+  const EraOrder order = compareEra(before, era, response.RequestedAtBoot);
+  if (order == EraOrder::Current)
+    return order;
   EventLine line = eventLine("store_era");
   add(line, "era", static_cast<std::int64_t>(era));
-  add(line, "before", static_cast<std::int64_t>(before));
-  add(line, "source", source);
+  add(line, "before", static_cast<std::int64_t>(before.Number));
+  add(line, "use", use);
+  add(line, "outcome",
+      order == EraOrder::New ? "taken" : "outdated, answer dropped");
   ct.Log.write(line);
+  if (order == EraOrder::Outdated)
+    return order;
+  ct.Board.TableEra.publish({era, bootNow()});
+  if (before.Number != 0)
+    onStoreRestored(ct.Plans);
+  return order;
 }
 
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -107,7 +107,7 @@
 
 void onReadResponse(void *ctx, const StoreResponse &response) {
   CoordinatorController &cc = *static_cast<CoordinatorController *>(ctx);
-  applyStoreEra(*cc.Owner, cc.Owner->Protocol.EraOf(response), "coordinators");
+  static_cast<void>(applyStoreEra(*cc.Owner, response, "coordinators"));
   handleResult([&] { return cc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*cc.Owner, cc.StoreUnreachable,
@@ -124,7 +124,7 @@
 
 void onWriteResponse(void *ctx, const StoreResponse &response) {
   CoordinatorController &cc = *static_cast<CoordinatorController *>(ctx);
-  applyStoreEra(*cc.Owner, cc.Owner->Protocol.EraOf(response), "coordinators");
+  static_cast<void>(applyStoreEra(*cc.Owner, response, "coordinators"));
   handleResult([&] { return cc.Owner->Protocol.ParseWriteResult(response); },
                [&](const TableResult & /*res*/) {
                  // The rows tell who holds which slot, also after a lost race.
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -192,6 +192,7 @@
     publish(dc);
   publishGrace(dc, "read from the table service");
   board.BackendsDigest = digestOf(dc.BackendsRead);
+  board.BackendsEra = board.TableEra.copy().Number;
   board.BackendsConfirmedAt = toNanos(dc.ReadStartedAtBoot);
   dc.PeerFailed = false;
   return dc.ReadStartedAt + (board.IsStoreReader ? ReadPeriod : CheckPeriod);
@@ -211,6 +212,7 @@
     publish(dc);
   publishGrace(dc, "read from another front");
   board.BackendsDigest = board.ReportedBackendsDigest.load();
+  board.BackendsEra = board.TableEra.copy().Number;
   board.BackendsConfirmedAt = confirmedat;
   return now + CheckPeriod;
 }
@@ -218,7 +220,8 @@
 void onResponse(void *ctx, const StoreResponse &response) {
   DiscoveryController &dc = *static_cast<DiscoveryController *>(ctx);
   Loop &lp = dc.Owner->EventLoop;
-  applyStoreEra(*dc.Owner, dc.Owner->Protocol.EraOf(response), "backends");
+  if (!dc.FromPeer)
+    static_cast<void>(applyStoreEra(*dc.Owner, response, "backends"));
   handleResult([&] { return dc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  if (!dc.FromPeer)
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -328,11 +328,12 @@
 /// Applies what the sender knows of the table service's data.
 void applyFreshness(Gossip &gossip, const GossipReport &rep) {
   FrontBoard &board = gossip.Owner->Board;
-  // A higher row version means that there is something to read, even if the
+  // A later row version means that there is something to read, even if the
   // report doesn't prove that it is the newest.
-  if (rep.OperatorRowVersion > board.ReportedRowVersion) {
-    board.ReportedRowVersion = rep.OperatorRowVersion;
-    board.ReportedRowVersionAt = 0;
+  ConfirmedVersion rows = board.ReportedOperatorRows.copy();
+  if (rep.OperatorRows > rows.Version) {
+    rows = {rep.OperatorRows, 0};
+    board.ReportedOperatorRows.publish(rows);
   }
   if (!isResponse(gossip, rep))
     return;
@@ -343,9 +344,12 @@
       queriedat - std::chrono::milliseconds(rep.OperatorRowAgeMs);
   const Time backendsconfirmedat =
       queriedat - std::chrono::milliseconds(rep.BackendsDigestAgeMs);
-  if (rep.OperatorRowVersion == board.ReportedRowVersion &&
-      toNanos(rowconfirmedat) > board.ReportedRowVersionAt)
-    board.ReportedRowVersionAt = toNanos(rowconfirmedat);
+  if (rep.OperatorRows == rows.Version &&
+      toNanos(rowconfirmedat) > rows.ConfirmedAt)
+    board.ReportedOperatorRows.publish({rows.Version, toNanos(rowconfirmedat)});
+  // A list of another era may lack entries, or have some that are gone.
+  if (rep.BackendsEra != board.TableEra.copy().Number)
+    return;
   if (toNanos(backendsconfirmedat) > board.ReportedBackendsDigestAt) {
     board.ReportedBackendsDigest = rep.BackendsDigest;
     board.ReportedBackendsDigestAt = toNanos(backendsconfirmedat);
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -173,7 +173,9 @@
   out.setLife(rep.Incarnation);
   out.setBeat(rep.Heartbeat);
   out.setChangesOnly(!rep.IsFull);
-  out.setMark(rep.OperatorRowVersion);
+  out.setMark(rep.OperatorRows.Number);
+  out.setMarkEra(rep.OperatorRows.Era);
+  out.setDigestEra(rep.BackendsEra);
   out.setDigest(rep.BackendsDigest);
   out.setMarkAgeMs(rep.OperatorRowAgeMs);
   out.setDigestAgeMs(rep.BackendsDigestAgeMs);
@@ -227,7 +229,8 @@
     report.Incarnation = rep.getLife();
     report.Heartbeat = rep.getBeat();
     report.IsFull = !rep.getChangesOnly();
-    report.OperatorRowVersion = rep.getMark();
+    report.OperatorRows = {rep.getMarkEra(), rep.getMark()};
+    report.BackendsEra = rep.getDigestEra();
     report.BackendsDigest = rep.getDigest();
     report.OperatorRowAgeMs = rep.getMarkAgeMs();
     report.BackendsDigestAgeMs = rep.getDigestAgeMs();
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -36,40 +36,56 @@
 /// Logs what confirms the plan if that, or the rows that it rests on, changed.
 void logConfirmation(PlanController &pc, std::string_view source) {
   const FrontBoard &board = pc.Owner->Board;
-  const TableVersion rows{board.StoreEra, pc.OperatorRowVersion};
-  if (pc.LoggedSource == source && pc.LoggedRows == rows)
+  if (pc.LoggedSource == source && pc.LoggedRows == pc.NewestRow)
     return;
   pc.LoggedSource = source;
-  pc.LoggedRows = rows;
+  pc.LoggedRows = pc.NewestRow;
   EventLine line = eventLine("plan_confirmed");
   add(line, "source", source);
-  add(line, "era", static_cast<std::int64_t>(rows.Era));
-  add(line, "row", static_cast<std::int64_t>(rows.Number));
+  add(line, "era", static_cast<std::int64_t>(pc.NewestRow.Era));
+  add(line, "row", static_cast<std::int64_t>(pc.NewestRow.Number));
   add(line, "version", static_cast<std::int64_t>(board.PlanVersion.load()));
   add(line, "age_ms", bootNow() - fromNanos(board.PlanConfirmedAt));
   pc.Owner->Log.write(line);
 }
 
+/// Records that the operators' rows that were read were the newest ones at
+/// \p at, in nanoseconds of bootNow.
+void confirmRows(PlanController &pc, std::int64_t at, std::string_view source) {
+  FrontBoard &board = pc.Owner->Board;
+  board.OperatorRows.publish({pc.NewestRow, at});
+  board.PlanConfirmedAt = at;
+  logConfirmation(pc, source);
+}
+
 /// Confirms the plan by what a reading front reported. Returns true if the plan
 /// was confirmed recently enough, so that this front needn't read it.
 bool applyReaderReport(PlanController &pc) {
   FrontBoard &board = pc.Owner->Board;
+  const ConfirmedVersion reported = board.ReportedOperatorRows.copy();
   if (board.IsStoreReader || !pc.FullyRead || board.PlanVersion == 0 ||
-      board.ReportedRowVersion > pc.OperatorRowVersion)
+      reported.Version > pc.NewestRow)
     return false;
-  if (board.ReportedRowVersion == pc.OperatorRowVersion &&
-      board.ReportedRowVersionAt > board.PlanConfirmedAt) {
-    board.PlanConfirmedAt = board.ReportedRowVersionAt.load();
-    logConfirmation(pc, "another front's report");
-  }
+  // Rows with an older plan than this front's are those of a copy.
+  if (reported.Version == pc.NewestRow && pc.Row.Plan >= board.PlanVersion &&
+      reported.ConfirmedAt > board.PlanConfirmedAt)
+    confirmRows(pc, reported.ConfirmedAt, "another front's report");
   const Duration maxage =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).MaxSharedAge;
   return bootNow() - fromNanos(board.PlanConfirmedAt) < maxage;
 }
 
+/// Whether another front has reported a later row than this one has read.
+bool hasNews(const PlanController &pc) {
+  return pc.Owner->Board.ReportedOperatorRows.copy().Version > pc.NewestRow;
+}
+
 void scheduleNext(PlanController &pc) {
-  if (applyReaderReport(pc))
-    arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + CheckPeriod);
+  const Time now = pc.Owner->EventLoop.Now;
+  const bool isreader = pc.Owner->Board.IsStoreReader;
+  if (applyReaderReport(pc) ||
+      (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt))
+    arm(pc.Owner->EventLoop, pc.Timer, now + CheckPeriod);
   else
     requestNext(pc);
 }
@@ -86,15 +102,14 @@
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
 
-void activatePlan(PlanController &pc, TrafficPlan plan,
-                  std::uint64_t rowversion) {
+void activatePlan(PlanController &pc, TrafficPlan plan, TableVersion row) {
   FrontBoard &board = pc.Owner->Board;
   const std::uint64_t before = board.PlanVersion;
   EventLine line = eventLine("plan");
   add(line, "version", static_cast<std::int64_t>(plan.Version));
   add(line, "before", static_cast<std::int64_t>(before));
-  add(line, "era", static_cast<std::int64_t>(board.StoreEra.load()));
-  add(line, "row", static_cast<std::int64_t>(rowversion));
+  add(line, "era", static_cast<std::int64_t>(row.Era));
+  add(line, "row", static_cast<std::int64_t>(row.Number));
   add(line, "routes", static_cast<std::int64_t>(plan.Routes.size()));
   add(line, "workspaces", static_cast<std::int64_t>(plan.Workspaces.size()));
   add(line, "outcome",
@@ -123,12 +138,15 @@
                });
 }
 
-/// Activates the plan in \p row, if it holds one. Returns false if the row
-/// can't be read: the active plan then isn't known to be the newest.
-bool applyPlanRow(PlanController &pc, const TableRow &row) {
+/// Activates the plan in \p row, which was read in \p era, if it holds one.
+/// Returns false if the row can't be read: the active plan then isn't known to
+/// be the newest.
+bool applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era) {
   return handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
                       [&](TrafficPlan plan) {
-                        activatePlan(pc, std::move(plan), row.Version);
+                        const TableVersion version{era, row.Version};
+                        pc.Row = nextPlanRow(pc.Row, version, plan.Version);
+                        activatePlan(pc, std::move(plan), version);
                         return true;
                       },
                       [&](const Error &err) {
@@ -141,54 +159,69 @@
                       });
 }
 
+/// Discards what was read so far and reads all rows.
+void readAgain(PlanController &pc) {
+  pc.FullyRead = false;
+  requestNext(pc);
+}
+
 void applyReadResult(PlanController &pc, const TableReadResult &rd,
                      Time requestedat) {
   if (rd.HistoryUnavailable) {
-    pc.FullyRead = false;
     EventLine line = eventLine("plan_history_gone");
-    add(line, "after", static_cast<std::int64_t>(pc.StoreVersion));
+    add(line, "era", static_cast<std::int64_t>(pc.ReadUpTo.Era));
+    add(line, "after", static_cast<std::int64_t>(pc.ReadUpTo.Number));
     pc.Owner->Log.write(line);
-    requestNext(pc);
+    readAgain(pc);
     return;
   }
-  const std::uint64_t before = pc.Owner->Board.PlanVersion;
-  bool allreadable = true;
-  for (const TableRow &row : rd.Rows)
-    if (!row.Deleted) {
-      allreadable = applyPlanRow(pc, row) && allreadable;
-      applyOrderRow(pc, row);
-    }
-  for (const TableRow &row : rd.Rows)
-    pc.OperatorRowVersion = std::max(pc.OperatorRowVersion, row.Version);
-  pc.StoreVersion = rd.Version;
-  pc.FullyRead = true;
   FrontBoard &board = pc.Owner->Board;
-  board.OperatorRowVersion = pc.OperatorRowVersion;
-  if (allreadable && board.PlanVersion > 0) {
-    board.PlanConfirmedAt = toNanos(requestedat);
-    logConfirmation(pc, "own reading");
+  const StoreEra era = board.TableEra.copy();
+  const std::uint64_t before = board.PlanVersion;
+  if (pc.NewestRow.Era != era.Number)
+    pc.NewestRow = {era.Number, 0};
+  bool allreadable = true;
+  for (const TableRow &row : rd.Rows) {
+    pc.NewestRow = std::max(pc.NewestRow, {era.Number, row.Version});
+    if (row.Deleted)
+      continue;
+    allreadable = applyPlanRow(pc, row, era.Number) && allreadable;
+    applyOrderRow(pc, row);
   }
+  pc.ReadUpTo = {era.Number, rd.Version};
+  pc.FullyRead = true;
+  if (allreadable && confirmsPlan(pc.Row, board.PlanVersion, era, requestedat))
+    confirmRows(pc, toNanos(requestedat), "own reading");
+  else if (board.OperatorRows.copy().Version != pc.NewestRow)
+    board.OperatorRows.publish({pc.NewestRow, 0});
   if (board.PlanVersion != before)
     pc.Owner->OnChange();
+  const Time now = pc.Owner->EventLoop.Now;
+  pc.NextReadAt = now + MaxBackoff;
   // A front that reads for itself doesn't use long polling: its response came
   // at once, so it waits for the timer instead of sending the next request now.
   if (board.PlanVersion > 0 && board.IsStoreReader)
     scheduleNext(pc);
   else
     arm(pc.Owner->EventLoop, pc.Timer,
-        pc.Owner->EventLoop.Now +
-            (board.PlanVersion > 0 ? CheckPeriod : MaxBackoff));
+        now + (board.PlanVersion > 0 ? CheckPeriod : MaxBackoff));
 }
 
 void onResponse(void *ctx, const StoreResponse &response) {
   PlanController &pc = *static_cast<PlanController *>(ctx);
-  applyStoreEra(*pc.Owner, pc.Owner->Protocol.EraOf(response), "plan");
+  const EraOrder order = applyStoreEra(*pc.Owner, response, "plan");
   handleResult([&] { return pc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan",
                                    nullptr);
                  pc.Backoff = Duration::zero();
-                 applyReadResult(pc, rd, response.RequestedAtBoot);
+                 // Changes since a version of another era may lack some.
+                 const bool sameera =
+                     pc.Owner->Board.TableEra.copy().Number == pc.ReadUpTo.Era;
+                 if (order == EraOrder::Outdated || (!pc.ReadsAll && !sameera))
+                   readAgain(pc);
+                 else
+                   applyReadResult(pc, rd, response.RequestedAtBoot);
                  return 0;
                },
                [&](const Error &err) {
@@ -199,18 +232,21 @@
 
 void requestNext(PlanController &pc) {
   const StoreProtocol &protocol = pc.Owner->Protocol;
-  if (!pc.FullyRead || pc.Owner->Board.PlanVersion == 0)
+  pc.ReadsAll = !pc.FullyRead || pc.Owner->Board.PlanVersion == 0;
+  if (pc.ReadsAll)
     sendRequest(pc.Connection, protocol.ReadRequest(StoreTable::Operators, {}),
                 ResponseTimeout, onResponse, &pc);
   else
     sendRequest(pc.Connection,
-                protocol.ChangesRequest(StoreTable::Operators, pc.StoreVersion,
-                                        longPollWait(pc)),
+                protocol.ChangesRequest(StoreTable::Operators,
+                                        pc.ReadUpTo.Number, longPollWait(pc)),
                 longPollWait(pc) + ResponseTimeout, onResponse, &pc);
 }
 
 } // namespace
 
+void onStoreRestored(PlanController &pc) { pc.FullyRead = false; }
+
 void startPlanController(PlanController &pc) {
   setUpStoreConnection(pc.Connection, pc.Owner->EventLoop,
                        pc.Owner->Settings.TableServiceAddress);
--- a/src/store/pool_move_controller.cpp
+++ b/src/store/pool_move_controller.cpp
@@ -226,7 +226,7 @@
 
 void onWriteResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
-  applyStoreEra(*mc.Owner, mc.Owner->Protocol.EraOf(response), "moves");
+  static_cast<void>(applyStoreEra(*mc.Owner, response, "moves"));
   handleResult(
       [&] { return mc.Owner->Protocol.ParseWriteResult(response); },
       [&](const TableResult & /*res*/) {
@@ -283,7 +283,7 @@
 
 void onReadResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
-  applyStoreEra(*mc.Owner, mc.Owner->Protocol.EraOf(response), "moves");
+  static_cast<void>(applyStoreEra(*mc.Owner, response, "moves"));
   handleResult(
       [&] { return mc.Owner->Protocol.ParseRows(response); },
       [&](const TableReadResult &rd) {
--- a/src/store/report_builder.cpp
+++ b/src/store/report_builder.cpp
@@ -23,9 +23,11 @@
 /// Sets the fields on how recently this front confirmed the table service's
 /// data.
 void fillFreshness(GossipReport &rep, const FrontBoard &board) {
-  rep.OperatorRowVersion = board.OperatorRowVersion;
+  const ConfirmedVersion rows = board.OperatorRows.copy();
+  rep.OperatorRows = rows.Version;
   rep.BackendsDigest = board.BackendsDigest;
-  rep.OperatorRowAgeMs = ageMs(board.PlanConfirmedAt);
+  rep.BackendsEra = board.BackendsEra;
+  rep.OperatorRowAgeMs = ageMs(rows.ConfirmedAt);
   rep.BackendsDigestAgeMs = ageMs(board.BackendsConfirmedAt);
   // An outage may have begun since the last reading.
   if (board.BackendsReadableSince != 0 &&
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -364,3 +364,33 @@
   CHECK(reps.back().EchoedQuerySentAt == after.QuerySentAt);
   CHECK(reps.back().EchoedIncarnation == 2);
 }
+
+TEST_CASE("a report of an earlier era confirms neither rows nor a list",
+          "[gossip][restore]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), false);
+  const int first = c.reportedTo();
+  REQUIRE(first >= 0);
+  OtherFront &to = c.Fronts.at(static_cast<std::size_t>(first));
+  f.Board.TableEra.publish({2, bootNow()});
+  const auto tell = [&](TableVersion rows, std::uint64_t listera) {
+    GossipReport rep = summaryOf(to, 0);
+    rep.OperatorRows = rows;
+    rep.BackendsEra = listera;
+    rep.EchoedQuerySentAt = toNanos(bootNow() - milliseconds(1));
+    rep.EchoedIncarnation = f.Ct->PeerGossip.Incarnation;
+    f.receive(to, rep);
+  };
+  tell({2, 50}, 1);
+  const ConfirmedVersion known = f.Board.ReportedOperatorRows.copy();
+  CHECK(known.Version == TableVersion{2, 50});
+  CHECK(f.Board.ReportedBackendsDigestAt == 0);
+  // A higher number of the era before is neither news nor a confirmation.
+  tell({1, 90}, 1);
+  CHECK(f.Board.ReportedOperatorRows.copy().Version == known.Version);
+  CHECK(f.Board.ReportedOperatorRows.copy().ConfirmedAt == known.ConfirmedAt);
+  tell({2, 50}, 2);
+  CHECK(f.Board.ReportedOperatorRows.copy().ConfirmedAt > known.ConfirmedAt);
+  CHECK(f.Board.ReportedBackendsDigestAt != 0);
+}
--- a/tests/unit/gossip_test.cpp
+++ b/tests/unit/gossip_test.cpp
@@ -33,9 +33,13 @@
 } // namespace
 
 TEST_CASE("a decoded report equals the encoded one", "[gossip]") {
-  const auto decoded =
-      decodeReport(encodeReport(report(1, 2, 3, 4'000'000'000)));
+  GossipReport rep = report(1, 2, 3, 4'000'000'000);
+  rep.OperatorRows = {2, 61};
+  rep.BackendsEra = 3;
+  const auto decoded = decodeReport(encodeReport(rep));
   REQUIRE(decoded);
+  CHECK(decoded->OperatorRows == TableVersion{2, 61});
+  CHECK(decoded->BackendsEra == 3);
   CHECK(decoded->Node == 1);
   CHECK(decoded->Incarnation == 2);
   CHECK(decoded->Heartbeat == 3);
