Write a coordinator's slot again after a restore

What was seen: after the table service came back from a copy of a time before a slot was claimed, its holder never wrote the slot again. Nine seconds later all other fronts take the slot for vacant, can't claim it either, and no longer send to the holder.

Cause: the table of coordinators kept the version of a row that a reading didn't return, so each renewal and each claim had a condition that no row met. A reading also took the copy's rows for newer than what was known.

Change: a row that a complete reading lacks has version zero, which is a condition that it doesn't exist. The first reading of a new era changes only the versions, and a holder writes its row at once. A version is used for a write only in the era in which it was read, also one that a coordinator reported.

--- a/include/zinniagauge/decide/coordinator.h
+++ b/include/zinniagauge/decide/coordinator.h
@@ -51,22 +51,27 @@
     bool Vacant = false;
   };
   std::map<std::string, Entry> Entries;
-  Time LastReadAt; // Zero: never read.
+  Time LastReadAt;       // Zero: never read.
+  std::uint64_t Era = 0; // Of the table service at that time.
 };
 
 /// The slot of a zone that a front may write, with the condition of the write.
 struct SlotWrite {
   std::string Key;
   std::uint64_t ExpectedVersion = 0; // Zero: the row must not exist.
+  std::uint64_t Era = 0;             // To which that version belongs.
 };
 
 /// The key of slot \p slot of \p zone.
 [[nodiscard]] std::string slotKey(std::string_view zone, std::uint32_t slot);
 
-/// Updates \p table from a complete reading at \p now. Slots that weren't
-/// renewed for SlotTimeout become vacant.
+/// Updates \p table from a complete reading of \p era at \p now. Slots that
+/// weren't renewed for SlotTimeout become vacant. The first reading of a new
+/// era changes only the rows' versions: the holders known before write the rows
+/// again that the service's copy lacks.
 void updateCoordinators(CoordinatorTable &table,
-                        std::span<const CoordinatorRow> read, Time now);
+                        std::span<const CoordinatorRow> read, std::uint64_t era,
+                        Time now);
 
 /// The slot that \p node holds, or nothing.
 [[nodiscard]] std::optional<SlotWrite> heldSlot(const CoordinatorTable &table,
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -128,6 +128,7 @@
 
 /// Called when the table service was restored from a copy.
 void onStoreRestored(PlanController &pc);
+void onStoreRestored(CoordinatorController &cc);
 
 void startPlanController(PlanController &pc);
 /// Fails with Unavailable if the port for other fronts can't be opened.
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -71,6 +71,7 @@
 struct FrontSlot {
   key @0 :Text;
   row @1 :UInt64;             # Version that the row must have when it is taken.
+  era @2 :UInt64;             # Era of the table service that row belongs to.
 }
 
 struct FrontMove {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -132,7 +132,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f3f39606d68153f1, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f3f39606d68153f1, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -934,6 +934,8 @@
 
   inline  ::uint64_t getRow() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -972,6 +974,9 @@
   inline  ::uint64_t getRow();
   inline void setRow( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2307,6 +2312,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FrontSlot::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontSlot::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FrontSlot::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontMove::Reader::getPool() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/decide/coordinator.cpp
+++ b/src/decide/coordinator.cpp
@@ -22,17 +22,26 @@
 }
 
 void updateCoordinators(CoordinatorTable &table,
-                        std::span<const CoordinatorRow> read, Time now) {
+                        std::span<const CoordinatorRow> read, std::uint64_t era,
+                        Time now) {
+  const bool restored = table.LastReadAt != Time() && era != table.Era;
   const Duration gap = now - table.LastReadAt;
   if (table.LastReadAt != Time() && gap > MaxReadingGap)
     for (auto &[key, entry] : table.Entries)
       entry.ChangedAt += gap - MaxReadingGap;
   table.LastReadAt = now;
+  table.Era = era;
+  for (auto &[key, entry] : table.Entries)
+    entry.Row.Version = 0; // Unless the row is among those that were read.
   for (const CoordinatorRow &row : read) {
     auto [it, inserted] = table.Entries.try_emplace(
         row.Key, CoordinatorTable::Entry{row, now, false});
     if (inserted)
       continue;
+    if (restored) {
+      it->second.Row.Version = row.Version;
+      continue;
+    }
     if (it->second.Row.Heartbeat != row.Heartbeat ||
         it->second.Row.Incarnation != row.Incarnation)
       it->second.ChangedAt = now;
@@ -46,7 +55,7 @@
                                   std::string_view node) {
   for (const auto &[key, entry] : table.Entries)
     if (entry.Row.Node == node)
-      return SlotWrite{key, entry.Row.Version};
+      return SlotWrite{key, entry.Row.Version, table.Era};
   return std::nullopt;
 }
 
@@ -56,9 +65,9 @@
     const std::string key = slotKey(zone, slot);
     const auto it = table.Entries.find(key);
     if (it == table.Entries.end())
-      return SlotWrite{key, 0};
+      return SlotWrite{key, 0, table.Era};
     if (it->second.Vacant)
-      return SlotWrite{key, it->second.Row.Version};
+      return SlotWrite{key, it->second.Row.Version, table.Era};
   }
   return std::nullopt;
 }
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -41,8 +41,10 @@
   if (order == EraOrder::Outdated)
     return order;
   ct.Board.TableEra.publish({era, bootNow()});
-  if (before.Number != 0)
+  if (before.Number != 0) {
     onStoreRestored(ct.Plans);
+    onStoreRestored(ct.Coordinators);
+  }
   return order;
 }
 
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -86,14 +86,17 @@
     else
       countTableCall(ct.Metrics, "coordinator_row", "unreadable");
   }
-  updateCoordinators(cc.Table, rows, ct.EventLoop.Now);
+  const std::uint64_t era = ct.Board.TableEra.copy().Number;
+  const bool restored = cc.Table.Era != era;
+  updateCoordinators(cc.Table, rows, era, ct.EventLoop.Now);
   if (ct.Board.HeardAt == 0)
     ct.Board.LivingFronts = livingFronts(cc.Table);
   const auto held = heldSlot(cc.Table, ct.Settings.Node);
   cc.HoldsSlot = held.has_value();
   onCoordinatorsChanged(ct.PeerGossip);
-  // A row of this front's former process is taken over at once.
-  if (held && !cc.RenewTimer.Hook.is_linked())
+  // A row of this front's former process is taken over at once, and one that a
+  // restored service may have lost is written again.
+  if (held && (restored || !cc.RenewTimer.Hook.is_linked()))
     arm(ct.EventLoop, cc.RenewTimer, ct.EventLoop.Now);
   if (held || isAttached(ct.PeerGossip))
     return;
@@ -107,12 +110,15 @@
 
 void onReadResponse(void *ctx, const StoreResponse &response) {
   CoordinatorController &cc = *static_cast<CoordinatorController *>(ctx);
-  static_cast<void>(applyStoreEra(*cc.Owner, response, "coordinators"));
+  const EraOrder order = applyStoreEra(*cc.Owner, response, "coordinators");
   handleResult([&] { return cc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*cc.Owner, cc.StoreUnreachable,
                                    "coordinators", nullptr);
-                 applyRows(cc, rd);
+                 if (order == EraOrder::Outdated)
+                   requestRead(cc);
+                 else
+                   applyRows(cc, rd);
                  return 0;
                },
                [&](const Error &err) {
@@ -146,6 +152,11 @@
 }
 
 void writeSlot(CoordinatorController &cc, const SlotWrite &slot) {
+  // In another era the version may be that of another holder's row.
+  if (slot.Era != cc.Owner->Board.TableEra.copy().Number) {
+    requestRead(cc);
+    return;
+  }
   ++cc.Heartbeat;
   TableTransaction tx;
   tx.Ops.push_back({slot.ExpectedVersion == 0 ? TableOpKind::PutIfAbsent
@@ -185,6 +196,11 @@
 
 } // namespace
 
+void onStoreRestored(CoordinatorController &cc) {
+  if (cc.HoldsSlot && !cc.Connection.Busy)
+    requestRead(cc);
+}
+
 void requestCoordinators(CoordinatorController &cc) {
   if (!cc.Connection.Busy &&
       cc.Owner->EventLoop.Now - cc.LastReadAt >= MinReadInterval)
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -122,6 +122,7 @@
   for (unsigned n = 0; n < slots.size(); ++n) {
     slots[n].setKey(rep.VacantSlots[n].Key);
     slots[n].setRow(rep.VacantSlots[n].ExpectedVersion);
+    slots[n].setEra(rep.VacantSlots[n].Era);
   }
   out.setMovesKnown(rep.Moves.has_value());
   if (!rep.Moves)
@@ -150,7 +151,7 @@
     rep.Coordinators.push_back(std::move(row));
   }
   for (const auto s : in.getVacantSlots())
-    rep.VacantSlots.push_back({s.getKey().cStr(), s.getRow()});
+    rep.VacantSlots.push_back({s.getKey().cStr(), s.getRow(), s.getEra()});
   if (!in.getMovesKnown())
     return true;
   rep.Moves.emplace();
--- a/tests/unit/coordinator_test.cpp
+++ b/tests/unit/coordinator_test.cpp
@@ -28,7 +28,7 @@
 TEST_CASE("a slot is free if it has no row or isn't renewed", "[coordinator]") {
   CoordinatorTable table;
   updateCoordinators(
-      table, std::vector{row("a", 0, "x", 1, 5), row("a", 1, "y", 1, 6)},
+      table, std::vector{row("a", 0, "x", 1, 5), row("a", 1, "y", 1, 6)}, 1,
       Time(seconds(1)));
   REQUIRE(claimableSlot(table, "a"));
   CHECK(claimableSlot(table, "a")->Key == slotKey("a", 2));
@@ -40,7 +40,7 @@
                        std::vector{row("a", 0, "x", 1, 5),
                                    row("a", 1, "y", beat, 6 + beat),
                                    row("a", 2, "z", beat, 60 + beat)},
-                       Time(seconds(t)));
+                       1, Time(seconds(t)));
   }
   REQUIRE(claimableSlot(table, "a"));
   CHECK(claimableSlot(table, "a")->Key == slotKey("a", 0));
@@ -54,20 +54,20 @@
   CoordinatorTable table;
   const std::vector rows = {row("a", 0, "x", 1, 5), row("a", 1, "y", 1, 6),
                             row("a", 2, "z", 1, 7)};
-  updateCoordinators(table, rows, Time(seconds(1)));
+  updateCoordinators(table, rows, 1, Time(seconds(1)));
   // No reading for a minute; no holder could renew its row either.
-  updateCoordinators(table, rows, Time(seconds(61)));
+  updateCoordinators(table, rows, 1, Time(seconds(61)));
   CHECK_FALSE(claimableSlot(table, "a"));
   CHECK(livingFronts(table) == 30);
-  updateCoordinators(table, rows, Time(seconds(65)));
-  updateCoordinators(table, rows, Time(seconds(69)));
+  updateCoordinators(table, rows, 1, Time(seconds(65)));
+  updateCoordinators(table, rows, 1, Time(seconds(69)));
   CHECK(claimableSlot(table, "a")); // They don't renew it now that they could.
 }
 
 TEST_CASE("a front knows its slot by its name, also after a restart",
           "[coordinator]") {
   CoordinatorTable table;
-  updateCoordinators(table, std::vector{row("a", 1, "x", 1, 5)},
+  updateCoordinators(table, std::vector{row("a", 1, "x", 1, 5)}, 1,
                      Time(seconds(1)));
   REQUIRE(heldSlot(table, "x"));
   CHECK(heldSlot(table, "x")->Key == slotKey("a", 1));
@@ -82,7 +82,7 @@
       table,
       std::vector{row("a", 0, "a0", 1, 1), row("a", 1, "a1", 1, 2),
                   row("a", 2, "a2", 1, 3), row("b", 0, "b0", 1, 4)},
-      Time(seconds(1)));
+      1, Time(seconds(1)));
   std::map<std::string, int> chosen;
   for (int n = 0; n < 60; ++n) {
     const auto order =
@@ -104,3 +104,29 @@
   CHECK(claimDelay(0.12, 1.0) < seconds(4));
   CHECK(claimDelay(0.5, 0.0) > Duration::zero());
 }
+
+TEST_CASE("a restored table that lacks a slot's row leaves the slot to its "
+          "holder",
+          "[coordinator][restore]") {
+  CoordinatorTable table;
+  updateCoordinators(
+      table, std::vector{row("a", 0, "x", 9, 50), row("a", 1, "y", 7, 52)}, 1,
+      Time(seconds(1)));
+  // In the copy another front still holds slot 0, and slot 1 is free.
+  updateCoordinators(table, std::vector{row("a", 0, "z", 3, 40)}, 2,
+                     Time(seconds(5)));
+  REQUIRE(heldSlot(table, "x"));
+  CHECK(heldSlot(table, "x")->ExpectedVersion == 40);
+  CHECK(heldSlot(table, "x")->Era == 2);
+  REQUIRE(heldSlot(table, "y"));
+  CHECK(heldSlot(table, "y")->ExpectedVersion == 0);
+  CHECK_FALSE(heldSlot(table, "z"));
+  CHECK(claimableSlot(table, "a")->Key == slotKey("a", 2));
+  // Later readings of the era count as usual.
+  updateCoordinators(
+      table, std::vector{row("a", 0, "x", 10, 44), row("a", 1, "w", 1, 45)}, 2,
+      Time(seconds(9)));
+  CHECK(heldSlot(table, "x")->ExpectedVersion == 44);
+  CHECK(heldSlot(table, "w"));
+  CHECK_FALSE(heldSlot(table, "y"));
+}
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -116,7 +116,7 @@
   }
 
   void setCoordinators(std::span<const CoordinatorRow> rows, bool holdsslot) {
-    updateCoordinators(Ct->Coordinators.Table, rows, Ct->EventLoop.Now);
+    updateCoordinators(Ct->Coordinators.Table, rows, 0, Ct->EventLoop.Now);
     Ct->Coordinators.HoldsSlot = holdsslot;
     onCoordinatorsChanged(Ct->PeerGossip);
   }
