Keep back ends that a restored list lacks

What callers saw: after a restore whose copy lacked the entries of back ends that had started since, their calls failed, and the back ends stayed unused after they were listed again.

Cause: missing entries are kept only after an outage of 2.5 s or more. After a shorter one, the next reading dropped them, and an incarnation that was dropped counts as leaving for two minutes.

Change: a new era starts the same grace as an outage does, whatever its length. A reading that was begun in the era before is begun again, and a list, or the time for which another front has read it, counts only if it was reported for the era that this front knows.

--- a/include/zinniagauge/decide/backend_tracker.h
+++ b/include/zinniagauge/decide/backend_tracker.h
@@ -59,6 +59,11 @@
 [[nodiscard]] bool confirmUnchanged(BackendTracker &tracker, Time requested,
                                     Time now);
 
+/// Records, at \p now, that the list was restored from a copy. Entries that it
+/// lacks are kept for RenewalGrace, until their back ends have written them
+/// again.
+void keepMissing(BackendTracker &tracker, Time now) noexcept;
+
 /// Whether missing entries are kept at \p now.
 [[nodiscard]] bool isInGrace(const BackendTracker &tracker, Time now) noexcept;
 
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -64,7 +64,8 @@
   std::vector<Backend> BackendsRead; // Rows of the pages read so far.
   std::string NextKey;               // First key of the next page.
   Time ReadStartedAt; // Request time of the first page, by the loop's clock.
-  Time ReadStartedAtBoot; // The same time by bootNow.
+  Time ReadStartedAtBoot;    // The same time by bootNow.
+  bool ReadOutdated = false; // The table service was restored since.
   BackendTracker Track;
   std::set<std::string> LoggedUnreadableRows; // Keys, each logged once.
   bool StoreUnreachable = false;
@@ -129,6 +130,7 @@
 /// Called when the table service was restored from a copy.
 void onStoreRestored(PlanController &pc);
 void onStoreRestored(CoordinatorController &cc);
+void onStoreRestored(DiscoveryController &dc);
 
 void startPlanController(PlanController &pc);
 /// Fails with Unavailable if the port for other fronts can't be opened.
--- a/src/decide/backend_tracker.cpp
+++ b/src/decide/backend_tracker.cpp
@@ -71,6 +71,13 @@
   return !isInGrace(tracker, now) && dropMissing(tracker, now);
 }
 
+void keepMissing(BackendTracker &tracker, Time now) noexcept {
+  if (!tracker.HasReading)
+    return;
+  tracker.GraceDeadline = now + RenewalGrace;
+  tracker.ReadableSince = now;
+}
+
 bool isInGrace(const BackendTracker &tracker, Time now) noexcept {
   return now < tracker.GraceDeadline;
 }
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -44,6 +44,7 @@
   if (before.Number != 0) {
     onStoreRestored(ct.Plans);
     onStoreRestored(ct.Coordinators);
+    onStoreRestored(ct.Discovery);
   }
   return order;
 }
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -99,6 +99,7 @@
     usePeer(dc, *peer);
   dc.BackendsRead.clear();
   dc.Bodies.clear();
+  dc.ReadOutdated = false;
   dc.ReadStartedAtBoot = bootNow();
   dc.NextKey.clear();
   dc.ReadStartedAt = now;
@@ -220,13 +221,23 @@
 void onResponse(void *ctx, const StoreResponse &response) {
   DiscoveryController &dc = *static_cast<DiscoveryController *>(ctx);
   Loop &lp = dc.Owner->EventLoop;
-  if (!dc.FromPeer)
-    static_cast<void>(applyStoreEra(*dc.Owner, response, "backends"));
+  const EraOrder order = dc.FromPeer
+                             ? EraOrder::Current
+                             : applyStoreEra(*dc.Owner, response, "backends");
+  // The first page names the era of the reading.
+  if (order == EraOrder::New && dc.Bodies.empty())
+    dc.ReadOutdated = false;
+  else if (order == EraOrder::Outdated)
+    dc.ReadOutdated = true;
   handleResult([&] { return dc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  if (!dc.FromPeer)
                    recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
                                      nullptr);
+                 if (dc.ReadOutdated) {
+                   onTimer(&dc, lp.Now);
+                   return 0;
+                 }
                  parseRows(dc, rd);
                  dc.Bodies.push_back(response.Body);
                  if (rd.HasMore && !rd.Rows.empty()) {
@@ -266,6 +277,14 @@
 
 } // namespace
 
+void onStoreRestored(DiscoveryController &dc) {
+  FrontBoard &board = dc.Owner->Board;
+  dc.ReadOutdated = true;
+  board.ReportedBackendsDigestAt = 0;
+  keepMissing(dc.Track, dc.Owner->EventLoop.Now);
+  publishGrace(dc, "the table service was restored");
+}
+
 void applyReportedReadableTime(DiscoveryController &dc) {
   const FrontBoard &board = dc.Owner->Board;
   const Time now = dc.Owner->EventLoop.Now;
--- a/tests/unit/backend_tracker_test.cpp
+++ b/tests/unit/backend_tracker_test.cpp
@@ -138,3 +138,31 @@
   CHECK(digestOf(ab) != digestOf(leaving));
   CHECK(digestOf(ab) != digestOf(restarted));
 }
+
+TEST_CASE("after a restore missing entries are kept, however short the outage",
+          "[backends][restore]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a"), backend("left")}));
+  static_cast<void>(rd.read({backend("a"), backend("left", 1, true)}));
+  rd.Now += milliseconds(300);
+  keepMissing(rd.Tracker, rd.Now);
+  // The copy lacks one entry, and has one as it was before it left.
+  static_cast<void>(rd.read({backend("left")}, milliseconds(100)));
+  CHECK(rd.usableNow("a"));
+  CHECK_FALSE(rd.usableNow("left"));
+  static_cast<void>(rd.read({backend("a"), backend("left")}, seconds(1)));
+  CHECK(rd.usableNow("a"));
+  static_cast<void>(rd.read({backend("left")}, seconds(2)));
+  CHECK_FALSE(rd.usableNow("a"));
+  CHECK_FALSE(rd.usableNow("left"));
+}
+
+TEST_CASE("a process that reads again at once after a restore ends nobody's "
+          "grace",
+          "[backends][restore]") {
+  Reader rd;
+  static_cast<void>(rd.read({backend("a")}));
+  keepMissing(rd.Tracker, rd.Now);
+  static_cast<void>(rd.read({}, milliseconds(100)));
+  CHECK(rd.Tracker.ReadableSince >= rd.Now - milliseconds(100));
+}
