Write a version move's record again after a restore

What was seen: a move that had been rolled back was begun again after the table service came back from a copy, and the new version got its trial and its early calls once more. With the order's row under its old number, the record was never written again, so the operator had no outcome.

Cause: an order was identified by the number of its row, which changes when the operator writes it again, and what was read of the records replaced what was known of them, so a lost record meant that no move had begun.

Change: the record names the row of the order that began the move and the row under which the order was last read, each with its era. An order with the same label and time limit in a new era is the same order, and its move keeps its identity, start and stage. A front that knows a record writes it again if the service lacks it or has one of an earlier stage; if two fronts know different ones, both choose the same. Nobody begins a move, and no other order replaces the known one, while the service may lack what operators wrote. Records are written only by versions of their own era.

--- a/include/zinniagauge/decide/pool_move.h
+++ b/include/zinniagauge/decide/pool_move.h
@@ -5,6 +5,7 @@
 #define ZINNIAGAUGE_DECIDE_POOL_MOVE_H
 
 #include "zinniagauge/board/pool_move.h"
+#include "zinniagauge/board/store_era.h"
 #include "zinniagauge/time/clock.h"
 
 #include <cstdint>
@@ -22,19 +23,46 @@
   std::string Label;
   VersionId NewVersion;
   Duration TimeLimit = Duration::zero(); // From when the order was accepted.
-  std::uint64_t Number = 0; // Number of the order's row, unique to the order.
+  TableVersion Row; // Of the order's row; another one is another order.
 };
 
 /// The only record of a move, a row of the table service.
 struct MoveRecord {
   MoveStage Stage = MoveStage::Waiting;
   std::string Label;
-  std::uint64_t OrderNumber = 0; // Number of the order.
-  std::int64_t StartedMs = 0;    // By the table service's clock.
-  std::string RollbackReason;    // Empty unless it was rolled back.
-  std::uint64_t RowVersion = 0;  // Zero: there is no row.
+  TableVersion Order;           // The row of the order that began the move.
+  TableVersion OrderRow;        // The same order as last read, after a restore.
+  std::int64_t StartedMs = 0;   // By the table service's clock.
+  std::string RollbackReason;   // Empty unless it was rolled back.
+  std::uint64_t RowVersion = 0; // Zero: there is no row.
+
+  bool operator==(const MoveRecord &) const = default;
 };
 
+/// Whether \p read is the order \p known, written again after a restore.
+/// Operators may do so for a second time while \p maylack.
+[[nodiscard]] bool isSameOrder(const VersionMoveOrder &known,
+                               const VersionMoveOrder &read,
+                               bool maylack) noexcept;
+
+/// Whether \p rec is the record of \p order: it has the same label, and belongs
+/// to no earlier order of the same era.
+[[nodiscard]] bool isRecordOf(const MoveRecord &rec,
+                              const VersionMoveOrder &order) noexcept;
+
+/// The record of \p order by all that this process knows: \p known from before,
+/// and \p read now. A restored table service may have lost a record, or have
+/// one of an earlier stage. A decision holds, as does the earlier start. The
+/// result differs from \p read if it must be written again.
+[[nodiscard]] MoveRecord newerRecord(const VersionMoveOrder &order,
+                                     const MoveRecord &known,
+                                     const MoveRecord &read);
+
+/// Identifies the move of \p order, in all processes and eras. \p rec is its
+/// record, or that of another order if there is none yet.
+[[nodiscard]] MoveId moveIdOf(const VersionMoveOrder &order,
+                              const MoveRecord &rec);
+
 /// What operators allow a bad version over a whole move.
 struct ExposureLimits {
   double Share = 0.1; // Of the pool's calls.
--- a/include/zinniagauge/store/pool_move_controller.h
+++ b/include/zinniagauge/store/pool_move_controller.h
@@ -24,9 +24,14 @@
   StoreConnection Connection;
   LoopTimer Timer;
   std::map<PoolId, VersionMoveOrder> Orders;
-  std::map<PoolId, MoveRecord> Records; // As last read from the table service.
-  std::int64_t LastServiceMs = 0;       // The service's clock at the last read.
-  Time LastReadAt;                      // When Records were read; zero: never.
+  /// Orders that differ from the known ones, read when the table service may
+  /// lack what operators wrote.
+  std::map<PoolId, VersionMoveOrder> HeldOrders;
+  std::map<PoolId, MoveRecord> Records;       // By all that is known.
+  std::map<PoolId, MoveRecord> StoredRecords; // As last read.
+  std::uint64_t RecordsEra = 0;   // In which StoredRecords were read.
+  std::int64_t LastServiceMs = 0; // The service's clock at the last read.
+  Time LastReadAt;                // When Records were read; zero: never.
   Time NextReadAt;
   Time NextLogAt; // Of the evaluations.
   VersionEvaluator Evaluator;
@@ -36,8 +41,17 @@
 };
 
 /// Applies an operators' order to move a pool to a version, replacing the
-/// pool's earlier order. An order that is already known changes nothing.
-void applyOrder(PoolMoveController &mc, VersionMoveOrder order);
+/// pool's earlier order. An order that is already known changes nothing. While
+/// \p maylack, the table service may have an older order than the known one, so
+/// another one is held back.
+void applyOrder(PoolMoveController &mc, VersionMoveOrder order, bool maylack);
+
+/// Applies the orders that were held back. Called when the table service lacks
+/// nothing any more.
+void applyHeldOrders(PoolMoveController &mc);
+
+/// Called when the table service was restored from a copy.
+void onStoreRestored(PoolMoveController &mc);
 
 /// Sets up the connection and the timer; the first order starts the timer.
 void startPoolMoveController(PoolMoveController &mc);
--- a/src/decide/pool_move.cpp
+++ b/src/decide/pool_move.cpp
@@ -15,8 +15,52 @@
   return order.TimeLimit - CompletionMargin - last;
 }
 
+/// Whether \p a holds if another record of the same order is \p b. The
+/// platform stops the old version's back ends once a move is completed.
+bool holdsAgainst(const MoveRecord &a, const MoveRecord &b) noexcept {
+  if (isFinal(a.Stage) != isFinal(b.Stage))
+    return isFinal(a.Stage);
+  if (a.Stage != b.Stage)
+    return a.Stage == MoveStage::Completed;
+  return a.StartedMs < b.StartedMs;
+}
+
 } // namespace
 
+bool isSameOrder(const VersionMoveOrder &known, const VersionMoveOrder &read,
+                 bool maylack) noexcept {
+  return known.Label == read.Label && known.TimeLimit == read.TimeLimit &&
+         (read.Row.Era > known.Row.Era || maylack);
+}
+
+bool isRecordOf(const MoveRecord &rec, const VersionMoveOrder &order) noexcept {
+  return rec.Stage != MoveStage::Waiting && rec.Label == order.Label &&
+         (rec.OrderRow.Era != order.Row.Era ||
+          rec.OrderRow.Number >= order.Row.Number);
+}
+
+MoveRecord newerRecord(const VersionMoveOrder &order, const MoveRecord &known,
+                       const MoveRecord &read) {
+  const bool knows = isRecordOf(known, order);
+  const bool reads = isRecordOf(read, order);
+  if (!knows && !reads)
+    return read;
+  const bool takeread = reads && (!knows || !holdsAgainst(known, read));
+  MoveRecord out = takeread ? read : known;
+  out.OrderRow = reads ? std::max(order.Row, read.OrderRow) : order.Row;
+  out.RowVersion = read.RowVersion;
+  return out;
+}
+
+MoveId moveIdOf(const VersionMoveOrder &order, const MoveRecord &rec) {
+  const TableVersion id = isRecordOf(rec, order) ? rec.Order : order.Row;
+  std::string text = order.PoolName + "@" + std::to_string(id.Number);
+  // Processes of a build that knows no eras have the same id.
+  if (id.Era > FirstStoreEra)
+    text.append("/").append(std::to_string(id.Era));
+  return MoveId::of(text);
+}
+
 bool mayWidenShare(const TrialVerdict &verdict) noexcept {
   return verdict.Trusted && verdict.Informed && verdict.BadReason.empty();
 }
@@ -39,10 +83,10 @@
                                          std::int64_t servicems,
                                          const TrialVerdict &verdict) {
   MoveRecord next = read;
-  if (read.RowVersion == 0 || read.OrderNumber != order.Number) {
+  if (!isRecordOf(read, order)) {
     next.Stage = MoveStage::Moving;
     next.Label = order.Label;
-    next.OrderNumber = order.Number;
+    next.Order = next.OrderRow = order.Row;
     next.StartedMs = servicems;
     next.RollbackReason.clear();
     return next;
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -45,6 +45,7 @@
     onStoreRestored(ct.Plans);
     onStoreRestored(ct.Coordinators);
     onStoreRestored(ct.Discovery);
+    onStoreRestored(ct.Moves);
   }
   return order;
 }
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -81,6 +81,9 @@
 }
 
 void scheduleNext(PlanController &pc) {
+  if (!pc.Owner->Moves.HeldOrders.empty() &&
+      !mayLackRows(pc.Owner->Board.TableEra.copy(), bootNow()))
+    applyHeldOrders(pc.Owner->Moves);
   const Time now = pc.Owner->EventLoop.Now;
   const bool isreader = pc.Owner->Board.IsStoreReader;
   if (applyReaderReport(pc) ||
@@ -122,10 +125,13 @@
   board.PlanVersion.store(version, std::memory_order_release);
 }
 
-void applyOrderRow(PlanController &pc, const TableRow &row) {
+void applyOrderRow(PlanController &pc, const TableRow &row,
+                   const StoreEra &era) {
   handleResult([&] { return pc.Owner->Protocol.ParseOrder(row); },
                [&](VersionMoveOrder order) {
-                 applyOrder(pc.Owner->Moves, std::move(order));
+                 order.Row.Era = era.Number;
+                 applyOrder(pc.Owner->Moves, std::move(order),
+                            mayLackRows(era, bootNow()));
                  return 0;
                },
                [&](const Error &err) {
@@ -186,7 +192,7 @@
     if (row.Deleted)
       continue;
     allreadable = applyPlanRow(pc, row, era.Number) && allreadable;
-    applyOrderRow(pc, row);
+    applyOrderRow(pc, row, era);
   }
   pc.ReadUpTo = {era.Number, rd.Version};
   pc.FullyRead = true;
--- a/src/store/pool_move_controller.cpp
+++ b/src/store/pool_move_controller.cpp
@@ -22,10 +22,6 @@
 /// How often the evaluation of a running move is logged.
 constexpr Duration EvaluationLogPeriod = std::chrono::seconds(1);
 
-MoveId moveIdOf(const VersionMoveOrder &order) {
-  return MoveId::of(order.PoolName + "@" + std::to_string(order.Number));
-}
-
 /// Stands for all versions of a pool but the new one. The evaluator compares
 /// the new version with it.
 VersionId mergedOldVersion() { return VersionId::of("any other version"); }
@@ -47,9 +43,21 @@
 /// The stage of \p order. A record of another order is ignored.
 MoveStage stageOf(const PoolMoveController &mc, const VersionMoveOrder &order) {
   const MoveRecord &rec = recordOf(mc, order);
-  return rec.RowVersion != 0 && rec.OrderNumber == order.Number
-             ? rec.Stage
-             : MoveStage::Waiting;
+  return isRecordOf(rec, order) ? rec.Stage : MoveStage::Waiting;
+}
+
+MoveId moveIdOf(const PoolMoveController &mc, const VersionMoveOrder &order) {
+  return moveIdOf(order, recordOf(mc, order));
+}
+
+/// Whether the record of \p order, by all that is known, isn't the one that the
+/// table service has.
+bool mustWriteAgain(const PoolMoveController &mc,
+                    const VersionMoveOrder &order) {
+  const auto it = mc.StoredRecords.find(order.Pool);
+  const MoveRecord &rec = recordOf(mc, order);
+  return isRecordOf(rec, order) &&
+         (it == mc.StoredRecords.end() || it->second != rec);
 }
 
 /// What the evaluation of \p order rests on.
@@ -61,7 +69,7 @@
       std::count_if(list.List.begin(), list.List.end(), [&](const Backend &b) {
         return b.Pool == order.Pool && b.Version == order.NewVersion;
       });
-  return evaluationState(mc.Evaluator, moveIdOf(order),
+  return evaluationState(mc.Evaluator, moveIdOf(mc, order),
                          static_cast<std::size_t>(endpoints));
 }
 
@@ -120,7 +128,7 @@
                        const VersionMoveOrder &order) {
   const FrontBoard &board = mc.Owner->Board;
   TrialVerdict out;
-  if (const auto it = mc.BadVersionReasons.find(moveIdOf(order));
+  if (const auto it = mc.BadVersionReasons.find(moveIdOf(mc, order));
       it != mc.BadVersionReasons.end())
     out.BadReason = it->second;
   out.Trusted = isTrusted(evaluationOf(mc, order));
@@ -135,7 +143,7 @@
     const Duration elapsed = std::chrono::milliseconds(
         serviceNowMs(mc) - recordOf(mc, order).StartedMs);
     out.List.push_back(
-        {order.Pool, moveIdOf(order), order.NewVersion, stage,
+        {order.Pool, moveIdOf(mc, order), order.NewVersion, stage,
          newVersionShareAt(order, stage, elapsed, mc.Owner->Settings.Exposure,
                            verdictOn(mc, order))});
   }
@@ -172,7 +180,7 @@
   for (const auto &[pool, order] : mc.Orders) {
     MoveSpec m;
     m.Name = order.PoolName;
-    m.Id = moveIdOf(order);
+    m.Id = moveIdOf(mc, order);
     m.Pool = pool;
     m.OldVersion = mergedOldVersion();
     m.NewVersion = order.NewVersion;
@@ -218,7 +226,7 @@
 
 bool anyRunning(const PoolMoveController &mc) {
   return std::any_of(mc.Orders.begin(), mc.Orders.end(), [&](const auto &it) {
-    return !isFinal(stageOf(mc, it.second));
+    return !isFinal(stageOf(mc, it.second)) || mustWriteAgain(mc, it.second);
   });
 }
 
@@ -242,14 +250,28 @@
   requestRecords(mc);
 }
 
+/// The record of \p order to write next, if it has to change.
+std::optional<MoveRecord> recordToWrite(const PoolMoveController &mc,
+                                        const VersionMoveOrder &order) {
+  const MoveRecord &rec = recordOf(mc, order);
+  if (mustWriteAgain(mc, order))
+    return rec;
+  // Another front may know a record that the table service has lost.
+  if (!isRecordOf(rec, order) &&
+      mayLackRows(mc.Owner->Board.TableEra.copy(), bootNow()))
+    return std::nullopt;
+  return nextMoveRecord(order, rec, serviceNowMs(mc), verdictOn(mc, order));
+}
+
 /// Writes the first record that has to change. Returns false if there is none.
 bool writeNextRecord(PoolMoveController &mc) {
+  if (mc.RecordsEra != mc.Owner->Board.TableEra.copy().Number)
+    return false; // The rows' versions are those of another era.
   for (const auto &[pool, order] : mc.Orders) {
-    const auto next = nextMoveRecord(order, recordOf(mc, order),
-                                     serviceNowMs(mc), verdictOn(mc, order));
+    const auto next = recordToWrite(mc, order);
     if (!next)
       continue;
-    if (isFinal(next->Stage))
+    if (isFinal(next->Stage) && !mustWriteAgain(mc, order))
       logDecision(mc, order, *next);
     const TableRow row = mc.Owner->Protocol.MakeOutcomeRow(order, *next);
     TableTransaction tx;
@@ -263,15 +285,33 @@
   return false;
 }
 
+/// Takes the record of \p order from what was read and what was known before.
+void updateRecord(PoolMoveController &mc, const VersionMoveOrder &order) {
+  const auto it = mc.StoredRecords.find(order.Pool);
+  const MoveRecord read =
+      it == mc.StoredRecords.end() ? MoveRecord{} : it->second;
+  MoveRecord rec = newerRecord(order, recordOf(mc, order), read);
+  if (isRecordOf(rec, order) && !isRecordOf(read, order)) {
+    EventLine line = eventLine("version_record_lost");
+    add(line, "pool", order.PoolName);
+    add(line, "to", order.Label);
+    add(line, "stage", static_cast<std::int64_t>(rec.Stage));
+    add(line, "outcome", "written again");
+    mc.Owner->Log.write(line);
+  }
+  mc.Records[order.Pool] = std::move(rec);
+}
+
 void applyRecords(PoolMoveController &mc, const TableReadResult &rd) {
   mc.LastServiceMs = rd.ServiceMs;
   mc.LastReadAt = mc.Owner->EventLoop.Now;
   mc.NextReadAt = mc.LastReadAt + ReadPeriod;
-  mc.Records.clear();
+  mc.RecordsEra = mc.Owner->Board.TableEra.copy().Number;
+  mc.StoredRecords.clear();
   for (const TableRow &row : rd.Rows)
     handleResult([&] { return mc.Owner->Protocol.ParseRecord(row); },
                  [&](std::pair<PoolId, MoveRecord> rec) {
-                   mc.Records[rec.first] = std::move(rec.second);
+                   mc.StoredRecords[rec.first] = std::move(rec.second);
                    return 0;
                  },
                  [&](const Error & /*err*/) {
@@ -279,15 +319,21 @@
                    countTableCall(mc.Owner->Metrics, "outcome_row", "other");
                    return 0;
                  });
+  for (const auto &[pool, order] : mc.Orders)
+    updateRecord(mc, order);
 }
 
 void onReadResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
-  static_cast<void>(applyStoreEra(*mc.Owner, response, "moves"));
+  const EraOrder era = applyStoreEra(*mc.Owner, response, "moves");
   handleResult(
       [&] { return mc.Owner->Protocol.ParseRows(response); },
       [&](const TableReadResult &rd) {
         recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves", nullptr);
+        if (era == EraOrder::Outdated) {
+          requestRecords(mc);
+          return 0;
+        }
         applyRecords(mc, rd);
         publish(mc);
         writeNextRecord(mc);
@@ -327,22 +373,52 @@
 
 } // namespace
 
-void applyOrder(PoolMoveController &mc, VersionMoveOrder order) {
+void applyOrder(PoolMoveController &mc, VersionMoveOrder order, bool maylack) {
   const auto it = mc.Orders.find(order.Pool);
-  if (it != mc.Orders.end() && it->second.Number == order.Number)
+  const bool known = it != mc.Orders.end();
+  if (known && it->second.Row == order.Row)
     return;
+  const bool same = known && isSameOrder(it->second, order, maylack);
+  const bool held = known && !same && maylack;
   EventLine line = eventLine("version_order");
   add(line, "pool", order.PoolName);
   add(line, "to", order.Label);
   add(line, "limit_ms", order.TimeLimit);
-  add(line, "number", static_cast<std::int64_t>(order.Number));
+  add(line, "era", static_cast<std::int64_t>(order.Row.Era));
+  add(line, "row", static_cast<std::int64_t>(order.Row.Number));
+  add(line, "outcome",
+      same ? "known, written again" : (held ? "held back" : "new"));
   mc.Owner->Log.write(line);
-  mc.Orders.insert_or_assign(order.Pool, std::move(order));
+  mc.HeldOrders.erase(order.Pool);
+  if (held) {
+    mc.HeldOrders.emplace(order.Pool, std::move(order));
+    return;
+  }
+  const PoolId pool = order.Pool;
+  if (same && isRecordOf(recordOf(mc, it->second), it->second))
+    mc.Records[pool].OrderRow = order.Row;
+  mc.Orders.insert_or_assign(pool, std::move(order));
+  if (same)
+    updateRecord(mc, mc.Orders.at(pool));
   publish(mc);
   mc.NextReadAt = mc.Owner->EventLoop.Now;
   arm(mc.Owner->EventLoop, mc.Timer, mc.Owner->EventLoop.Now);
 }
 
+void applyHeldOrders(PoolMoveController &mc) {
+  const auto held = std::move(mc.HeldOrders);
+  mc.HeldOrders.clear();
+  for (const auto &[pool, order] : held)
+    applyOrder(mc, order, false);
+}
+
+void onStoreRestored(PoolMoveController &mc) {
+  if (mc.Orders.empty())
+    return;
+  mc.NextReadAt = mc.Owner->EventLoop.Now;
+  arm(mc.Owner->EventLoop, mc.Timer, mc.Owner->EventLoop.Now);
+}
+
 void startPoolMoveController(PoolMoveController &mc) {
   setUpStoreConnection(mc.Connection, mc.Owner->EventLoop,
                        mc.Owner->Settings.TableServiceAddress);
--- a/tests/unit/platform_rows_test.cpp
+++ b/tests/unit/platform_rows_test.cpp
@@ -121,14 +121,15 @@
   });
   REQUIRE(order);
   CHECK(order->TimeLimit == std::chrono::seconds(12));
-  CHECK(order->Number == 31);
+  CHECK(order->Row.Number == 31);
   CHECK_FALSE(valueOf([] {
     return platform::parseOrder({"config", "{}", 1, false});
   }));
   MoveRecord rec;
   rec.Stage = MoveStage::RolledBack;
   rec.Label = "v2";
-  rec.OrderNumber = 31;
+  rec.Order = {1, 31};
+  rec.OrderRow = {2, 25};
   rec.StartedMs = 400;
   rec.RollbackReason = "requests fail";
   TableRow row = platform::makeOutcomeRow(*order, rec);
@@ -139,7 +140,8 @@
   CHECK(parsed->first == order->Pool);
   CHECK(parsed->second.Stage == MoveStage::RolledBack);
   CHECK(parsed->second.StartedMs == 400);
-  CHECK(parsed->second.RowVersion == 5);
+  rec.RowVersion = 5;
+  CHECK(parsed->second == rec);
 }
 
 namespace {
--- a/tests/unit/pool_move_test.cpp
+++ b/tests/unit/pool_move_test.cpp
@@ -19,14 +19,15 @@
   o.Label = "v2";
   o.NewVersion = VersionId::of(o.Label);
   o.TimeLimit = limit;
-  o.Number = 7;
+  o.Row = {1, 7};
   return o;
 }
 
 MoveRecord running(std::int64_t beganms) {
   MoveRecord r;
   r.Stage = MoveStage::Moving;
-  r.OrderNumber = 7;
+  r.Label = "v2";
+  r.Order = r.OrderRow = {1, 7};
   r.StartedMs = beganms;
   r.RowVersion = 9;
   return r;
@@ -44,7 +45,7 @@
   CHECK(first->Stage == MoveStage::Moving);
   CHECK(first->StartedMs == 5000);
   MoveRecord old = running(1);
-  old.OrderNumber = 3;
+  old.Order = old.OrderRow = {1, 3};
   old.Stage = MoveStage::Completed;
   const auto next = nextMoveRecord(order(), old, 6000, {});
   REQUIRE(next);
@@ -195,3 +196,93 @@
   REQUIRE(stats.size() == 1);
   CHECK(stats.begin()->first.Pool == PoolId::of("moving"));
 }
+
+namespace {
+
+/// The order of order(), written again in era 2 with row number \p number.
+VersionMoveOrder writtenAgain(std::uint64_t number) {
+  VersionMoveOrder o = order();
+  o.Row = {2, number};
+  return o;
+}
+
+MoveRecord ended(MoveStage stage) {
+  MoveRecord r = running(1000);
+  r.Stage = stage;
+  return r;
+}
+
+} // namespace
+
+TEST_CASE("an order that is written again after a restore is the same order",
+          "[move][restore]") {
+  CHECK(isSameOrder(order(), writtenAgain(4), true));
+  CHECK(isSameOrder(order(), writtenAgain(4), false));
+  // In the same era it is a new order, unless operators still write again what
+  // was lost.
+  CHECK_FALSE(isSameOrder(writtenAgain(4), writtenAgain(9), false));
+  CHECK(isSameOrder(writtenAgain(4), writtenAgain(9), true));
+  VersionMoveOrder other = writtenAgain(4);
+  other.Label = "v3";
+  CHECK_FALSE(isSameOrder(order(), other, true));
+  other = writtenAgain(4);
+  other.TimeLimit = seconds(9);
+  CHECK_FALSE(isSameOrder(order(), other, true));
+}
+
+TEST_CASE("a lost record is written again as it was", "[move][restore]") {
+  const MoveRecord known = ended(MoveStage::RolledBack);
+  const MoveRecord out = newerRecord(writtenAgain(4), known, {});
+  CHECK(out.Stage == MoveStage::RolledBack);
+  CHECK(out.StartedMs == known.StartedMs);
+  CHECK(out.RowVersion == 0); // The condition of the write.
+  CHECK(out.OrderRow == TableVersion{2, 4});
+  CHECK(moveIdOf(writtenAgain(4), out) == moveIdOf(order(), known));
+  CHECK_FALSE(nextMoveRecord(writtenAgain(4), out, 9000, {}));
+}
+
+TEST_CASE("a copy's record of an earlier stage doesn't undo a decision",
+          "[move][restore]") {
+  for (const MoveStage stage : {MoveStage::Completed, MoveStage::RolledBack}) {
+    MoveRecord copy = running(1000);
+    copy.RowVersion = 6;
+    const MoveRecord out = newerRecord(writtenAgain(4), ended(stage), copy);
+    CHECK(out.Stage == stage);
+    CHECK(out.RowVersion == 6);
+    // Nor does a process that knew only the start keep it from being read.
+    CHECK(newerRecord(writtenAgain(4), copy, out).Stage == stage);
+  }
+}
+
+TEST_CASE("processes with different records of an order agree on one",
+          "[move][restore]") {
+  std::vector<MoveRecord> records;
+  for (const MoveStage stage :
+       {MoveStage::Moving, MoveStage::Completed, MoveStage::RolledBack})
+    for (const std::int64_t started : {1000, 4000}) {
+      records.push_back(running(started));
+      records.back().Stage = stage;
+    }
+  for (const MoveRecord &a : records)
+    for (const MoveRecord &b : records) {
+      const MoveRecord one = newerRecord(order(), a, b);
+      const MoveRecord other = newerRecord(order(), b, a);
+      CHECK(one.Stage == other.Stage);
+      CHECK(one.StartedMs == other.StartedMs);
+      // A process that has read what the other wrote writes nothing more.
+      CHECK(newerRecord(order(), a, other) == other);
+      CHECK(newerRecord(order(), b, other) == other);
+    }
+}
+
+TEST_CASE("a new order of a version that was rolled back begins a move",
+          "[move][restore]") {
+  MoveRecord rec = ended(MoveStage::RolledBack);
+  rec.OrderRow = {2, 4};
+  CHECK_FALSE(isRecordOf(rec, writtenAgain(9)));
+  CHECK(nextMoveRecord(writtenAgain(9), rec, 9000, {})->Stage ==
+        MoveStage::Moving);
+  // A process that hasn't read the order again yet knows whose record it is.
+  CHECK(isRecordOf(rec, order()));
+  CHECK(isRecordOf(rec, writtenAgain(3)));
+}
