--- a/tests/support/soak_world.h
+++ b/tests/support/soak_world.h
@@ -9,6 +9,7 @@
 #include "support/relay.h"
 #include "support/soak_callers.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,11 +75,18 @@
   std::uint64_t Random = 0;
   // Separate, so that a seed's faults stay the same without what engines ask.
   std::uint64_t AskRandom = 0;
+  std::uint64_t RestoreRandom = 0; // Likewise, for restores of the store.
   Consortium Platform;
   SoakCallers Callers;
   std::vector<std::unique_ptr<SoakFront>> Fronts;
   std::vector<std::unique_ptr<SoakEngine>> Engines;
   std::vector<TimeRange> StoreOutages; // Faults of the store itself.
+  /// From when the store is away until all is written again that the copy
+  /// lacked.
+  std::vector<TimeRange> StoreRestores;
+  std::deque<StoreCopy> Copies; // The oldest first, CopyPeriod apart.
+  /// The rows that operators and engines have written last, by table and key.
+  std::map<std::pair<std::string, std::string>, nlohmann::json> Written;
   std::map<std::string, std::vector<TimeRange>> WithdrawnKeys; // By key.
   std::set<std::string> ActiveKeys;                            // Valid keys.
   int Version = 1; // Version of the configuration.
