--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -2,6 +2,7 @@
 #include "support/consortium.h"
 
 #include <sys/epoll.h>
+#include <unistd.h>
 
 namespace zinniagauge::testing {
 
@@ -101,7 +102,8 @@
 }
 
 /// Serves /stand-in: POST writes a row, sets a mode, or copies or restores the
-/// store; GET returns how many calls arrived at each engine and ran there.
+/// store; GET returns how many calls arrived at each engine and ran there, and
+/// how often it crashed.
 void handleControl(Consortium &st, PortConnection &conn,
                    const MessageHead &head) {
   if (head.Method == "POST") {
@@ -123,7 +125,9 @@
   json runs = json::array();
   for (const auto &p : st.Ports)
     if (p->Engine >= 0)
-      runs.push_back({{"runs", p->Runs}, {"arrivals", p->Arrivals}});
+      runs.push_back({{"runs", p->Runs},
+                      {"arrivals", p->Arrivals},
+                      {"crashes", p->Crashes}});
   reply(conn, 200, runs.dump());
 }
 
@@ -235,6 +239,11 @@
     return;
   }
   ++p.Runs;
+  if (conn.Body == DeadlyBody) {
+    if (!p.CrashTimer.Hook.is_linked())
+      arm(p.Owner->Lp, p.CrashTimer, p.Owner->Lp.Now + DeadlyCallTime);
+    return;
+  }
   if (p.Mode == "silent")
     return;
   if (p.Mode == "reset") {
@@ -308,11 +317,46 @@
   }
 }
 
+/// Crashes a running engine: its connections are reset, and it takes none until
+/// the timer fires again.
+void onCrashTimer(void *ctx, Time now) {
+  ConsortiumPort &p = *static_cast<ConsortiumPort *>(ctx);
+  Loop &lp = p.Owner->Lp;
+  if (p.Listener.Fd >= 0) {
+    ++p.Crashes;
+    unwatch(lp, p.Listener);
+    ::close(p.Listener.Fd);
+    p.Listener.Fd = -1;
+    const auto connections = p.Owner->Connections;
+    for (const auto &[ptr, conn] : connections)
+      if (conn->Port == &p) {
+        close(conn->Connection, true);
+        onEnd(ptr, ConnectionEnd::Closed, 0);
+      }
+    arm(lp, p.CrashTimer, now + CrashDowntime);
+    return;
+  }
+  handleResult([&] { return listenAt(p.Address); },
+               [&](int fd) {
+                 p.Listener.Fd = fd;
+                 p.Listener.Fn = onAccept;
+                 watch(lp, p.Listener, EPOLLIN);
+                 return 0;
+               },
+               [&](const Error & /*err*/) {
+                 arm(lp, p.CrashTimer, now + CrashDowntime);
+                 return 0;
+               });
+}
+
 Result<void> addPort(Consortium &st, const std::string &address, int engine) {
   auto p = std::make_unique<ConsortiumPort>();
-  BOOST_LEAF_AUTO(fd, listenAt(parseAddress(address).value_or(PeerAddress{})));
+  p->Address = parseAddress(address).value_or(PeerAddress{});
+  BOOST_LEAF_AUTO(fd, listenAt(p->Address));
   p->Owner = &st;
   p->Engine = engine;
+  p->CrashTimer.Fn = onCrashTimer;
+  p->CrashTimer.Ctx = p.get();
   p->Listener.Fd = fd;
   p->Listener.Fn = onAccept;
   p->Listener.Ctx = p.get();
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -28,11 +28,14 @@
 struct ConsortiumPort {
   Consortium *Owner = nullptr;
   Watch Listener;
+  PeerAddress Address;
   int Engine = -1; // Index of the engine; -1 for the store.
   std::string Mode = "ok";
   std::string Asked; // Header lines of all responses of an engine.
   int Runs = 0;
   int Arrivals = 0;
+  int Crashes = 0;
+  LoopTimer CrashTimer; // Until the engine crashes, then until it is back.
 };
 
 /// An accepted connection to one of the ports.
@@ -59,6 +62,12 @@
 /// How long an engine in mode "slow" takes for a call that isn't a stream.
 inline constexpr Duration SlowResponseDelay = std::chrono::milliseconds(300);
 
+/// A call with this body crashes its engine after DeadlyCallTime. The engine is
+/// back after CrashDowntime.
+inline constexpr const char *DeadlyBody = "deadly";
+inline constexpr Duration DeadlyCallTime = std::chrono::milliseconds(20);
+inline constexpr Duration CrashDowntime = std::chrono::milliseconds(500);
+
 /// Number of events in each stream; their ids start at 1.
 inline constexpr int StreamEvents = 8;
 
--- a/tests/support/front_deployment.cpp
+++ b/tests/support/front_deployment.cpp
@@ -93,15 +93,16 @@
 }
 std::string FrontDeployment::call(const std::string &path,
                                   const std::string &key,
-                                  const std::string &more,
-                                  std::uint16_t port) const {
+                                  const std::string &more, std::uint16_t port,
+                                  const std::string &body) const {
   return rawCall(
       port == 0 ? Ports[3] : port,
       "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" +
           "Zinniagauge-Attempt-Id: call-" + std::to_string(++LastCall) +
           "\r\n" + "Zinniagauge-Deadline-Ms: 2500\r\n" +
           (key.empty() ? "" : "Zinniagauge-Credential: " + key + "\r\n") +
-          more + "Content-Length: 2\r\n\r\nhi");
+          more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+          body);
 }
 
 } // namespace zinniagauge::testing
--- a/tests/support/front_deployment.h
+++ b/tests/support/front_deployment.h
@@ -34,7 +34,7 @@
               const nlohmann::json &value) const;
   /// Sets the modes of the two engines.
   void setEngineModes(const char *first, const char *second) const;
-  /// The sum of \p what, "runs" or "arrivals", over all engines.
+  /// The sum of \p what, "runs", "arrivals" or "crashes", over all engines.
   [[nodiscard]] int countCalls(const char *what) const;
   /// Sends a request for \p path with the unique id "call-N", where N is
   /// LastCall, to \p port, or to the front if \p port is zero. \p more holds
@@ -42,7 +42,8 @@
   [[nodiscard]] std::string call(const std::string &path,
                                  const std::string &key = "k1",
                                  const std::string &more = {},
-                                 std::uint16_t port = 0) const;
+                                 std::uint16_t port = 0,
+                                 const std::string &body = "hi") const;
 
   std::vector<std::uint16_t> Ports = freePorts(7);
   ScratchFolder Folder;
