Quarantine whole requests that crash back ends

Cause: the quarantine of calls that crash back ends knows the parts of prompts only, and a plain call has none. Nothing that survives its attempt tied one crash to the next.

Change: each call now has one more trait, its fingerprint over route, workspace, method, target and body, in the machinery that was there: records of all fronts, voided by answers, a suspect one at a time and without a second attempt, then a 503 that is true. What was called a part of a prompt is now called a trait.

--- a/include/zinniagauge/decide/call_explanation.h
+++ b/include/zinniagauge/decide/call_explanation.h
@@ -48,7 +48,7 @@
   AllowanceSpent,   ///< All fronts together spent the workspace's allowance.
   ShareSpent,       ///< This front spent its share; not all fronts reported.
   NoCapacity,       ///< No back end had capacity before the call's wait ended.
-  Quarantined,      ///< A part of its prompt had crashed back ends.
+  Quarantined,      ///< Calls like it had crashed back ends.
   NoFileDescriptor, ///< The front had no file descriptor left.
   BackendsRefused,  ///< Each back end tried reported that the call hasn't run.
   BackendsUnreachable, ///< No back end that was tried could be reached.
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -65,8 +65,9 @@
   std::uint64_t ExpectedTokens = 0; // Expected by the caller; zero: unknown.
   double ExpectedEvents = 1;        // Estimated number of stream events.
   double MaxEvents = 1;             // Upper limit of stream events.
-  /// The parts of its prompt that other calls may share.
-  std::vector<PromptPartId> SharedParts;
+  /// The parts of its prompt that other calls may share, and, once it is
+  /// routed, its fingerprint.
+  std::vector<CallTraitId> Traits;
 };
 
 /// Progress of the stream that is passed on to the caller.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -129,7 +129,7 @@
   /// Of pools with a version move.
   std::map<VersionStatsKey, VersionStatsCounts> MoveStats;
   CrashEvidence Crashes;
-  AnsweredParts Answered;
+  AnsweredTraits Answered;
   BackendLimitList BackendLimits; // All that are known, also from peers.
   OutlierLimits Outliers;
   ChoiceWeights Weights;
@@ -269,7 +269,7 @@
 // Quarantine -----------------------------------------------------------------
 
 /// How calls with the prompt of \p call are treated now.
-[[nodiscard]] PartStatus promptStatus(const RequestLoop &rl, const Call &call);
+[[nodiscard]] TraitStatus traitStatus(const RequestLoop &rl, const Call &call);
 
 /// Whether \p call is suspect and has to wait for another one that shares a
 /// suspect part with it.
--- a/src/decide/call_explanation.cpp
+++ b/src/decide/call_explanation.cpp
@@ -76,7 +76,7 @@
 }
 
 /// Causes of calls that ended as "refused", by the field "why".
-constexpr std::array<CauseWord, 9> Refusals = {
+constexpr std::array<CauseWord, 10> Refusals = {
     CauseWord{"no plan yet", CallCause::NoPlan},
     CauseWord{"plan may be outdated", CallCause::PlanOutdated},
     CauseWord{"no such route", CallCause::NoRoute},
@@ -84,6 +84,7 @@
     CauseWord{"stopping", CallCause::Stopping},
     CauseWord{"allowance spent", CallCause::AllowanceSpent},
     CauseWord{"no back end had room in time", CallCause::NoCapacity},
+    CauseWord{"call in quarantine", CallCause::Quarantined},
     CauseWord{"prompt part in quarantine", CallCause::Quarantined},
     CauseWord{"no socket left", CallCause::NoFileDescriptor}};
 
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -31,14 +31,15 @@
 
 /// The parts in \p list but the last, which belongs to the call itself or to
 /// its session. Further ones than the limit are ignored.
-std::vector<PromptPartId> parseSharedParts(std::string_view list) {
+std::vector<CallTraitId> parseSharedParts(std::string_view list) {
   constexpr std::size_t MaxSharedParts = 16;
-  std::vector<PromptPartId> out;
+  std::vector<CallTraitId> out;
   for (std::size_t comma = list.find(',');
        comma != std::string_view::npos && out.size() < MaxSharedParts;
        comma = list.find(',')) {
     const std::string_view entry = list.substr(0, comma);
-    out.push_back(PromptPartId::of(entry.substr(0, entry.find(':'))));
+    out.push_back(
+        promptPartTrait(CallTraitId::of(entry.substr(0, entry.find(':')))));
     list.remove_prefix(comma + 1);
   }
   return out;
@@ -134,7 +135,7 @@
       work.OutputTokens = parseNumber(tokens->substr(comma + 1)).value_or(0);
   }
   if (const auto parts = findField(call.Head.Fields, names.PromptParts))
-    work.SharedParts = parseSharedParts(*parts);
+    work.Traits = parseSharedParts(*parts);
   if (const auto hint = findField(call.Head.Fields, names.LengthHint))
     work.ExpectedTokens = parseNumber(*hint).value_or(0);
   return work;
--- a/src/front/prompt_quarantine.cpp
+++ b/src/front/call_quarantine.cpp
@@ -1,4 +1,4 @@
-// Applies the quarantine of prompt parts to the calls of this front.
+// Applies the quarantine to the calls of this front.
 #include "zinniagauge/decide/random.h"
 #include "zinniagauge/front/request_loop.h"
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// A part that was answered within this time isn't recorded in a crash.
+/// A trait that was answered within this time isn't recorded in a crash.
 constexpr Duration RecentAnswer = std::chrono::seconds(5);
 
 /// A back end that refuses connections later than this after a connection was
@@ -19,19 +19,19 @@
 /// first one's result is known before the next.
 constexpr Duration TrialSpreadPerFront = std::chrono::seconds(4);
 
-PartStatus promptStatus(const RequestLoop &rl,
-                        std::span<const PromptPartId> prompt) {
+TraitStatus traitStatus(const RequestLoop &rl,
+                        std::span<const CallTraitId> traits) {
   if (rl.Crashes.Crashes.empty())
-    return PartStatus::Clear;
+    return TraitStatus::Clear;
   const auto fronts = static_cast<std::int64_t>(rl.Board.LivingFronts);
   const TrialOrder order{nameHash(rl.Settings.Node),
                          TrialSpreadPerFront * fronts};
-  return statusOf(rl.Crashes, prompt, rl.EventLoop.Now, order);
+  return statusOf(rl.Crashes, traits, rl.EventLoop.Now, order);
 }
 
-bool contains(const Call &call, PromptPartId part) {
-  const auto &parts = call.Work.SharedParts;
-  return std::find(parts.begin(), parts.end(), part) != parts.end();
+bool contains(const Call &call, CallTraitId trait) {
+  const auto &traits = call.Work.Traits;
+  return std::find(traits.begin(), traits.end(), trait) != traits.end();
 }
 
 void publishCrashes(RequestLoop &rl) {
@@ -39,33 +39,40 @@
   scheduleLoadReport(rl);
 }
 
-void logCrash(RequestLoop &rl, const BackendState &at, const CrashRecord &rec) {
+/// Logs \p rec, one of the records \p all of the crash of \p at.
+void logCrash(RequestLoop &rl, const BackendState &at, const CrashRecord &rec,
+              std::span<const CrashRecord> all) {
+  std::vector<CallTraitId> traits;
+  for (const CrashRecord &r : all)
+    if (r.Call == rec.Call)
+      traits.push_back(r.Trait);
   EventLine line = eventLine("crash_recorded");
   add(line, "backend", at.Info.Name);
-  add(line, "part", static_cast<std::int64_t>(rec.Part.Value));
+  add(line, "trait", static_cast<std::int64_t>(rec.Trait.Value));
+  add(line, "whole_request", std::int64_t{isWholeRequest(rec.Trait) ? 1 : 0});
   add(line, "crashes",
-      static_cast<std::int64_t>(crashesOf(rl.Crashes, rec.Part).size()));
+      static_cast<std::int64_t>(crashesOf(rl.Crashes, rec.Trait).size()));
   add(line, "quarantined",
-      std::int64_t{
-          promptStatus(rl, {&rec.Part, 1}) == PartStatus::Quarantined ? 1 : 0});
+      std::int64_t{traitStatus(rl, traits) == TraitStatus::Quarantined ? 1
+                                                                       : 0});
   rl.Log.write(line);
 }
 
 } // namespace
 
-PartStatus promptStatus(const RequestLoop &rl, const Call &call) {
-  return promptStatus(rl, call.Work.SharedParts);
+TraitStatus traitStatus(const RequestLoop &rl, const Call &call) {
+  return traitStatus(rl, call.Work.Traits);
 }
 
 bool isHeldBack(const RequestLoop &rl, const Call &call) {
-  if (promptStatus(rl, call) != PartStatus::Suspect)
+  if (traitStatus(rl, call) != TraitStatus::Suspect)
     return false;
   const auto sharessuspect = [&](const Call &other) {
-    return std::any_of(call.Work.SharedParts.begin(),
-                       call.Work.SharedParts.end(), [&](PromptPartId part) {
-                         return contains(other, part) &&
-                                promptStatus(rl, {&part, 1}) !=
-                                    PartStatus::Clear;
+    return std::any_of(call.Work.Traits.begin(), call.Work.Traits.end(),
+                       [&](CallTraitId trait) {
+                         return contains(other, trait) &&
+                                traitStatus(rl, {&trait, 1}) !=
+                                    TraitStatus::Clear;
                        });
   };
   return std::any_of(rl.BackendConnections.begin(), rl.BackendConnections.end(),
@@ -81,9 +88,9 @@
     return;
   call.WasAnswered = true;
   bool changed = false;
-  for (const PromptPartId part : call.Work.SharedParts) {
-    recordAnswered(rl.Answered, part, rl.EventLoop.Now);
-    changed = recordAnswer(rl.Crashes, {part, rl.EventLoop.Now}) || changed;
+  for (const CallTraitId trait : call.Work.Traits) {
+    recordAnswered(rl.Answered, trait, rl.EventLoop.Now);
+    changed = recordAnswer(rl.Crashes, {trait, rl.EventLoop.Now}) || changed;
   }
   if (changed)
     publishCrashes(rl);
@@ -93,35 +100,34 @@
   if (call.WasAnswered)
     return;
   const bool checking = !to.UnconfirmedCrashes.empty();
-  for (const PromptPartId part : call.Work.SharedParts) {
-    const Time answered = lastAnswered(rl.Answered, part);
+  for (const CallTraitId trait : call.Work.Traits) {
+    const Time answered = lastAnswered(rl.Answered, trait);
     if (answered != Time() && rl.EventLoop.Now - answered < RecentAnswer)
       continue;
     to.UnconfirmedCrashes.push_back(
-        {part, mix64(to.Info.Id.Value ^ to.Info.StartedAtMs), nameHash(call.Id),
-         rl.EventLoop.Now});
+        {trait, mix64(to.Info.Id.Value ^ to.Info.StartedAtMs),
+         nameHash(call.Id), rl.EventLoop.Now});
   }
   if (!checking && !to.UnconfirmedCrashes.empty())
     checkBackend(rl, to);
 }
 
 void onBackendDown(RequestLoop &rl, BackendState &to) {
-  bool changed = false;
-  for (const CrashRecord &rec : to.UnconfirmedCrashes) {
-    if (rl.EventLoop.Now - rec.At > MaxConfirmTime ||
-        !recordCrash(rl.Crashes, rec))
-      continue;
-    changed = true;
-    logCrash(rl, to, rec);
-  }
+  std::vector<CrashRecord> recorded = std::move(to.UnconfirmedCrashes);
   to.UnconfirmedCrashes.clear();
-  if (changed)
+  std::erase_if(recorded, [&](const CrashRecord &rec) {
+    return rl.EventLoop.Now - rec.At > MaxConfirmTime ||
+           !recordCrash(rl.Crashes, rec);
+  });
+  for (const CrashRecord &rec : recorded)
+    logCrash(rl, to, rec, recorded);
+  if (!recorded.empty())
     publishCrashes(rl);
 }
 
 bool mayCrashAgain(const RequestLoop &rl, const Call &call) {
   return !call.WasAnswered &&
-         mayCrashAgain(rl.Crashes, call.Work.SharedParts, rl.EventLoop.Now);
+         mayCrashAgain(rl.Crashes, call.Work.Traits, rl.EventLoop.Now);
 }
 
 void updateCrashes(RequestLoop &rl) {
@@ -131,11 +137,11 @@
     changed =
         mergeEvidence(rl.Crashes, rl.Board.PeerCrashes.read(guard)) || changed;
   }
-  std::vector<PartAnswer> answers;
+  std::vector<TraitAnswer> answers;
   for (const CrashRecord &rec : rl.Crashes.Crashes)
-    if (const Time at = lastAnswered(rl.Answered, rec.Part); at > rec.At)
-      answers.push_back({rec.Part, at});
-  for (const PartAnswer &answer : answers)
+    if (const Time at = lastAnswered(rl.Answered, rec.Trait); at > rec.At)
+      answers.push_back({rec.Trait, at});
+  for (const TraitAnswer &answer : answers)
     changed = recordAnswer(rl.Crashes, answer) || changed;
   if (changed)
     publishCrashes(rl);
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -1,5 +1,6 @@
 // The course of a call: its attempts, its retries and its end.
 #include "zinniagauge/front/admission.h"
+#include "zinniagauge/front/call_fingerprint.h"
 
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/random.h"
@@ -246,6 +247,7 @@
                   denial->RetryAfter);
     return;
   }
+  call->Work.Traits.push_back(fingerprintOf(*call));
   countArrival(rl.Pools[call->Plan.Pool].Arrivals, rl.EventLoop.Now);
   countFirstSend(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries,
                  rl.EventLoop.Now);
@@ -278,8 +280,8 @@
       return;
     }
   }
-  if (promptStatus(rl, *call) == PartStatus::Quarantined) {
-    refuse(call, "prompt part in quarantine", QuarantineRetryAfter);
+  if (traitStatus(rl, *call) == TraitStatus::Quarantined) {
+    refuse(call, "call in quarantine", QuarantineRetryAfter);
     return;
   }
   BackendState *to = pickBackend(rl, *call);
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -225,7 +225,7 @@
   PoolState &pool = poolOf(rl, call.Plan.Pool);
   if (isHeldBack(rl, call))
     return nullptr;
-  const bool suspect = promptStatus(rl, call) == PartStatus::Suspect;
+  const bool suspect = traitStatus(rl, call) == TraitStatus::Suspect;
   listCandidates(rl, pool, call, true, true);
   if (!anyUsable(rl))
     listCandidates(rl, pool, call, false, true);
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -52,14 +52,14 @@
   const Time now = monotonicNow();
   auto crashes = out.initCrashes(static_cast<unsigned>(ev.Crashes.size()));
   for (unsigned n = 0; n < crashes.size(); ++n) {
-    crashes[n].setPart(ev.Crashes[n].Part.Value);
+    crashes[n].setPart(ev.Crashes[n].Trait.Value);
     crashes[n].setCrash(ev.Crashes[n].Crash);
     crashes[n].setCall(ev.Crashes[n].Call);
     crashes[n].setAgeMs(ageMs(ev.Crashes[n].At, now));
   }
   auto answers = out.initAnswers(static_cast<unsigned>(ev.Answers.size()));
   for (unsigned n = 0; n < answers.size(); ++n) {
-    answers[n].setPart(ev.Answers[n].Part.Value);
+    answers[n].setPart(ev.Answers[n].Trait.Value);
     answers[n].setAgeMs(ageMs(ev.Answers[n].At, now));
   }
 }
@@ -68,10 +68,10 @@
   const Time now = monotonicNow();
   CrashEvidence ev;
   for (const auto c : in.getCrashes())
-    ev.Crashes.push_back({PromptPartId{c.getPart()}, c.getCrash(), c.getCall(),
+    ev.Crashes.push_back({CallTraitId{c.getPart()}, c.getCrash(), c.getCall(),
                           now - std::chrono::milliseconds(c.getAgeMs())});
   for (const auto a : in.getAnswers())
-    ev.Answers.push_back({PromptPartId{a.getPart()},
+    ev.Answers.push_back({CallTraitId{a.getPart()},
                           now - std::chrono::milliseconds(a.getAgeMs())});
   return ev;
 }
--- a/tests/unit/call_explanation_test.cpp
+++ b/tests/unit/call_explanation_test.cpp
@@ -74,6 +74,7 @@
         Case{"stopping", CallCause::Stopping},
         Case{"no socket left", CallCause::NoFileDescriptor},
         Case{"unknown key", CallCause::UnknownKey},
+        Case{"call in quarantine", CallCause::Quarantined},
         Case{"prompt part in quarantine", CallCause::Quarantined},
         Case{"allowance spent", CallCause::AllowanceSpent}}) {
     std::string line = R"({"ms":1,"node":"f","event":"call_end","call":"c",)";
