Name a prompt's part as the front does in a test

Since a bit of a trait tells a whole request from a part of a prompt, the test 'suspect calls that wait don't hold up others' has to name the part with that bit cleared; it checks what it did.

--- a/tests/unit/request_loop_test.cpp
+++ b/tests/unit/request_loop_test.cpp
@@ -85,8 +85,9 @@
   f.publishBackends();
   const Time now = monotonicNow();
   for (std::uint64_t n = 1; n <= 2; ++n)
-    REQUIRE(recordCrash(f.Rl->Crashes, {CallTraitId::of("dead"), n, n,
-                                        now - seconds(static_cast<int>(n))}));
+    REQUIRE(
+        recordCrash(f.Rl->Crashes, {promptPartTrait(CallTraitId::of("dead")), n,
+                                    n, now - seconds(static_cast<int>(n))}));
   f.request("c-0", "Zinniagauge-Prompt-Prefix: bb:500,2:10\r\n");
   const TestSocket running = f.accept(0);
   REQUIRE_FALSE(f.receive(running, "\r\n\r\n").empty());
