Answer the calls that still run at the end of a planned stop

What callers saw: late in the grace of a planned stop a call that may not be repeated was taken and passed on; if its back end took more than two seconds, the process ended first, and the call with it, without an answer.

Cause: a call was accepted if it was expected to end within two seconds, whatever its deadline, and what still ran at the end was cut.

Change: from 2.7 s after the start of a stop, when callers know of it, a call is accepted only if its deadline lies before the end; another gets a 503 that says that it hasn't run. A call that still runs at the end gets a 504, which promises nothing; a stream is broken off as before.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -314,6 +314,10 @@
 /// Refuses the calls that wait for a back end.
 void refuseWaitingCalls(RequestLoop &rl, std::string_view reason);
 
+/// Ends the calls that were sent to a back end: those without a response so far
+/// get one that promises nothing, streams are aborted.
+void endSentCalls(RequestLoop &rl, std::string_view reason);
+
 /// Sends \p call to a back end, queues it, or refuses it.
 void dispatchCall(const std::shared_ptr<Call> &call);
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -264,6 +264,17 @@
     refuse(call, reason);
 }
 
+void endSentCalls(RequestLoop &rl, std::string_view reason) {
+  std::vector<std::shared_ptr<Call>> sent;
+  for (const auto &[ptr, conn] : rl.BackendConnections)
+    if (conn->ActiveCall && conn->ActiveCall->Caller)
+      sent.push_back(conn->ActiveCall);
+  for (const std::shared_ptr<Call> &call : sent) {
+    abortTransfer(*call);
+    respondAndEnd(call, CallEnd::Unknown, 504, reason);
+  }
+}
+
 void dispatchCall(const std::shared_ptr<Call> &call) {
   RequestLoop &rl = *call->Owner;
   call->Phase = CallPhase::Waiting;
--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -12,10 +12,10 @@
 /// checks, one second apart, have failed.
 constexpr Duration MinStopTime = std::chrono::milliseconds(3500);
 
-/// How long new streams are accepted after the start of a shutdown. A stream
-/// may last longer than the process, but in this time callers can't know yet
-/// that the process is stopping.
-constexpr Duration StreamAcceptTime = std::chrono::milliseconds(2700);
+/// How long new calls are accepted after the start of a shutdown that may last
+/// longer than the process. In this time callers can't know yet that the
+/// process is stopping.
+constexpr Duration LongCallAcceptTime = std::chrono::milliseconds(2700);
 
 /// Time reserved before the process is killed, for output that isn't written
 /// yet.
@@ -23,10 +23,6 @@
 
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
-/// A call other than a stream is accepted only if it can end before the process
-/// does: by its deadline, or after this time if that is earlier.
-constexpr Duration MaxExpectedCallTime = std::chrono::seconds(2);
-
 /// How long the last responses have to leave after new connections are refused.
 constexpr Duration FlushTime = std::chrono::milliseconds(100);
 
@@ -49,6 +45,7 @@
   }
   stopListening(rl);
   refuseWaitingCalls(rl, "stopping");
+  endSentCalls(rl, "stopping");
   closeIdleCallers(rl);
   rl.StopTimer.Fn = onFlushTimer;
   arm(rl.EventLoop, rl.StopTimer, now + FlushTime);
@@ -72,11 +69,9 @@
 bool acceptsCall(const RequestLoop &rl, const Call &call) {
   if (!rl.Board.Stopping)
     return true;
-  if (call.Facts.Kind == CallKind::Stream)
-    return rl.EventLoop.Now - rl.StoppingSince < StreamAcceptTime;
-  const Time end =
-      std::min(call.Deadline, rl.EventLoop.Now + MaxExpectedCallTime);
-  return end <= closingTime(rl);
+  return rl.EventLoop.Now - rl.StoppingSince < LongCallAcceptTime ||
+         (call.Facts.Kind != CallKind::Stream &&
+          call.Deadline <= closingTime(rl));
 }
 
 } // namespace zinniagauge
