Confirm no plan by a restored table that has none

What callers saw: after a restore whose copy was of a time before the first plan, keys were accepted for as long as the table had no plan.

Cause: a confirmation rested on the plan's row as last read, and a reading of a new era without such a row left the one of the era before in place.

Change: a reading, or another front's report, confirms the plan only if its row was read in the same era.

Evidence: a unit test and a process test fail on the code before and pass. A slot that a coordinator of an earlier build reports names no era; it can be claimed as before.

--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -34,9 +34,9 @@
   Controllers *Owner = nullptr;
   StoreConnection Connection;
   LoopTimer Timer;
-  TableVersion ReadUpTo;  // Changes up to it were read.
-  TableVersion NewestRow; // Of the operators' rows; number zero: none.
-  PlanRow Row;
+  TableVersion ReadUpTo;         // Changes up to it were read.
+  TableVersion NewestRow;        // Of the operators' rows; number zero: none.
+  PlanRow Row;                   // Of the plan, as last read.
   bool ReadsAll = false;         // The request in progress is a full read.
   bool FullyRead = false;        // ReadUpTo started from a full read.
   bool StoreUnreachable = false; // The last request failed.
--- a/src/decide/store_era.cpp
+++ b/src/decide/store_era.cpp
@@ -30,7 +30,7 @@
 
 bool confirmsPlan(const PlanRow &row, std::uint64_t active, const StoreEra &era,
                   Time requested) noexcept {
-  return active > 0 && row.Plan >= active &&
+  return active > 0 && row.Plan >= active && row.Version.Era == era.Number &&
          (row.WrittenInEra || !mayLackRows(era, requested));
 }
 
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -152,8 +152,9 @@
 }
 
 void writeSlot(CoordinatorController &cc, const SlotWrite &slot) {
-  // In another era the version may be that of another holder's row.
-  if (slot.Era != cc.Owner->Board.TableEra.copy().Number) {
+  // In another era the version may be that of another holder's row. Zero: a
+  // coordinator of a build that knows no eras reported the slot.
+  if (slot.Era != 0 && slot.Era != cc.Owner->Board.TableEra.copy().Number) {
     requestRead(cc);
     return;
   }
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -66,8 +66,11 @@
   if (board.IsStoreReader || !pc.FullyRead || board.PlanVersion == 0 ||
       reported.Version > pc.NewestRow)
     return false;
-  // Rows with an older plan than this front's are those of a copy.
-  if (reported.Version == pc.NewestRow && pc.Row.Plan >= board.PlanVersion &&
+  // Rows without a plan, or with an older one than this front's, are those of a
+  // copy.
+  if (reported.Version == pc.NewestRow &&
+      pc.Row.Version.Era == pc.NewestRow.Era &&
+      pc.Row.Plan >= board.PlanVersion &&
       reported.ConfirmedAt > board.PlanConfirmedAt)
     confirmRows(pc, reported.ConfirmedAt, "another front's report");
   const Duration maxage =
--- a/tests/process/store_restored_test.cpp
+++ b/tests/process/store_restored_test.cpp
@@ -101,6 +101,17 @@
   CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a", "k2"), 200); }));
 }
 
+TEST_CASE("a copy without any plan confirms none",
+          "[process][front][restore]") {
+  const FrontDeployment d;
+  REQUIRE(hasStatus(d.call("/unsafe/a"), 200));
+  d.control({{"copy", true}, {"without", "op"}});
+  d.control({{"restore", true}});
+  CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a"), 503); }));
+  writeConfig(d, 7, "k1");
+  CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a"), 200); }));
+}
+
 TEST_CASE("coordinators keep their slots when the copy lacks them",
           "[process][front][restore]") {
   const FrontDeployment d;
--- a/tests/unit/store_era_test.cpp
+++ b/tests/unit/store_era_test.cpp
@@ -57,6 +57,11 @@
   CHECK(confirmsPlan(next, 14, Second, late));
 }
 
+TEST_CASE("a copy that has no plan confirms none", "[restore]") {
+  const PlanRow before{{1, 50}, 13, true};
+  CHECK_FALSE(confirmsPlan(before, 13, Second, Restored + seconds(60)));
+}
+
 TEST_CASE("a service that was never restored confirms at once", "[restore]") {
   for (const std::uint64_t era : {0U, 1U}) {
     const PlanRow row = nextPlanRow({}, {era, 5}, 4);
