--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -390,6 +390,21 @@
     const std::lock_guard<std::mutex> lock(Mutex);
     Rows[{table, key}] = {"", ++Version, true};
   }
+  // A drill: the store is away for a moment, then comes back from the copy that
+  // was taken last, in a new era.
+  void takeCopy() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Copy = Rows;
+    CopyVersion = Version;
+  }
+  void goAway() { Away = true; }
+  void comeBack() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Rows = Copy;
+    Version = CopyVersion;
+    ++Era;
+    Away = false;
+  }
   void stop() {
     Stopping = true;
     Listening.stop();
@@ -470,11 +485,19 @@
     }
     if (path == "/v1/rows-feed") {
       const auto after = std::stoull(query(target, "after_revision"));
+      {
+        const std::lock_guard<std::mutex> lock(Mutex);
+        if (after > Version)
+          return {410, Json::object()};
+      }
+      const std::uint64_t era = Era;
       const auto end =
           Clock::now() + Ms(std::stol(query(target, "wait_ms")));
       for (;;) {
         {
           const std::lock_guard<std::mutex> lock(Mutex);
+          if (Away || Era != era)
+            return {0, Json::object()}; // The channel ends.
           Json doc = rowsOf(query(target, "table"), after, true);
           if (!doc["rows"].empty() || Clock::now() >= end || Stopping)
             return {200, doc};
@@ -490,11 +513,15 @@
       if (!msg->Whole)
         return;
       sleepMs(4); // The platform's answers take 4 ms.
+      if (Away)
+        return;
       const auto [status, doc] = answer(*msg);
+      if (status == 0)
+        return;
       const std::string body = doc.dump();
       if (!sendAll(fd, "HTTP/1.1 " + std::to_string(status) +
-                           " X\r\nStore-Era: 1\r\nContent-Type: "
-                           "application/json\r\nContent-Length: " +
+                           " X\r\nStore-Era: " + std::to_string(Era) +
+                           "\r\nContent-Type: application/json\r\nContent-Length: " +
                            std::to_string(body.size()) + "\r\n\r\n" + body))
         return;
     }
@@ -503,6 +530,10 @@
   std::mutex Mutex;
   std::map<std::pair<std::string, std::string>, Row> Rows;
   std::uint64_t Version = 1;
+  std::map<std::pair<std::string, std::string>, Row> Copy;
+  std::uint64_t CopyVersion = 1;
+  std::atomic<std::uint64_t> Era{1};
+  std::atomic<bool> Away{false};
   std::atomic<bool> Stopping{false};
   Server Listening;
 };
