--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // Kept channels over a link that loses packets: does each request get its own
 // answer?
-#include "../standins/world.h"
+#include "../world.h"
 
 using namespace review;
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
 // An engine in trouble sends bytes without end in place of an event. Does the
 // front keep to its memory, and does it go on serving others?
-#include "../standins/world.h"
+#include "../world.h"
 
 using namespace review;
 
