Don't deliver the bytes of a request that is refused at once again

Cause: deliver() passed a view of ReceiveBuffer and erased what was consumed after its owner had returned. A request that is refused at once ends within that call, and serveNextRequest() had the same bytes delivered again.

The buffer is now taken out of the connection while its owner holds a view of it, and redeliver() does nothing within OnData. Callers and the status server also stop at a request whose answer closes the connection.

--- a/include/zinniagauge/net/tcp_connection.h
+++ b/include/zinniagauge/net/tcp_connection.h
@@ -26,7 +26,8 @@
   /// Called when the connection is established; may be null.
   void (*OnConnected)(void *ctx) = nullptr;
   /// Called when \p part has arrived; returns the number of bytes consumed. The
-  /// rest is buffered and passed again together with the next data.
+  /// rest is buffered and passed again together with the next data. It is never
+  /// called again before it has returned.
   std::size_t (*OnData)(void *ctx, std::string_view part) = nullptr;
   /// Called when the connection has ended; \p err is an errno value or zero.
   void (*OnEnd)(void *ctx, ConnectionEnd how, int err) = nullptr;
@@ -48,7 +49,9 @@
   std::string ReceiveBuffer; // Received but not consumed.
   std::string SendBuffer;    // Not sent yet, from SendOffset.
   std::size_t SendOffset = 0;
+  std::uint32_t Generation = 0; // Changes when it is opened.
   bool Connecting = false;
+  bool Delivering = false; // OnData is running.
   bool ReadPaused = false;
   bool CloseAfterSending = false;
 };
@@ -75,7 +78,8 @@
 /// Pauses or resumes reading, for back pressure.
 void setReadPaused(TcpConnection &conn, bool paused);
 
-/// Passes received data that the owner didn't consume to OnData again.
+/// Passes received data that the owner didn't consume to OnData again. Within
+/// OnData it does nothing: OnData consumes all that it can before it returns.
 void redeliver(TcpConnection &conn);
 
 /// Bytes that are buffered for sending.
@@ -84,6 +88,10 @@
 /// Whether the connection is open or being established.
 [[nodiscard]] bool isOpen(const TcpConnection &conn) noexcept;
 
+/// Whether received data is still passed to the owner: the connection is open
+/// and isn't about to close.
+[[nodiscard]] bool isReceiving(const TcpConnection &conn) noexcept;
+
 /// Closes the connection once all buffered data is sent; data received
 /// meanwhile is dropped. OnEnd is called only if data was buffered.
 void closeAfterSending(TcpConnection &conn);
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -94,7 +94,7 @@
 std::size_t onCallerData(void *ctx, std::string_view part) {
   CallerConnection &c = *static_cast<CallerConnection *>(ctx);
   std::size_t taken = 0;
-  while (taken < part.size() && !c.ActiveCall && isOpen(c.Tcp)) {
+  while (taken < part.size() && !c.ActiveCall && isReceiving(c.Tcp)) {
     if (!c.Parser.State) {
       beginMessage(c.Parser, MessageKind::Request, c.Owner->Limits.MaxHeadBytes,
                    c.Owner->Limits.MaxBodyBytes);
--- a/src/front/status_server.cpp
+++ b/src/front/status_server.cpp
@@ -49,7 +49,7 @@
 std::size_t onData(void *ctx, std::string_view part) {
   StatusConnection &conn = *static_cast<StatusConnection *>(ctx);
   std::size_t taken = 0;
-  while (taken < part.size() && isOpen(conn.Tcp)) {
+  while (taken < part.size() && isReceiving(conn.Tcp)) {
     if (!conn.Parser.State)
       beginMessage(conn.Parser, MessageKind::Request, MaxHeadBytes,
                    MaxHeadBytes);
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -10,6 +10,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace zinniagauge {
 
@@ -97,26 +98,35 @@
     conn.Handlers->OnDrained(conn.Ctx);
 }
 
+/// Keeps received data for the next delivery.
+void keepUnread(TcpConnection &conn, std::string unread) {
+  if (unread.empty() && unread.capacity() > KeptBufferBytes)
+    std::string().swap(unread);
+  conn.ReceiveBuffer = std::move(unread);
+}
+
 /// Passes \p part to the owner together with data that it didn't consume
-/// before.
+/// before. The view that the owner gets stays valid until it returns, whatever
+/// it does with the connection.
 void deliver(TcpConnection &conn, std::string_view part) {
   if (conn.CloseAfterSending)
     return;
-  if (conn.ReceiveBuffer.empty()) {
-    const std::size_t taken = conn.Handlers->OnData(conn.Ctx, part);
-    if (isOpen(conn) && taken < part.size())
-      conn.ReceiveBuffer.assign(part.substr(taken));
-    return;
-  }
-  conn.ReceiveBuffer.append(part);
-  const std::size_t taken = conn.Handlers->OnData(conn.Ctx, conn.ReceiveBuffer);
+  const std::uint32_t generation = conn.Generation;
+  std::string unread = std::exchange(conn.ReceiveBuffer, {});
+  if (!unread.empty())
+    part = unread.append(part);
+  conn.Delivering = true;
+  const std::size_t taken = conn.Handlers->OnData(conn.Ctx, part);
+  if (conn.Generation != generation)
+    return; // The owner has opened it anew.
+  conn.Delivering = false;
   if (!isOpen(conn))
     return;
-  if (taken >= conn.ReceiveBuffer.size() &&
-      conn.ReceiveBuffer.capacity() > KeptBufferBytes)
-    std::string().swap(conn.ReceiveBuffer);
+  if (unread.empty())
+    unread.assign(part.substr(taken));
   else
-    conn.ReceiveBuffer.erase(0, taken);
+    unread.erase(0, taken);
+  keepUnread(conn, std::move(unread));
 }
 
 void onReadable(TcpConnection &conn) {
@@ -133,8 +143,9 @@
       return;
     }
     const auto count = static_cast<std::size_t>(n);
+    const std::uint32_t generation = conn.Generation;
     deliver(conn, std::string_view(conn.EventLoop->ReadBuffer.data(), count));
-    if (!isOpen(conn) || conn.ReadPaused ||
+    if (!isOpen(conn) || conn.Generation != generation || conn.ReadPaused ||
         count < conn.EventLoop->ReadBuffer.size())
       return;
   }
@@ -165,8 +176,10 @@
   conn.Socket.Events = 0;
   conn.Socket.Fn = onEvents;
   conn.Socket.Ctx = &conn;
+  conn.Delivering = false;
   conn.ReadPaused = false;
   conn.CloseAfterSending = false;
+  ++conn.Generation;
   setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
@@ -242,11 +255,8 @@
 }
 
 void redeliver(TcpConnection &conn) {
-  if (!isOpen(conn) || conn.ReceiveBuffer.empty() || conn.CloseAfterSending)
-    return;
-  const std::string unread = std::move(conn.ReceiveBuffer);
-  conn.ReceiveBuffer.clear();
-  deliver(conn, unread);
+  if (isReceiving(conn) && !conn.Delivering && !conn.ReceiveBuffer.empty())
+    deliver(conn, {});
 }
 
 std::size_t pendingBytes(const TcpConnection &conn) noexcept {
@@ -255,6 +265,10 @@
 
 bool isOpen(const TcpConnection &conn) noexcept { return conn.Socket.Fd >= 0; }
 
+bool isReceiving(const TcpConnection &conn) noexcept {
+  return isOpen(conn) && !conn.CloseAfterSending;
+}
+
 void closeAfterSending(TcpConnection &conn) {
   if (!isOpen(conn))
     return;
