Start each connection with an empty receive buffer

Requests to the table service failed once more after an answer that stopped short: the next answer was read behind the bytes that were left of it.

Cause: ReceiveBuffer outlives the connection, and a StoreConnection opens the same TcpConnection again.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -176,6 +176,7 @@
   conn.Socket.Events = 0;
   conn.Socket.Fn = onEvents;
   conn.Socket.Ctx = &conn;
+  conn.ReceiveBuffer.clear();
   conn.Delivering = false;
   conn.ReadPaused = false;
   conn.CloseAfterSending = false;
--- a/tests/support/tested_front_loop.cpp
+++ b/tests/support/tested_front_loop.cpp
@@ -22,13 +22,6 @@
 /// Time between iterations.
 constexpr Duration StepTime = std::chrono::milliseconds(1);
 
-PeerAddress addressOf(int fd) {
-  sockaddr_in sa{};
-  socklen_t len = sizeof sa;
-  REQUIRE(::getsockname(fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0);
-  return {INADDR_LOOPBACK, ntohs(sa.sin_port)};
-}
-
 /// Opens a socket that listens on a port which the system chooses.
 TestSocket listenAnywhere() {
   TestSocket out(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
@@ -77,6 +70,24 @@
 
 } // namespace
 
+PeerAddress addressOf(int fd) {
+  sockaddr_in sa{};
+  socklen_t len = sizeof sa;
+  REQUIRE(::getsockname(fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0);
+  return {INADDR_LOOPBACK, ntohs(sa.sin_port)};
+}
+
+void runOnce(Loop &lp) {
+  LoopTimer timer;
+  timer.Fn = onStepTimer;
+  timer.Ctx = &lp;
+  lp.StopRequested = false;
+  std::this_thread::sleep_for(StepTime);
+  arm(lp, timer, monotonicNow());
+  run(lp);
+  disarm(lp, timer);
+}
+
 TestSocket::TestSocket(TestSocket &&other) noexcept
     : Fd(std::exchange(other.Fd, -1)) {}
 
@@ -132,16 +143,7 @@
                     sizeof sa) == 0);
 }
 
-void TestedFrontLoop::step() {
-  LoopTimer timer;
-  timer.Fn = onStepTimer;
-  timer.Ctx = &Rl->EventLoop;
-  Rl->EventLoop.StopRequested = false;
-  std::this_thread::sleep_for(StepTime);
-  arm(Rl->EventLoop, timer, monotonicNow());
-  run(Rl->EventLoop);
-  disarm(Rl->EventLoop, timer);
-}
+void TestedFrontLoop::step() { runOnce(Rl->EventLoop); }
 
 void TestedFrontLoop::wait(Duration span) {
   const Time end = monotonicNow() + span;
--- a/tests/support/tested_front_loop.h
+++ b/tests/support/tested_front_loop.h
@@ -14,6 +14,12 @@
 
 namespace zinniagauge::testing {
 
+/// The local address of the socket \p fd.
+[[nodiscard]] PeerAddress addressOf(int fd);
+
+/// Runs one iteration of \p lp after a short wait.
+void runOnce(Loop &lp);
+
 /// A descriptor that is closed with its owner; -1: none.
 struct TestSocket {
   int Fd = -1;
