Limit what is kept of each part of a message

Cause: the parts of a message that the parser doesn't pass on (an incomplete event, chunk sizes and extensions, trailers) had no limit, and incomplete events were searched from their start with each part. A response that isn't a stream on a stream's route had none either, nor had the number of responses to other calls, all bodies together, and answers that a caller doesn't read.

The parser now limits each part in both directions, an event has a limit and is searched once, and a success without a seal is given up at its header. A back end whose answer is given up counts as one that answers wrongly.

--- a/include/zinniagauge/adapt/json_reader.h
+++ b/include/zinniagauge/adapt/json_reader.h
@@ -46,8 +46,10 @@
   number(const char *key, std::uint64_t min, std::uint64_t max,
          std::optional<std::uint64_t> def = std::nullopt);
 
-  /// The required number \p key, greater than \p above and less than \p below.
-  [[nodiscard]] double realNumber(const char *key, double above, double below);
+  /// The number \p key, greater than \p above and less than \p below. If the
+  /// member is absent, returns \p def; without \p def the member is required.
+  [[nodiscard]] double realNumber(const char *key, double above, double below,
+                                  std::optional<double> def = std::nullopt);
 
   /// The boolean \p key, or \p def if it is absent or not a boolean.
   [[nodiscard]] bool flag(const char *key, bool def);
--- a/include/zinniagauge/decide/outlier.h
+++ b/include/zinniagauge/decide/outlier.h
@@ -47,6 +47,12 @@
 bool recordLostConnection(ResultStats &stats, const OutlierLimits &lim,
                           Time now) noexcept;
 
+/// Records a call that got an answer which can't be its own or breaks the
+/// protocol: a failed result and a lost connection. Returns true if the back
+/// end is ejected from now on.
+bool recordWrongAnswer(ResultStats &stats, ResultStats &pool,
+                       const OutlierLimits &lim, Time now) noexcept;
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_DECIDE_OUTLIER_H
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -4,6 +4,7 @@
 
 #include "zinniagauge/board/crash_evidence.h"
 #include "zinniagauge/decide/call_order.h"
+#include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/next_step.h"
 #include "zinniagauge/net/http1.h"
 #include "zinniagauge/net/loop.h"
@@ -76,6 +77,7 @@
   std::uint32_t Events = 0;                 // Events passed on.
   std::uint32_t EventsBefore = 0; // Passed on before the current attempt.
   std::string PartialEvent;       // Bytes of an event that isn't complete yet.
+  EventScan PartialScan;          // How far PartialEvent has been searched.
   Time FirstEventAt;
   Time LastEventAt;
   Time PaceStartAt; // Start of the current measurement of the time per event.
--- a/include/zinniagauge/front/front_settings.h
+++ b/include/zinniagauge/front/front_settings.h
@@ -32,7 +32,8 @@
   /// After this the platform kills the process.
   Duration StopTimeout = std::chrono::seconds(8);
   std::size_t MaxDescriptors = 1024; // Sockets of callers and back ends.
-  double CpuShare = 1;               // Processor time of the machine, in cores.
+  double MemoryMb = 128; // Above this the platform kills the process.
+  double CpuShare = 1;   // Processor time of the machine, in cores.
   EventLevel LogLevel = EventLevel::Calls;
 };
 
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -53,9 +53,9 @@
   MessageParser Parser;
   std::string Body;
   bool HeadRead = false;
-  bool SkippingResponse = false; // The response belongs to another call.
-  /// The response names no call, and the connection carried several.
-  bool Unattributed = false;
+  bool SkippingResponse = false;      // The response belongs to another call.
+  std::uint32_t SkippedResponses = 0; // Before the one to the active call.
+  std::uint64_t SkippedBytes = 0;     // Of the bodies of these.
   bool Streaming = false;
   bool NotReusable = false;        // Closed after its current call.
   std::uint64_t PendingTokens = 0; // Prompt tokens; zero once it responds.
@@ -194,6 +194,11 @@
 /// connect to another process.
 void closeIdleCallers(RequestLoop &rl);
 
+/// Whether a body that has grown from \p before to \p now bytes can't be read
+/// on, as all bodies together use too much memory.
+[[nodiscard]] bool exceedsBodyMemory(const RequestLoop &rl,
+                                     std::uint64_t before, std::uint64_t now);
+
 // Connections to back ends ---------------------------------------------------
 
 /// Sends \p call to \p to over an idle connection or a new one. Returns false
@@ -262,6 +267,10 @@
 /// response counts as one event.
 void recordEventTime(BackendState &to, Duration span, std::uint32_t events);
 
+/// Records an answer of \p to that can't be a call's, or has no end. Counts as
+/// a failed response and as a lost connection.
+void recordWrongAnswer(RequestLoop &rl, BackendState &to);
+
 /// Records a complete response of \p to. Ejects the back end if it fails more
 /// often than its pool.
 void recordResponse(RequestLoop &rl, BackendState &to, bool failed);
@@ -336,11 +345,12 @@
 void onResponse(const std::shared_ptr<Call> &call, const MessageHead &head,
                 std::string_view body);
 
-/// Called when part of a streamed response has arrived. Returns false if the
-/// stream must be aborted because its events don't follow those that were
-/// passed on.
-[[nodiscard]] bool onEvents(const std::shared_ptr<Call> &call,
-                            const MessageHead &head, std::string_view part);
+/// Called when part of a streamed response has arrived. Returns why the attempt
+/// must end, or nothing: an event exceeds its limit, or the events don't follow
+/// those that were passed on.
+[[nodiscard]] std::string_view onEvents(const std::shared_ptr<Call> &call,
+                                        const MessageHead &head,
+                                        std::string_view part);
 
 /// Called when a streamed response is complete.
 void onStreamEnd(const std::shared_ptr<Call> &call, const MessageHead &head);
--- a/include/zinniagauge/net/http1.h
+++ b/include/zinniagauge/net/http1.h
@@ -65,7 +65,9 @@
   Done,         ///< The message is complete.
   HeadTooLarge, ///< The header exceeds its limit.
   BodyTooLarge, ///< The body exceeds its limit.
-  Malformed,    ///< Invalid HTTP, or the body's length is ambiguous.
+  /// Chunk sizes, chunk extensions or the trailer exceed the header's limit.
+  FramingTooLarge,
+  Malformed, ///< Invalid HTTP, or the body's length is ambiguous.
 };
 
 namespace impl {
@@ -81,12 +83,14 @@
 };
 
 /// Prepares \p p for a new message with limits for its header and body, in
-/// bytes.
+/// bytes. The header's limit also applies to the trailer and to what chunked
+/// coding adds to the body beyond a few bytes for each chunk.
 void beginMessage(MessageParser &p, MessageKind kind, std::size_t maxhead,
                   std::uint64_t maxbody);
 
 /// Parses \p part and returns the number of bytes consumed; stops at the end of
-/// the message. Body bytes are appended to \p body as they arrive.
+/// the message. Body bytes are appended to \p body as they arrive. While the
+/// state is InHead or InBody, what isn't consumed is within the header's limit.
 std::size_t readMessage(MessageParser &p, std::string_view part,
                         std::string &body);
 
@@ -95,6 +99,10 @@
 /// read.
 void endOfInput(MessageParser &p);
 
+/// Whether the message can't be read: the state is none of InHead, InBody and
+/// Done.
+[[nodiscard]] bool hasFailed(const MessageParser &p) noexcept;
+
 /// The state of the message; beginMessage must have been called.
 [[nodiscard]] ParseState stateOf(const MessageParser &p) noexcept;
 
--- a/src/adapt/json_reader.cpp
+++ b/src/adapt/json_reader.cpp
@@ -135,10 +135,11 @@
   return 0;
 }
 
-double JsonReader::realNumber(const char *key, double above, double below) {
-  const json *val = findRequired(key);
+double JsonReader::realNumber(const char *key, double above, double below,
+                              std::optional<double> def) {
+  const json *val = def ? find(key) : findRequired(key);
   if (!val)
-    return 0;
+    return def.value_or(0);
   if (!val->is_number()) {
     addFault(key, "must be a number");
     return 0;
--- a/src/decide/complete_events.cpp
+++ b/src/decide/complete_events.cpp
@@ -22,36 +22,37 @@
 
 } // namespace
 
-CompleteEvents findCompleteEvents(std::string_view text) noexcept {
+CompleteEvents findCompleteEvents(std::string_view text,
+                                  EventScan &scan) noexcept {
   CompleteEvents out;
-  std::optional<std::uint64_t> id;
-  bool hasfields = false;
-  std::size_t pos = 0;
   for (;;) {
-    const std::size_t end = text.find('\n', pos);
+    const std::size_t end = text.find('\n', scan.Searched);
     if (end == std::string_view::npos)
-      return out;
-    std::string_view line = text.substr(pos, end - pos);
+      break;
+    std::string_view line = text.substr(scan.LineStart, end - scan.LineStart);
     if (line.ends_with('\r'))
       line.remove_suffix(1);
-    pos = end + 1;
+    scan.LineStart = scan.Searched = end + 1;
     if (!line.empty()) {
-      hasfields = true;
+      scan.HasFields = true;
       if (const auto lineid = idOf(line))
-        id = lineid;
+        scan.Id = lineid;
       continue;
     }
-    out.Bytes = pos;
-    if (!hasfields)
+    out.Bytes = scan.LineStart;
+    if (!scan.HasFields)
       continue;
     ++out.Count;
-    if (id && !out.FirstId)
-      out.FirstId = id;
-    if (id)
-      out.LastId = id;
-    id.reset();
-    hasfields = false;
+    if (scan.Id && !out.FirstId)
+      out.FirstId = scan.Id;
+    if (scan.Id)
+      out.LastId = scan.Id;
+    scan.Id.reset();
+    scan.HasFields = false;
   }
+  scan.LineStart -= out.Bytes;
+  scan.Searched = text.size() - out.Bytes;
+  return out;
 }
 
 bool isInsideEvent(std::string_view rest) noexcept {
--- a/src/decide/outlier.cpp
+++ b/src/decide/outlier.cpp
@@ -48,4 +48,13 @@
   return true;
 }
 
+bool recordWrongAnswer(ResultStats &stats, ResultStats &pool,
+                       const OutlierLimits &lim, Time now) noexcept {
+  const std::uint32_t losses = stats.ConsecutiveLosses;
+  if (recordResult(stats, pool, true, lim, now))
+    return true;
+  stats.ConsecutiveLosses = losses;
+  return recordLostConnection(stats, lim, now);
+}
+
 } // namespace zinniagauge
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -35,6 +35,10 @@
 /// A response that isn't streamed is buffered until it is complete.
 constexpr std::uint64_t MaxResponseBodyBytes = std::uint64_t{16} << 20U;
 
+/// Interim responses, and responses to earlier calls, that may precede the
+/// response to a call.
+constexpr std::uint32_t MaxSkippedResponses = 8;
+
 /// Removes the connection from the loop's state. It is deleted after the
 /// current loop iteration.
 void removeConnection(BackendConnection &conn) {
@@ -100,15 +104,23 @@
   conn.Target->IdleConnections.push_back(&conn);
 }
 
-/// Closes the connection and ends the call's attempt as lost. \p backendfault:
-/// the loss counts against the back end.
+/// What the loss of an attempt says of its back end.
+enum class LossCause : std::uint8_t {
+  IdleConnection, ///< The connection was closed while it was idle: nothing.
+  Connection,     ///< It reset or closed the connection, or fell silent.
+  WrongAnswer,    ///< It sent what can't be passed on as the call's answer.
+};
+
+/// Closes the connection and ends the call's attempt as lost.
 void failAttempt(BackendConnection &conn, std::string_view reason,
-                 bool backendfault) {
+                 LossCause cause) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
   const std::shared_ptr<Call> call = closeConnection(conn);
-  if (backendfault)
+  if (cause == LossCause::Connection)
     recordLostConnection(rl, to);
+  else if (cause == LossCause::WrongAnswer)
+    recordWrongAnswer(rl, to);
   if (call)
     onAttemptEnd(call, AttemptEnd::Lost, reason);
 }
@@ -167,12 +179,21 @@
   conn.Streaming = false;
 }
 
-/// Handles the header of a response, once it is complete.
-void handleHead(BackendConnection &conn) {
+/// Whether a successful response lacks what proves that it is the back end's
+/// own and unchanged.
+bool lacksProof(const MessageHead &head, const HeaderNames &names) {
+  return head.Status / 100 == 2 && !findField(head.Fields, names.NotRun) &&
+         (!findField(head.Fields, names.Seal) ||
+          findField(head.Fields, "Content-Encoding"));
+}
+
+/// Handles the header of a response, once it is complete. Returns why the
+/// response can't be that of the call, or nothing.
+std::string_view handleHead(BackendConnection &conn) {
   conn.HeadRead = true;
   const MessageHead &head = headOf(conn.Parser);
   if (head.Status < 200)
-    return;
+    return {};
   const HeaderNames &names = conn.Owner->Names;
   const auto id = findField(head.Fields, names.CallId);
   if (id && *id != conn.ActiveCall->Id) {
@@ -184,17 +205,16 @@
     add(line, "call", conn.ActiveCall->Id);
     add(line, "backend", conn.Target->Info.Name);
     conn.Owner->Log.write(line);
-    return;
-  }
-  if (!id && conn.Uses > 1) {
-    conn.Unattributed = true;
-    return;
+    return {};
   }
+  if (!id && conn.Uses > 1)
+    return "answer names no call";
   recordBackpressure(*conn.Owner, *conn.Target, head, id.has_value());
+  if (lacksProof(head, names))
+    return "answer without its proof";
   conn.Streaming = conn.ActiveCall->Facts.Kind == CallKind::Stream &&
-                   head.Status / 100 == 2 &&
-                   findField(head.Fields, names.Seal) &&
-                   !findField(head.Fields, "Content-Encoding");
+                   head.Status / 100 == 2 && findField(head.Fields, names.Seal);
+  return {};
 }
 
 /// Passes the received part of a streamed response to the call. Returns false
@@ -206,42 +226,73 @@
   if (part.empty() || !call)
     return true;
   clearPendingTokens(conn);
-  if (onEvents(call, headOf(conn.Parser), part))
-    return conn.ActiveCall != nullptr;
-  if (conn.ActiveCall)
-    failAttempt(conn, "events out of order", true);
-  return false;
+  const std::string_view fault = onEvents(call, headOf(conn.Parser), part);
+  if (!fault.empty() && conn.ActiveCall)
+    failAttempt(conn, fault, LossCause::WrongAnswer);
+  return conn.ActiveCall != nullptr;
+}
+
+/// Prepares to read the next response after one that isn't the call's. Returns
+/// false if there were too many.
+bool skipResponse(BackendConnection &conn) {
+  if (++conn.SkippedResponses > MaxSkippedResponses)
+    return false;
+  beginResponse(conn);
+  return true;
+}
+
+/// Whether a response that is buffered whole has become too large by the part
+/// that was read last; it had \p before bytes before. The parser has no limit
+/// for a body that may be a stream.
+bool isTooLarge(const BackendConnection &conn, std::uint64_t before) {
+  if (conn.Streaming)
+    return false;
+  const std::uint64_t size =
+      std::max<std::uint64_t>(conn.Body.size(), conn.SkippedBytes);
+  return size > MaxResponseBodyBytes ||
+         exceedsBodyMemory(*conn.Owner, before, conn.Body.size());
+}
+
+/// Handles the part of a response that readMessage has read; its body had
+/// \p before bytes before. Returns why the response can't be passed on, or
+/// nothing.
+std::string_view checkResponse(BackendConnection &conn, std::uint64_t before) {
+  if (hasFailed(conn.Parser))
+    return "malformed answer";
+  if (stateOf(conn.Parser) != ParseState::InHead && !conn.HeadRead)
+    if (const std::string_view fault = handleHead(conn); !fault.empty())
+      return fault;
+  if (conn.SkippingResponse) {
+    conn.SkippedBytes += conn.Body.size();
+    conn.Body.clear();
+  }
+  return isTooLarge(conn, before) ? "answer too large" : std::string_view();
 }
 
 /// Reads bytes of one response and returns their number. Empty if the response
 /// is complete or the connection has failed.
 std::optional<std::size_t> readResponse(BackendConnection &conn,
                                         std::string_view part) {
+  const std::uint64_t before = conn.Body.size();
   const std::size_t n = readMessage(conn.Parser, part, conn.Body);
-  const ParseState st = stateOf(conn.Parser);
-  if (st != ParseState::InHead && st != ParseState::InBody &&
-      st != ParseState::Done) {
-    failAttempt(conn, "malformed answer", true);
-    return std::nullopt;
-  }
-  if (st != ParseState::InHead && !conn.HeadRead)
-    handleHead(conn);
-  if (conn.Unattributed) {
-    failAttempt(conn, "answer names no call", true);
+  if (const std::string_view fault = checkResponse(conn, before);
+      !fault.empty()) {
+    failAttempt(conn, fault, LossCause::WrongAnswer);
     return std::nullopt;
   }
-  if (conn.SkippingResponse)
-    conn.Body.clear();
   if (conn.Streaming && !forwardEventsToCall(conn))
     return std::nullopt;
-  if (st != ParseState::Done)
+  if (stateOf(conn.Parser) != ParseState::Done)
     return n;
   if (conn.SkippingResponse || headOf(conn.Parser).Status < 200) {
-    beginResponse(conn);
-    return n;
+    if (skipResponse(conn))
+      return n;
+    failAttempt(conn, "too many answers that aren't the call's",
+                LossCause::WrongAnswer);
+    return std::nullopt;
   }
   if (isBrokenOff(conn))
-    failAttempt(conn, "stream ends inside an event", true);
+    failAttempt(conn, "stream ends inside an event", LossCause::Connection);
   else
     finishResponse(conn, n < part.size());
   return std::nullopt;
@@ -271,7 +322,7 @@
   // If the call can't be retried it keeps waiting: a silent back end may still
   // respond.
   if (canRetry(*conn.Owner, *conn.ActiveCall))
-    failAttempt(conn, "back end fell silent", true);
+    failAttempt(conn, "back end fell silent", LossCause::Connection);
 }
 
 std::size_t onBackendData(void *ctx, std::string_view part) {
@@ -348,10 +399,12 @@
   }
   // A reused connection that ends before any byte of the response may have
   // been closed because it was idle; that isn't a fault of the back end.
-  const bool backendfault = conn.Uses <= 1 || hasBegun(conn.Parser);
+  const LossCause cause = conn.Uses <= 1 || hasBegun(conn.Parser)
+                              ? LossCause::Connection
+                              : LossCause::IdleConnection;
   onConnectionLost(*conn.Owner, *conn.Target, *conn.ActiveCall);
   failAttempt(conn, how == ConnectionEnd::Closed ? "answer cut short" : "reset",
-              backendfault);
+              cause);
 }
 
 void onConnectTimer(void *ctx, Time /*now*/) {
@@ -483,6 +536,8 @@
   conn->PendingTokens = call->Work.PromptTokens;
   to.PendingTokens += conn->PendingTokens;
   ++conn->Uses;
+  conn->SkippedResponses = 0;
+  conn->SkippedBytes = 0;
   conn->LastCallId = call->Id;
   call->Stream.EventsBefore = call->Stream.Events;
   ++to.Running;
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -1,5 +1,5 @@
 // Connections of callers: reading requests and sending responses.
-#include "zinniagauge/front/request_loop.h"
+#include "zinniagauge/front/admission.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -15,6 +15,10 @@
 /// beyond that reading pauses.
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} << 10U;
 
+/// Unsent bytes of responses above which no further request of a caller is
+/// read.
+constexpr std::size_t MaxUnsentBytes = std::size_t{128} << 10U;
+
 /// A caller that acknowledges no sent data for this long is disconnected.
 constexpr Duration CallerAckTimeout = std::chrono::seconds(10);
 
@@ -49,7 +53,8 @@
 
 /// Logs a request that can't be read, responds with \p status and closes the
 /// connection.
-void refuseRequest(CallerConnection &c, int status, std::string_view reason) {
+void refuseRequest(CallerConnection &c, int status, std::string_view reason,
+                   Duration retryafter = Duration::zero()) {
   RequestLoop &rl = *c.Owner;
   if (rl.Log.logsCalls()) {
     EventLine line = eventLine("unreadable_request");
@@ -60,7 +65,7 @@
     add(line, "why", reason);
     rl.Log.write(line);
   }
-  respondWithStatus(c, status, reason, Duration::zero(), true);
+  respondWithStatus(c, status, reason, retryafter, true);
 }
 
 /// Refuses a request whose parsing failed. Returns whether it did. The bytes
@@ -73,6 +78,9 @@
   case ParseState::BodyTooLarge:
     refuseRequest(c, 413, "body too large");
     return true;
+  case ParseState::FramingTooLarge:
+    refuseRequest(c, 400, "chunk extensions or trailer too large");
+    return true;
   case ParseState::Malformed:
     refuseRequest(c, 400, "malformed request");
     return true;
@@ -91,10 +99,23 @@
     send(c.Tcp, "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+/// Whether the caller's next request may be read now.
+bool mayReadRequest(const CallerConnection &c) {
+  return !c.ActiveCall && isReceiving(c.Tcp) &&
+         pendingBytes(c.Tcp) <= MaxUnsentBytes;
+}
+
+/// Pauses reading if \p unread bytes of further requests have to wait.
+void pauseIfFull(CallerConnection &c, std::size_t unread) {
+  const std::size_t limit = c.ActiveCall ? MaxPipelinedBytes : 0;
+  if (!mayReadRequest(c) && unread > limit)
+    setReadPaused(c.Tcp, true);
+}
+
 std::size_t onCallerData(void *ctx, std::string_view part) {
   CallerConnection &c = *static_cast<CallerConnection *>(ctx);
   std::size_t taken = 0;
-  while (taken < part.size() && !c.ActiveCall && isReceiving(c.Tcp)) {
+  while (taken < part.size() && mayReadRequest(c)) {
     if (!c.Parser.State) {
       beginMessage(c.Parser, MessageKind::Request, c.Owner->Limits.MaxHeadBytes,
                    c.Owner->Limits.MaxBodyBytes);
@@ -103,11 +124,16 @@
       arm(c.Owner->EventLoop, c.Timer,
           c.Owner->EventLoop.Now + c.Owner->Limits.HeadTimeout);
     }
+    const std::uint64_t before = c.Body.size();
     const std::size_t n = readMessage(c.Parser, part.substr(taken), c.Body);
     taken += n;
     const ParseState st = stateOf(c.Parser);
     if (refuseUnreadable(c, st))
       return part.size();
+    if (exceedsBodyMemory(*c.Owner, before, c.Body.size())) {
+      refuseRequest(c, 503, "no memory for the body", DefaultRetryAfter);
+      return part.size();
+    }
     if (st == ParseState::InBody) {
       armIdleTimer(c);
       sendContinue(c);
@@ -122,8 +148,7 @@
       break;
     }
   }
-  if (c.ActiveCall && part.size() - taken > MaxPipelinedBytes)
-    setReadPaused(c.Tcp, true);
+  pauseIfFull(c, part.size() - taken);
   return taken;
 }
 
@@ -136,9 +161,13 @@
 }
 
 void onCallerSent(void *ctx) {
-  const CallerConnection &c = *static_cast<CallerConnection *>(ctx);
-  if (c.ActiveCall && c.ActiveCall->Connection)
+  CallerConnection &c = *static_cast<CallerConnection *>(ctx);
+  if (c.ActiveCall && c.ActiveCall->Connection) {
     setReadPaused(c.ActiveCall->Connection->Tcp, false);
+  } else if (mayReadRequest(c)) {
+    setReadPaused(c.Tcp, false);
+    redeliver(c.Tcp);
+  }
 }
 
 const ConnectionHandlers CallerHandlers = {nullptr, onCallerData, onCallerEnd,
@@ -273,6 +302,8 @@
     return;
   }
   armIdleTimer(c);
+  if (!mayReadRequest(c))
+    return; // onCallerSent goes on.
   setReadPaused(c.Tcp, false);
   redeliver(c.Tcp);
 }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -15,6 +15,9 @@
 /// Unsent bytes for a slow caller above which reading from its back end pauses.
 constexpr std::size_t MaxUnsentBytes = std::size_t{128} << 10U;
 
+/// Limit of one event of a stream, far above a page of text.
+constexpr std::size_t MaxEventBytes = std::size_t{64} << 10U;
+
 /// Number of events over which the time per event is measured.
 constexpr std::uint32_t PaceEvents = 8;
 
@@ -350,6 +353,7 @@
   }
   facts.HasTimeLeft = rl.EventLoop.Now < call->Deadline;
   call->Stream.PartialEvent.clear();
+  call->Stream.PartialScan = {};
   call->Stream.PaceStartEvents = call->Stream.Events;
   call->Stream.PaceStartAt = rl.EventLoop.Now;
   const bool retrying =
@@ -422,17 +426,20 @@
   dispatchQueued(rl, call->Plan.Pool);
 }
 
-bool onEvents(const std::shared_ptr<Call> &call, const MessageHead &head,
-              std::string_view part) {
+std::string_view onEvents(const std::shared_ptr<Call> &call,
+                          const MessageHead &head, std::string_view part) {
   RequestLoop &rl = *call->Owner;
   StreamState &st = call->Stream;
   st.PartialEvent.append(part);
-  const CompleteEvents complete = findCompleteEvents(st.PartialEvent);
+  const CompleteEvents complete =
+      findCompleteEvents(st.PartialEvent, st.PartialScan);
+  if (st.PartialEvent.size() - complete.Bytes > MaxEventBytes)
+    return "event too large";
   if (complete.Bytes == 0 || !call->Caller)
-    return true;
+    return {};
   if (st.LastEventId && complete.FirstId &&
       *complete.FirstId <= *st.LastEventId)
-    return false;
+    return "events out of order";
   const std::string_view events =
       std::string_view(st.PartialEvent).substr(0, complete.Bytes);
   if (call->Facts.ResponseStarted) {
@@ -459,7 +466,7 @@
   st.PartialEvent.erase(0, complete.Bytes);
   if (call->Connection && pendingBytes(call->Caller->Tcp) > MaxUnsentBytes)
     setReadPaused(call->Connection->Tcp, true);
-  return true;
+  return {};
 }
 
 void onStreamEnd(const std::shared_ptr<Call> &call, const MessageHead &head) {
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -58,6 +58,7 @@
   set.CpuShare = rd.realNumber("cpu_share", 0, 1024);
   set.MaxDescriptors =
       static_cast<std::size_t>(rd.realNumber("descriptors", 63, 1e6));
+  set.MemoryMb = rd.realNumber("memory_mb", 0, 1e9, set.MemoryMb);
 }
 
 std::string joinFaults(const std::vector<BundleFault> &faults) {
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -49,6 +49,20 @@
          lim.MaxEjectedFraction * static_cast<double>(pool.Backends.size());
 }
 
+/// Logs that \p to is ejected.
+void logEjection(RequestLoop &rl, const BackendState &to,
+                 std::string_view reason) {
+  constexpr double Permille = 1000;
+  EventLine line = eventLine("backend_passed_over");
+  add(line, "backend", to.Info.Name);
+  add(line, "why", reason);
+  add(line, "pool_failures_permille",
+      static_cast<std::int64_t>(rl.Pools[to.Info.Pool].Results.FailureRate *
+                                Permille));
+  add(line, "for_ms", to.Results.EjectionTime);
+  rl.Log.write(line);
+}
+
 /// Whether this process has recently sent its part of the free slots of \p b.
 /// Applies while calls wait: several processes with waiting calls see the same
 /// free slots, and each learns only some milliseconds later that another one
@@ -389,33 +403,27 @@
   to.LastSentAt = rl.EventLoop.Now;
 }
 
+void recordWrongAnswer(RequestLoop &rl, BackendState &to) {
+  PoolState &pool = poolOf(rl, to.Info.Pool);
+  if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
+      recordWrongAnswer(to.Results, pool.Results, rl.Outliers,
+                        rl.EventLoop.Now))
+    logEjection(rl, to, "answers that are wrong");
+}
+
 void recordLostConnection(RequestLoop &rl, BackendState &to) {
   PoolState &pool = poolOf(rl, to.Info.Pool);
-  if (!mayEject(pool, rl.Outliers, rl.EventLoop.Now))
-    return;
-  if (recordLostConnection(to.Results, rl.Outliers, rl.EventLoop.Now)) {
-    EventLine line = eventLine("backend_passed_over");
-    add(line, "backend", to.Info.Name);
-    add(line, "why", "connections lost in a row");
-    add(line, "for_ms", to.Results.EjectionTime);
-    rl.Log.write(line);
-  }
+  if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
+      recordLostConnection(to.Results, rl.Outliers, rl.EventLoop.Now))
+    logEjection(rl, to, "connections lost in a row");
 }
 
 void recordResponse(RequestLoop &rl, BackendState &to, bool failed) {
   PoolState &pool = poolOf(rl, to.Info.Pool);
-  if (!mayEject(pool, rl.Outliers, rl.EventLoop.Now))
-    return;
-  if (recordResult(to.Results, pool.Results, failed, rl.Outliers,
-                   rl.EventLoop.Now)) {
-    EventLine line = eventLine("backend_passed_over");
-    add(line, "backend", to.Info.Name);
-    add(line, "why", "fails more than its pool");
-    add(line, "pool_failures_permille",
-        static_cast<std::int64_t>(pool.Results.FailureRate * 1000));
-    add(line, "for_ms", to.Results.EjectionTime);
-    rl.Log.write(line);
-  }
+  if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
+      recordResult(to.Results, pool.Results, failed, rl.Outliers,
+                   rl.EventLoop.Now))
+    logEjection(rl, to, "fails more than its pool");
 }
 
 } // namespace zinniagauge
--- a/src/front/status_server.cpp
+++ b/src/front/status_server.cpp
@@ -60,7 +60,7 @@
     const ParseState st = stateOf(conn.Parser);
     if (st == ParseState::Done) {
       respond(conn);
-    } else if (st != ParseState::InHead && st != ParseState::InBody) {
+    } else if (hasFailed(conn.Parser)) {
       close(conn.Tcp);
       removeConnection(conn);
       return part.size();
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -31,8 +31,14 @@
   MessageHead Head;
   bool HeadDone = false;
   std::string *Body = nullptr;
+  std::uint64_t Chunks = 0;
+  std::uint64_t BodyBytes = 0;
 };
 
+/// Framing of a chunk that doesn't count towards the limit, beside twice its
+/// size.
+constexpr std::uint64_t FreeBytesPerChunk = 16;
+
 /// Callbacks of Beast's parser, which store the message.
 template <bool IsRequest>
 class BeastParser final : public http::basic_parser<IsRequest> {
@@ -58,17 +64,23 @@
   void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                          BeastError & /*ec*/) override {}
   std::size_t on_body_impl(BeastView body, BeastError & /*ec*/) override {
-    Message.Body->append(body.data(), body.size());
-    return body.size();
+    return appendBody(body);
   }
   void on_chunk_header_impl(std::uint64_t /*size*/, BeastView /*extensions*/,
-                            BeastError & /*ec*/) override {}
+                            BeastError & /*ec*/) override {
+    ++Message.Chunks;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, BeastView body,
                                  BeastError & /*ec*/) override {
+    return appendBody(body);
+  }
+  void on_finish_impl(BeastError & /*ec*/) override {}
+
+  std::size_t appendBody(BeastView body) {
     Message.Body->append(body.data(), body.size());
+    Message.BodyBytes += body.size();
     return body.size();
   }
-  void on_finish_impl(BeastError & /*ec*/) override {}
 
   ParsedMessage &Message;
 };
@@ -90,6 +102,9 @@
   std::variant<BeastParser<true>, BeastParser<false>> Parser;
   ParseState State = ParseState::InHead;
   bool Begun = false;
+  std::size_t MaxHeadBytes = 0;
+  std::size_t HeadBytes = 0;        // Consumed.
+  std::uint64_t AfterHeadBytes = 0; // Consumed, body and framing.
 
   explicit ParserState(bool request)
       : Parser(std::in_place_type<BeastParser<true>>, Message) {
@@ -106,16 +121,39 @@
 
 namespace {
 
-/// Stores how the message's header treats the connection.
+/// Stores how the message's header treats the connection. From here on a call
+/// of the parser reads as much as it can; before, it stops after the header,
+/// whose bytes are so told from the body's.
 void recordHead(impl::ParserState &st) {
   std::visit(
       [&](auto &p) {
         st.Message.Head.KeepAlive = p.keep_alive();
         st.Message.Head.EndsAtClose = p.need_eof();
+        p.eager(true);
       },
       st.Parser);
 }
 
+/// Counts \p taken bytes that the parser has consumed; \p left more have
+/// arrived and belong to a part that isn't complete. Returns the state InHead
+/// or InBody if the message is within its limits, else why it isn't.
+ParseState countBytes(impl::ParserState &st, std::size_t taken,
+                      std::size_t left) {
+  if (st.State == ParseState::InHead) {
+    st.HeadBytes += taken;
+    return st.HeadBytes + left > st.MaxHeadBytes ? ParseState::HeadTooLarge
+                                                 : ParseState::InHead;
+  }
+  st.AfterHeadBytes += taken;
+  const ParsedMessage &msg = st.Message;
+  const std::uint64_t framing = st.AfterHeadBytes - msg.BodyBytes + left;
+  const std::uint64_t allowed =
+      st.MaxHeadBytes + FreeBytesPerChunk * msg.Chunks + 2 * msg.BodyBytes;
+  return left > st.MaxHeadBytes || framing > allowed
+             ? ParseState::FramingTooLarge
+             : ParseState::InBody;
+}
+
 /// Whether the body has a transfer coding other than chunked. Its length is
 /// then unknown, and two parsers may disagree on where the next message starts.
 bool hasOtherCoding(const impl::ParserState &st) {
@@ -159,9 +197,9 @@
 void beginMessage(MessageParser &p, MessageKind kind, std::size_t maxhead,
                   std::uint64_t maxbody) {
   p.State.reset(new ParserState(kind == MessageKind::Request));
+  p.State->MaxHeadBytes = maxhead;
   std::visit(
       [&](auto &parser) {
-        parser.eager(true);
         parser.header_limit(static_cast<std::uint32_t>(maxhead));
         parser.body_limit(maxbody);
         if (kind == MessageKind::ResponseToHead)
@@ -191,6 +229,10 @@
       st.State = failureOf(ec);
       break;
     }
+    st.State = countBytes(
+        st, n, ec == http::error::need_more ? part.size() - taken : 0);
+    if (hasFailed(p))
+      break;
     if (st.State == ParseState::InHead && st.Message.HeadDone) {
       recordHead(st);
       st.State = ParseState::InBody;
@@ -216,6 +258,12 @@
   st.State = ec ? ParseState::Malformed : ParseState::Done;
 }
 
+bool hasFailed(const MessageParser &p) noexcept {
+  const ParseState st = p.State->State;
+  return st != ParseState::InHead && st != ParseState::InBody &&
+         st != ParseState::Done;
+}
+
 ParseState stateOf(const MessageParser &p) noexcept { return p.State->State; }
 
 const MessageHead &headOf(const MessageParser &p) noexcept {
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -49,7 +49,7 @@
     finish(conn, &head, {}, head.KeepAlive && n == data.size());
     return data.size();
   }
-  if (st != ParseState::InHead && st != ParseState::InBody) {
+  if (hasFailed(conn.Parser)) {
     finish(conn, nullptr, "malformed answer", false);
     return data.size();
   }
--- a/tests/support/consortium_rows.cpp
+++ b/tests/support/consortium_rows.cpp
@@ -80,6 +80,7 @@
           {"exposure_slack", 50},
           {"stop_s", 8},
           {"cpu_share", 1},
+          {"memory_mb", 128},
           {"descriptors", 512}};
 }
 
--- a/tests/support/soak_callers.cpp
+++ b/tests/support/soak_callers.cpp
@@ -64,7 +64,8 @@
     call.Sealed = findField(head.Fields, "Zinniagauge-Response-Seal") &&
                   head.Status / 100 == 2;
     if (call.Kind == SoakKind::Stream && head.Status == 200) {
-      const CompleteEvents complete = findCompleteEvents(c.Body);
+      EventScan scan;
+      const CompleteEvents complete = findCompleteEvents(c.Body, scan);
       recordEvents(call, std::string_view(c.Body).substr(0, complete.Bytes));
       call.EventsBroken =
           call.EventsBroken || (whole && complete.Bytes != c.Body.size());
--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -42,8 +42,9 @@
 }
 
 TEST_CASE("numbers out of range are refused", "[settings]") {
-  for (const char *key : {"retry_slack", "allowance_slack", "retry_ratio",
-                          "allowance_overage", "descriptors", "stop_s"}) {
+  for (const char *key :
+       {"retry_slack", "allowance_slack", "retry_ratio", "allowance_overage",
+        "descriptors", "stop_s", "memory_mb"}) {
     INFO(key);
     json doc = validSettings();
     doc[key] = -1;
--- a/tests/unit/outlier_test.cpp
+++ b/tests/unit/outlier_test.cpp
@@ -52,3 +52,28 @@
   CHECK(recordLostConnection(stats, lim, Time(seconds(4))));
   CHECK(stats.EjectionTime == lim.InitialEjection * 2);
 }
+
+// Guards against a back end that answers wrongly now and then being judged by
+// its good answers in between alone.
+TEST_CASE("a wrong answer counts as a failure and as a lost connection",
+          "[outlier]") {
+  const OutlierLimits lim;
+  const Time now(seconds(5));
+  ResultStats pool;
+  ResultStats inarow;
+  CHECK_FALSE(recordWrongAnswer(inarow, pool, lim, now));
+  CHECK(recordWrongAnswer(inarow, pool, lim, now));
+  ResultStats often;
+  pool = {};
+  bool ejected = false;
+  for (int n = 0; n < 20 && !ejected; ++n) {
+    ejected = recordWrongAnswer(often, pool, lim, now);
+    if (!ejected)
+      recordResult(often, pool, false, lim, now);
+    for (int other = 0; other < 3; ++other) {
+      ResultStats good;
+      recordResult(good, pool, false, lim, now);
+    }
+  }
+  CHECK(ejected);
+}
