Read what a back end has sent before its connection ends

Cause: reading from the back end pauses while its caller is slow, and a paused connection ended as reset as soon as the peer closed it, with the rest of the response unread.

Only connections to callers still end so, as a caller's leaving has to be seen while its requests wait. Others report their end after the last byte.

--- a/include/zinniagauge/net/tcp_connection.h
+++ b/include/zinniagauge/net/tcp_connection.h
@@ -33,6 +33,9 @@
   void (*OnEnd)(void *ctx, ConnectionEnd how, int err) = nullptr;
   /// Called when all buffered data is sent; may be null.
   void (*OnDrained)(void *ctx) = nullptr;
+  /// Whether the connection ends when the peer closes it while reading is
+  /// paused. Otherwise what the peer has sent is read first.
+  bool EndsWhilePaused = false;
 };
 
 /// One connection. It must not be moved in memory while it is open.
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -171,7 +171,7 @@
 }
 
 const ConnectionHandlers CallerHandlers = {nullptr, onCallerData, onCallerEnd,
-                                           onCallerSent};
+                                           onCallerSent, true};
 
 void onAccept(void *ctx, std::uint32_t /*events*/) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -42,8 +42,10 @@
   std::uint32_t events = conn.ReadPaused ? 0U : std::uint32_t{EPOLLIN};
   if (conn.Connecting || pendingBytes(conn) > 0)
     events |= EPOLLOUT;
-  // EPOLLRDHUP keeps a paused connection subscribed, to detect its end.
-  watch(*conn.EventLoop, conn.Socket, events | EPOLLRDHUP);
+  if (!conn.ReadPaused || conn.Handlers->EndsWhilePaused)
+    events |= EPOLLRDHUP;
+  // Errors are always reported; stating them keeps the set from being empty.
+  watch(*conn.EventLoop, conn.Socket, events | EPOLLERR);
 }
 
 /// Sends buffered data. Returns false if the connection has ended.
