Don't take a back end for silent while nothing is read from it

Streams to slow callers were sent again to other back ends, and the first one counted as silent.

Cause: the silence timer counts from the last byte that was read, also while reading is paused for a slow caller.

Evidence: the new test of "[slow]" fails before the change: with a caller that reads nothing for two seconds a second back end gets the call.

--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -314,6 +314,9 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   if (!conn.ActiveCall)
     return;
+  // Nothing is read while the caller is slow, so that says nothing.
+  if (conn.Tcp.ReadPaused)
+    conn.LastByteAt = now;
   const Time due = conn.LastByteAt + currentSilenceTimeout(conn);
   if (now < due) {
     arm(conn.Owner->EventLoop, conn.SilenceTimer, due);
--- a/tests/unit/slow_reader_test.cpp
+++ b/tests/unit/slow_reader_test.cpp
@@ -125,3 +125,21 @@
   got += readSlowly(f, conn, {}, "\r\n0\r\n\r\n");
   CHECK((bodyOfChunked(got) == events.substr(0, total)));
 }
+
+// Guards against a back end being taken for silent while nothing is read from
+// it, as its caller is slow.
+TEST_CASE("a stream isn't tried elsewhere while its caller is slow",
+          "[front][slow]") {
+  const std::string events = largeEvents();
+  TestedFrontLoop f(2);
+  f.request("c-1");
+  auto [at, conn] = f.acceptAny();
+  REQUIRE_FALSE(f.receive(conn, "\r\n\r\n").empty());
+  f.send(conn, std::string(Sealed) + "\r\n");
+  const std::string_view rest =
+      sendUntilPaused(f, conn, events, MinGapTimeout * 2);
+  REQUIRE_FALSE(rest.empty());
+  CHECK(f.accept(1 - at).Fd < 0);
+  const std::string got = readSlowly(f, conn, rest, "\r\n0\r\n\r\n");
+  CHECK((bodyOfChunked(got) == events));
+}
