Let callers read a response for longer than the idle timeout

Responses that a caller read for longer than the idle timeout were cut, with a reset (LOST).

Cause: the timeout begins when the response is complete at the front, and its end reset the connection whatever was still unsent.

The timeout now begins again when all is sent, and while a response is being read it only ends connections whose caller has read nothing for that long. An idle connection is closed in order, so that the system sends what it has.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -40,6 +40,7 @@
   bool SentContinue = false;
   std::shared_ptr<Call> ActiveCall; // Null between requests.
   LoopTimer Timer; // Timeout of an unfinished request or an idle connection.
+  std::size_t UnsentAtTimer = 0; // Bytes to send when Timer expired last.
 };
 
 struct BackendState;
@@ -182,7 +183,8 @@
 /// the connection if the process is stopping.
 void serveNextRequest(CallerConnection &c);
 
-/// Closes the connection once all buffered bytes are sent. An incomplete
+/// Closes the connection once all buffered bytes are sent, or if the caller
+/// reads none of them for the idle timeout. An incomplete
 /// streamed response then lacks its last chunk, by which the caller detects the
 /// failure.
 void closeCallerAfterSending(CallerConnection &c);
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -154,10 +154,19 @@
 
 void onCallerTimer(void *ctx, Time /*now*/) {
   CallerConnection &c = *static_cast<CallerConnection *>(ctx);
-  if (c.Parser.State && hasBegun(c.Parser) && !c.Tcp.CloseAfterSending)
+  const std::size_t unsent = pendingBytes(c.Tcp);
+  if (c.Parser.State && hasBegun(c.Parser) && !c.Tcp.CloseAfterSending) {
     refuseRequest(c, 408, "request not complete in time");
-  else
+  } else if (unsent > 0 && unsent != c.UnsentAtTimer) {
+    // The caller still reads its response.
+    c.UnsentAtTimer = unsent;
+    armIdleTimer(c);
+  } else if (unsent > 0) {
     resetCaller(c);
+  } else {
+    // The system still sends what it has of the last response.
+    closeCallerAfterSending(c);
+  }
 }
 
 void onCallerSent(void *ctx) {
@@ -165,6 +174,8 @@
   if (c.ActiveCall && c.ActiveCall->Connection) {
     setReadPaused(c.ActiveCall->Connection->Tcp, false);
   } else if (mayReadRequest(c)) {
+    if (!c.Parser.State)
+      armIdleTimer(c);
     setReadPaused(c.Tcp, false);
     redeliver(c.Tcp);
   }
--- a/tests/unit/slow_reader_test.cpp
+++ b/tests/unit/slow_reader_test.cpp
@@ -143,3 +143,41 @@
   const std::string got = readSlowly(f, conn, rest, "\r\n0\r\n\r\n");
   CHECK((bodyOfChunked(got) == events));
 }
+
+// Guards against the timeout of idle connections cutting a response that is
+// being read.
+TEST_CASE("a response that is read for longer than the idle timeout is whole",
+          "[front][slow]") {
+  const bool close = GENERATE(false, true);
+  INFO("connection closes afterwards: " << close);
+  TestedFrontLoop f(1);
+  f.Rl->Limits.IdleTimeout = milliseconds(300);
+  f.request("c-1", {}, "/safe/x");
+  TestSocket conn = f.acceptAny().second;
+  REQUIRE_FALSE(f.receive(conn, "\r\n\r\n").empty());
+  const std::string body(LargeBytes, 'x');
+  const std::string answer = std::string(Sealed) +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
+  f.Board.Stopping = close;
+  const std::string got = readSlowly(f, conn, answer, close ? "" : "x\r\n",
+                                     LargeBytes / 8, milliseconds(150));
+  CHECK(got.size() > body.size());
+  CHECK((got.ends_with(body)));
+}
+
+// Guards against a caller that reads nothing holding its connection for ever.
+TEST_CASE("a caller that reads nothing of its response is disconnected",
+          "[front][slow]") {
+  TestedFrontLoop f(1);
+  f.Rl->Limits.IdleTimeout = milliseconds(100);
+  f.request("c-1", {}, "/safe/x");
+  TestSocket conn = f.acceptAny().second;
+  REQUIRE_FALSE(f.receive(conn, "\r\n\r\n").empty());
+  const std::string answer = std::string(Sealed) +
+                             "Content-Length: " + std::to_string(LargeBytes) +
+                             "\r\n\r\n" + std::string(LargeBytes, 'x');
+  CHECK(sendUntilPaused(f, conn, answer, milliseconds(600)).empty());
+  f.wait(milliseconds(300));
+  CHECK(f.Rl->Callers.empty());
+}
