Wait for unsent responses in a planned stop

Cause: a stopping front waited for calls, and a call ends once its response is in the connection's buffer.

It now also waits for what is unsent, until 200 ms before it is killed.

--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -17,28 +17,41 @@
 /// process is stopping.
 constexpr Duration LongCallAcceptTime = std::chrono::milliseconds(2700);
 
-/// Time reserved before the process is killed, for output that isn't written
-/// yet.
+/// Time reserved before the process is killed, for responses and output that
+/// aren't written yet.
 constexpr Duration StopMargin = std::chrono::milliseconds(500);
 
-constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
+/// The part of StopMargin in which responses aren't sent any more.
+constexpr Duration ExitMargin = std::chrono::milliseconds(200);
 
-/// How long the last responses have to leave after new connections are refused.
-constexpr Duration FlushTime = std::chrono::milliseconds(100);
+constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
 /// When the process stops to accept connections, at the latest.
 Time closingTime(const RequestLoop &rl) {
   return rl.StoppingSince + rl.Settings.StopTimeout - StopMargin;
 }
 
-void onFlushTimer(void *ctx, Time /*now*/) {
-  static_cast<RequestLoop *>(ctx)->EventLoop.StopRequested = true;
+/// Whether responses are still being sent to callers.
+bool isSending(const RequestLoop &rl) {
+  return std::any_of(
+      rl.Callers.begin(), rl.Callers.end(),
+      [](const auto &item) { return pendingBytes(item.second->Tcp) > 0; });
+}
+
+/// Called while the last responses leave, after new connections are refused.
+void onFlushTimer(void *ctx, Time now) {
+  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  if (isSending(rl) &&
+      now < rl.StoppingSince + rl.Settings.StopTimeout - ExitMargin)
+    arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
+  else
+    rl.EventLoop.StopRequested = true;
 }
 
 void onStopTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  const bool idle =
-      rl.ActiveCalls == 0 && now - rl.StoppingSince >= MinStopTime;
+  const bool idle = rl.ActiveCalls == 0 && !isSending(rl) &&
+                    now - rl.StoppingSince >= MinStopTime;
   if (!idle && now < closingTime(rl)) {
     arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
     return;
@@ -48,7 +61,7 @@
   endSentCalls(rl, "stopping");
   closeIdleCallers(rl);
   rl.StopTimer.Fn = onFlushTimer;
-  arm(rl.EventLoop, rl.StopTimer, now + FlushTime);
+  arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
 }
 
 } // namespace
--- a/tests/process/front_stop_test.cpp
+++ b/tests/process/front_stop_test.cpp
@@ -1,8 +1,14 @@
 // Tests that a planned stop under load cuts off no call that was accepted.
+#include "support/consortium.h"
 #include "support/front_deployment.h"
+#include "zinniagauge/net/socket_address.h"
 
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <thread>
@@ -47,3 +53,53 @@
   CHECK(refused > 0);
   CHECK(d.countCalls("runs") == served);
 }
+
+namespace {
+
+/// Calls \p path over a slow line and returns the body, as far as it was
+/// received.
+std::string slowCall(std::uint16_t port, const std::string &path) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int bufbytes = 16384;
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bufbytes, sizeof bufbytes);
+  const sockaddr_in sa = socketAddress({INADDR_LOOPBACK, port});
+  std::string out;
+  const std::string text = "GET " + path +
+                           " HTTP/1.1\r\nHost: h.example\r\n"
+                           "Zinniagauge-Attempt-Id: slow\r\n"
+                           "Zinniagauge-Credential: k1\r\n\r\n";
+  if (::connect(fd, reinterpret_cast<const sockaddr *>(&sa), sizeof sa) == 0 &&
+      ::send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0) {
+    std::array<char, 32768> buf{};
+    std::size_t end = LargeBodyBytes;
+    for (ssize_t n = ::read(fd, buf.data(), buf.size()); n > 0;
+         n = ::read(fd, buf.data(), buf.size())) {
+      if (out.empty())
+        end += std::string_view(buf.data(), buf.size()).find("\r\n\r\n") + 4;
+      out.append(buf.data(), static_cast<std::size_t>(n));
+      if (out.size() >= end)
+        break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(8));
+    }
+    out.erase(0, end - LargeBodyBytes);
+  }
+  ::close(fd);
+  return out;
+}
+
+} // namespace
+
+// Guards against a planned stop that ends while a slow caller reads its answer.
+TEST_CASE("a response that is being read during a planned stop is whole",
+          "[process][front]") {
+  FrontDeployment d;
+  d.setEngineModes("large", "large");
+  std::string got;
+  std::thread caller([&] { got = slowCall(d.Ports[3], "/safe/a"); });
+  REQUIRE(waitUntil([&] { return d.countCalls("runs") == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  d.Front->signal(SIGTERM);
+  CHECK(d.Front->wait() == 0);
+  caller.join();
+  CHECK(got.size() == LargeBodyBytes);
+}
--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -263,7 +263,9 @@
       findField(head.Fields, "Zinniagauge-Tenant-Name").value_or("none"));
   const bool key = findField(head.Fields, "Zinniagauge-Credential").has_value();
   std::string response = responseText(
-      200, "workspace " + workspace + (key ? " with key" : ""),
+      200,
+      p.Mode == "large" ? std::string(LargeBodyBytes, 'x')
+                        : "workspace " + workspace + (key ? " with key" : ""),
       {{"Zinniagauge-Attempt-Id", id}, {"Zinniagauge-Response-Seal", "s"}},
       p.Asked);
   if (p.Mode == "slow") {
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -24,7 +24,8 @@
 /// the store: "ok", "silent", "busy", "lost" (a write takes effect but its
 /// response is not sent), "gone" (the change history is not available). Modes
 /// of an engine: "ok", "silent", "reset", "fail", "not_run", "break" (streams
-/// end early), "slow" (responds after SlowResponseDelay).
+/// end early), "slow" (responds after SlowResponseDelay),
+/// "large" (bodies of LargeBodyBytes).
 struct ConsortiumPort {
   Consortium *Owner = nullptr;
   Watch Listener;
@@ -62,6 +63,9 @@
 /// How long an engine in mode "slow" takes for a call that isn't a stream.
 inline constexpr Duration SlowResponseDelay = std::chrono::milliseconds(300);
 
+/// Bytes of the body of a response in mode "large": more than sockets buffer.
+inline constexpr std::size_t LargeBodyBytes = std::size_t{12} << 20U;
+
 /// A call with this body crashes its engine after DeadlyCallTime. The engine is
 /// back after CrashDowntime.
 inline constexpr const char *DeadlyBody = "deadly";
