Serve requests that arrive as a planned stop begins

A request that had arrived on a kept connection, but wasn't read yet when its front got SIGTERM, was dropped with a reset.

Cause: connections without a request in progress are closed at once, whatever the system has received on them.

Connections with unread data are now left to the loop, which serves the request and closes the connection with its response.

Evidence: the new test of "[stop]" fails before the change, as no back end gets the request.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -193,7 +193,8 @@
 void resetCaller(CallerConnection &c);
 
 /// Closes the connections without a request in progress, so that their callers
-/// connect to another process.
+/// connect to another process. A request that has arrived unread is served, and
+/// its response closes the connection.
 void closeIdleCallers(RequestLoop &rl);
 
 /// Whether a body that has grown from \p before to \p now bytes can't be read
--- a/include/zinniagauge/net/tcp_connection.h
+++ b/include/zinniagauge/net/tcp_connection.h
@@ -85,6 +85,10 @@
 /// OnData it does nothing: OnData consumes all that it can before it returns.
 void redeliver(TcpConnection &conn);
 
+/// Whether data has arrived that the owner hasn't consumed, also if it wasn't
+/// read yet.
+[[nodiscard]] bool hasUnreadData(const TcpConnection &conn) noexcept;
+
 /// Bytes that are buffered for sending.
 [[nodiscard]] std::size_t pendingBytes(const TcpConnection &conn) noexcept;
 
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -331,7 +331,8 @@
 void closeIdleCallers(RequestLoop &rl) {
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto &[key, c] : rl.Callers)
-    if (!c->ActiveCall && !(c->Parser.State && hasBegun(c->Parser)))
+    if (!c->ActiveCall && !(c->Parser.State && hasBegun(c->Parser)) &&
+        !hasUnreadData(c->Tcp))
       idle.push_back(c);
   for (const auto &c : idle)
     closeCallerAfterSending(*c);
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -262,6 +262,13 @@
     deliver(conn, {});
 }
 
+bool hasUnreadData(const TcpConnection &conn) noexcept {
+  char first = 0;
+  return !conn.ReceiveBuffer.empty() ||
+         (isOpen(conn) &&
+          ::recv(conn.Socket.Fd, &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
+}
+
 std::size_t pendingBytes(const TcpConnection &conn) noexcept {
   return conn.SendBuffer.size() - conn.SendOffset;
 }
--- a/tests/unit/shutdown_test.cpp
+++ b/tests/unit/shutdown_test.cpp
@@ -46,3 +46,22 @@
     CHECK(f.receive(f.Caller, "\r\n\r\n").starts_with("HTTP/1.1 504"));
   }
 }
+
+// Guards against a request on a kept connection being dropped unread as its
+// front begins to stop.
+TEST_CASE("a request that has arrived when a planned stop begins is answered",
+          "[front][stop]") {
+  TestedFrontLoop f(1);
+  f.request("c-1", {}, "/none/x");
+  REQUIRE(f.receive(f.Caller, "}").starts_with("HTTP/1.1 404"));
+  f.request("c-2", {}, "/unsafe/x");
+  f.Rl->Settings.StopTimeout = std::chrono::seconds(8);
+  beginShutdown(*f.Rl);
+  const TestSocket conn = f.acceptAny().second;
+  REQUIRE(f.receive(conn, "\r\n\r\n").find("c-2") != std::string::npos);
+  f.send(conn, "HTTP/1.1 200 OK\r\nZinniagauge-Attempt-Id: c-2\r\n"
+               "Zinniagauge-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+  const std::string got = f.receive(f.Caller, "\r\n\r\nok");
+  CHECK(got.starts_with("HTTP/1.1 200"));
+  CHECK(got.find("Connection: close") != std::string::npos);
+}
