Go on when a front has no descriptor left

A front with fewer descriptors than its settings say used a whole core as soon as idle callers had them all, and refused everyone else.

Cause: accept() without a descriptor was taken for "nothing left", while the listening socket stayed readable. The limit of the process wasn't raised to what the settings say.

The limit is raised at the start; if the system doesn't allow it, the setting is lowered, and the log says so.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -18,6 +18,7 @@
 #include "zinniagauge/front/front_settings.h"
 #include "zinniagauge/front/header_names.h"
 #include "zinniagauge/net/http1.h"
+#include "zinniagauge/net/listener.h"
 #include "zinniagauge/net/tcp_connection.h"
 #include "zinniagauge/observe/event_log.h"
 #include "zinniagauge/observe/front_metrics.h"
@@ -118,7 +119,7 @@
   EventLog &Log;
   FrontMetrics &Metrics;
   Loop EventLoop;
-  Watch Listener;
+  Listener Listening;  // For callers.
   CallerLimits Limits; // Of the active plan.
   std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>>
       Callers;
@@ -154,9 +155,6 @@
 /// Starts to accept connections of callers. Fails with Unavailable.
 [[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
 
-/// Closes the listening socket; new connections are refused from now on.
-void stopListening(RequestLoop &rl);
-
 /// Sends a response with \p status and a body that holds \p reason. A
 /// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
 /// connection closes after the response.
--- a/include/zinniagauge/front/status_server.h
+++ b/include/zinniagauge/front/status_server.h
@@ -3,6 +3,7 @@
 #define ZINNIAGAUGE_FRONT_STATUS_SERVER_H
 
 #include "zinniagauge/net/http1.h"
+#include "zinniagauge/net/listener.h"
 #include "zinniagauge/net/tcp_connection.h"
 
 #include <functional>
@@ -32,18 +33,13 @@
 /// A server at one listening address. Its loop must outlive it.
 struct StatusServer {
   Loop *EventLoop = nullptr;
-  /// A further connection replaces the oldest. The platform checks readiness
+  /// A further connection replaces another one. The platform checks readiness
   /// once a second.
   std::size_t MaxConnections = 16;
-  Watch Listener;
+  Listener Listening;
   std::function<StatusResponse(std::string_view path)> Handler;
   std::unordered_map<StatusConnection *, std::shared_ptr<StatusConnection>>
       Connections;
-
-  StatusServer() = default;
-  StatusServer(const StatusServer &) = delete;
-  StatusServer &operator=(const StatusServer &) = delete;
-  ~StatusServer();
 };
 
 /// Starts to serve at \p address. \p handler gives the response for a path
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -9,6 +9,9 @@
 
 #include "../platform/platform.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -60,6 +63,32 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+/// Descriptors beside those of callers and back ends: of the loops, the table
+/// service, readiness, metrics and gossip.
+constexpr rlim_t OwnDescriptors = 64;
+
+/// Raises the limit of descriptors to what \p set needs, as far as the system
+/// allows it, and lowers the setting to what there is.
+void raiseDescriptorLimit(Front &f, FrontSettings &set) {
+  rlimit lim{};
+  if (::getrlimit(RLIMIT_NOFILE, &lim) != 0)
+    return;
+  const rlim_t needed = set.MaxDescriptors + OwnDescriptors;
+  if (lim.rlim_cur >= needed)
+    return;
+  lim.rlim_cur = std::min(needed, lim.rlim_max);
+  if (::setrlimit(RLIMIT_NOFILE, &lim) == 0 && lim.rlim_cur >= needed)
+    return;
+  ::getrlimit(RLIMIT_NOFILE, &lim);
+  EventLine line = eventLine("descriptors_limited");
+  add(line, "needed", static_cast<std::int64_t>(needed));
+  add(line, "limit", static_cast<std::int64_t>(lim.rlim_cur));
+  f.Log.write(line);
+  if (lim.rlim_cur > 2 * OwnDescriptors)
+    set.MaxDescriptors = std::min<std::size_t>(set.MaxDescriptors,
+                                               lim.rlim_cur - OwnDescriptors);
+}
+
 /// Applies the settings that may change while the process runs. Keeps the
 /// current ones if the file can't be read or is invalid.
 void reload(Front &f, const std::string &path) {
@@ -85,6 +114,7 @@
 
 /// Starts the components. Fails with the error of the first that can't start.
 Result<void> start(Front &f, const std::string &path) {
+  raiseDescriptorLimit(f, f.Requests.Settings);
   const FrontSettings &set = f.Requests.Settings;
   BOOST_LEAF_CHECK(startRequestLoop(f.Requests));
   const auto onboardchange = f.Requests.EventLoop.OnWake;
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -184,28 +184,44 @@
 const ConnectionHandlers CallerHandlers = {nullptr, onCallerData, onCallerEnd,
                                            onCallerSent, true};
 
-void onAccept(void *ctx, std::uint32_t /*events*/) {
+void onConnection(void *ctx, int fd) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  for (;;) {
-    const int fd = acceptFrom(rl.Listener.Fd);
-    if (fd < 0)
-      return;
-    if (rl.Callers.size() + rl.BackendConnections.size() + 1 >=
-        rl.Settings.MaxDescriptors) {
-      ::close(fd);
-      continue;
-    }
-    auto c = std::make_shared<CallerConnection>();
-    c->Owner = &rl;
-    c->Timer.Fn = onCallerTimer;
-    c->Timer.Ctx = c.get();
-    rl.Callers.emplace(c.get(), c);
-    adopt(c->Tcp, rl.EventLoop, fd, CallerHandlers, c.get());
-    setAckTimeout(c->Tcp, CallerAckTimeout);
-    armIdleTimer(*c);
+  if (rl.Callers.size() + rl.BackendConnections.size() + 1 >=
+      rl.Settings.MaxDescriptors) {
+    ::close(fd);
+    return;
   }
+  auto c = std::make_shared<CallerConnection>();
+  c->Owner = &rl;
+  c->Timer.Fn = onCallerTimer;
+  c->Timer.Ctx = c.get();
+  rl.Callers.emplace(c.get(), c);
+  adopt(c->Tcp, rl.EventLoop, fd, CallerHandlers, c.get());
+  setAckTimeout(c->Tcp, CallerAckTimeout);
+  armIdleTimer(*c);
 }
 
+/// Whether no request is in progress or has arrived on the connection.
+bool isIdle(const CallerConnection &c) {
+  return !c.ActiveCall && !(c.Parser.State && hasBegun(c.Parser)) &&
+         !hasUnreadData(c.Tcp);
+}
+
+/// Closes the caller's connection that has been idle for longest.
+bool closeLongestIdle(void *ctx) {
+  const RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
+  CallerConnection *longest = nullptr;
+  for (const auto &[c, owner] : rl.Callers)
+    if ((!longest || c->Timer.Deadline < longest->Timer.Deadline) &&
+        pendingBytes(c->Tcp) == 0 && isIdle(*c))
+      longest = c;
+  if (longest)
+    closeCallerAfterSending(*longest);
+  return longest != nullptr;
+}
+
+const ListenerHandlers CallerListener = {onConnection, closeLongestIdle};
+
 /// Appends the header fields of a back end's response that are passed on to the
 /// caller.
 void writeResponseFields(std::string &out, const MessageHead &head) {
@@ -228,18 +244,8 @@
 } // namespace
 
 Result<void> listenForCallers(RequestLoop &rl) {
-  BOOST_LEAF_AUTO(fd, listenAt(rl.Settings.Callers));
-  rl.Listener.Fd = fd;
-  rl.Listener.Fn = onAccept;
-  rl.Listener.Ctx = &rl;
-  watch(rl.EventLoop, rl.Listener, EPOLLIN);
-  return {};
-}
-
-void stopListening(RequestLoop &rl) {
-  unwatch(rl.EventLoop, rl.Listener);
-  ::close(rl.Listener.Fd);
-  rl.Listener.Fd = -1;
+  return startListening(rl.Listening, rl.EventLoop, rl.Settings.Callers,
+                        CallerListener, &rl);
 }
 
 void respondWithStatus(CallerConnection &c, int status, std::string_view reason,
@@ -331,8 +337,7 @@
 void closeIdleCallers(RequestLoop &rl) {
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto &[key, c] : rl.Callers)
-    if (!c->ActiveCall && !(c->Parser.State && hasBegun(c->Parser)) &&
-        !hasUnreadData(c->Tcp))
+    if (isIdle(*c))
       idle.push_back(c);
   for (const auto &c : idle)
     closeCallerAfterSending(*c);
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -1,8 +1,6 @@
 // The request loop's timers, and what it publishes on the board.
 #include "zinniagauge/front/request_loop.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <random>
 
@@ -135,8 +133,6 @@
       Metrics(metrics), RandomState(std::random_device{}()) {}
 
 RequestLoop::~RequestLoop() {
-  if (Listener.Fd >= 0)
-    ::close(Listener.Fd);
   // Calls hold timers of the loop, so they are destroyed before it.
   Callers.clear();
   BackendConnections.clear();
--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -56,7 +56,7 @@
     arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
     return;
   }
-  stopListening(rl);
+  stopListening(rl.Listening);
   refuseWaitingCalls(rl, "stopping");
   endSentCalls(rl, "stopping");
   closeIdleCallers(rl);
--- a/src/front/status_server.cpp
+++ b/src/front/status_server.cpp
@@ -1,9 +1,6 @@
 // Serves the readiness check and the metrics over HTTP.
 #include "zinniagauge/front/status_server.h"
 
-#include <sys/epoll.h>
-#include <unistd.h>
-
 namespace zinniagauge {
 
 namespace {
@@ -73,42 +70,37 @@
 
 const ConnectionHandlers Handlers = {nullptr, onData, onEnd, nullptr};
 
-void onAccept(void *ctx, std::uint32_t /*events*/) {
+/// Closes the first connection of the table; returns whether there was one.
+bool closeAny(void *ctx) {
   StatusServer &server = *static_cast<StatusServer *>(ctx);
-  for (;;) {
-    const int fd = acceptFrom(server.Listener.Fd);
-    if (fd < 0)
-      return;
-    if (server.Connections.size() >= server.MaxConnections) {
-      const auto oldest = server.Connections.begin()->second;
-      close(oldest->Tcp);
-      removeConnection(*oldest);
-    }
-    auto conn = std::make_shared<StatusConnection>();
-    conn->Owner = &server;
-    server.Connections.emplace(conn.get(), conn);
-    adopt(conn->Tcp, *server.EventLoop, fd, Handlers, conn.get());
-  }
+  if (server.Connections.empty())
+    return false;
+  const auto conn = server.Connections.begin()->second;
+  close(conn->Tcp);
+  removeConnection(*conn);
+  return true;
 }
 
-} // namespace
-
-StatusServer::~StatusServer() {
-  if (Listener.Fd >= 0)
-    ::close(Listener.Fd);
+void onConnection(void *ctx, int fd) {
+  StatusServer &server = *static_cast<StatusServer *>(ctx);
+  if (server.Connections.size() >= server.MaxConnections)
+    closeAny(&server);
+  auto conn = std::make_shared<StatusConnection>();
+  conn->Owner = &server;
+  server.Connections.emplace(conn.get(), conn);
+  adopt(conn->Tcp, *server.EventLoop, fd, Handlers, conn.get());
 }
 
+const ListenerHandlers StatusListener = {onConnection, closeAny};
+
+} // namespace
+
 Result<void> startStatusServer(
     StatusServer &server, Loop &lp, PeerAddress address,
     std::function<StatusResponse(std::string_view path)> handler) {
-  BOOST_LEAF_AUTO(fd, listenAt(address));
   server.EventLoop = &lp;
   server.Handler = std::move(handler);
-  server.Listener.Fd = fd;
-  server.Listener.Fn = onAccept;
-  server.Listener.Ctx = &server;
-  watch(lp, server.Listener, EPOLLIN);
-  return {};
+  return startListening(server.Listening, lp, address, StatusListener, &server);
 }
 
 } // namespace zinniagauge
--- /dev/null
+++ b/tests/process/front_resources_test.cpp
@@ -0,0 +1,83 @@
+// Tests of a front on a machine that is short of something: descriptors, a
+// reader of its log, its ports.
+#include "support/front_deployment.h"
+#include "zinniagauge/net/socket_address.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+using namespace zinniagauge;
+using namespace zinniagauge::testing;
+
+namespace {
+
+int connectTo(std::uint16_t port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in sa = socketAddress({INADDR_LOOPBACK, port});
+  REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&sa), sizeof sa) ==
+          0);
+  return fd;
+}
+
+/// Processor time that the process has used, in clock ticks.
+long ticksOf(pid_t id) {
+  std::ifstream in("/proc/" + std::to_string(id) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(in)),
+                   std::istreambuf_iterator<char>());
+  // The fields after the name, from the state on; the times are the 12th and
+  // 13th of them.
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int n = 0; n < 11; ++n)
+    fields >> skipped;
+  long user = 0;
+  long system = 0;
+  fields >> user >> system;
+  return user + system;
+}
+
+} // namespace
+
+// Guards against a front turning without pause, and refusing everyone, when
+// idle callers use all descriptors that it may open.
+TEST_CASE("a front whose descriptors are used up goes on serving",
+          "[process][resources]") {
+  FrontDeployment d;
+  const rlimit lim{96, 96};
+  REQUIRE(::prlimit(d.Front->id(), RLIMIT_NOFILE, &lim, nullptr) == 0);
+  std::vector<int> idle;
+  for (int n = 0; n < 160; ++n)
+    idle.push_back(connectTo(d.Ports[3]));
+  const long before = ticksOf(d.Front->id());
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK(ticksOf(d.Front->id()) - before < ::sysconf(_SC_CLK_TCK) / 4);
+  CHECK(hasStatus(d.call("/safe/a"), 200));
+  for (const int fd : idle)
+    ::close(fd);
+}
+
+// Guards against a front that may open fewer descriptors than its settings say
+// by an ordinary soft limit.
+TEST_CASE("a front raises its limit of descriptors to what its settings say",
+          "[process][resources]") {
+  rlimit own{};
+  REQUIRE(::getrlimit(RLIMIT_NOFILE, &own) == 0);
+  REQUIRE(own.rlim_max > 700);
+  const rlimit low{96, own.rlim_max};
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &low) == 0);
+  FrontDeployment d;
+  REQUIRE(::setrlimit(RLIMIT_NOFILE, &own) == 0);
+  rlimit got{};
+  REQUIRE(::prlimit(d.Front->id(), RLIMIT_NOFILE, nullptr, &got) == 0);
+  CHECK(got.rlim_cur > 512);
+}
--- a/tests/support/front_deployment.cpp
+++ b/tests/support/front_deployment.cpp
@@ -51,9 +51,14 @@
   putRow("op", "config", configOf(7, {"k1"}));
   for (int n = 0; n < 2; ++n)
     putRow("servers", "i-" + std::to_string(n), engineEntryOf(n, "ready"));
-  Front.emplace(std::vector<std::string>{
-      ZINNIA_BINARY_DIR "/zinnia-front",
-      Folder.write("settings.json", settings().dump())});
+  startFront();
+}
+
+void FrontDeployment::startFront(int out) {
+  Front.emplace(std::vector<std::string>{ZINNIA_BINARY_DIR "/zinnia-front",
+                                         Folder.write("settings.json",
+                                                      settings().dump())},
+                out);
   REQUIRE(waitForStatus("http://" + loopbackAddress(Ports[4]) + "/v1/readiness",
                         200));
 }
--- a/tests/support/front_deployment.h
+++ b/tests/support/front_deployment.h
@@ -26,6 +26,10 @@
 struct FrontDeployment {
   FrontDeployment();
 
+  /// Starts the front and waits until it is ready. Its output goes to the
+  /// descriptor \p out if that isn't -1.
+  void startFront(int out = -1);
+
   [[nodiscard]] nlohmann::json engineEntryOf(int n, const char *state) const;
   [[nodiscard]] nlohmann::json settings() const;
   /// Sends \p doc to the control endpoint of the stand-in.
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -57,14 +57,14 @@
   std::fclose(f);
 }
 
-Process::Process(std::vector<std::string> argv) : Out(std::tmpfile()) {
+Process::Process(std::vector<std::string> argv, int out) : Out(std::tmpfile()) {
   std::vector<char *> args;
   for (std::string &it : argv)
     args.push_back(it.data());
   args.push_back(nullptr);
   Id = ::fork();
   if (Id == 0)
-    execute(args, ::fileno(Out.get()));
+    execute(args, out >= 0 ? out : ::fileno(Out.get()));
   if (Id < 0)
     throw std::runtime_error("can't start " + argv[0]);
 }
--- a/tests/support/processes.h
+++ b/tests/support/processes.h
@@ -26,9 +26,10 @@
 /// A process that a test has started. The destructor kills it by its id.
 class Process {
 public:
-  /// Starts \p argv; its first element is the path of the program. Throws
+  /// Starts \p argv; its first element is the path of the program. Its output
+  /// goes to the descriptor \p out instead of output() if that isn't -1. Throws
   /// std::runtime_error if the process can't be forked.
-  explicit Process(std::vector<std::string> argv);
+  explicit Process(std::vector<std::string> argv, int out = -1);
   Process(Process &&other) noexcept;
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -88,9 +88,9 @@
 }
 
 const ConnectionHandlers CallerHandlers = {nullptr, onCallerData, onEnd,
-                                           nullptr};
+                                           nullptr, true};
 const ConnectionHandlers TargetHandlers = {nullptr, onTargetData, onEnd,
-                                           nullptr};
+                                           nullptr, true};
 
 void onAccept(void *ctx, std::uint32_t /*events*/) {
   Relay &r = *static_cast<Relay *>(ctx);
--- a/tests/support/tested_front_loop.cpp
+++ b/tests/support/tested_front_loop.cpp
@@ -138,7 +138,7 @@
   if (Caller.Fd >= 0)
     EarlierCallers.push_back(std::move(Caller));
   Caller = TestSocket(::socket(AF_INET, SOCK_STREAM, 0));
-  const sockaddr_in sa = socketAddress(addressOf(Rl->Listener.Fd));
+  const sockaddr_in sa = socketAddress(addressOf(Rl->Listening.Socket.Fd));
   REQUIRE(::connect(Caller.Fd, reinterpret_cast<const sockaddr *>(&sa),
                     sizeof sa) == 0);
 }
