End also if nobody reads the log

A front whose standard output is a full pipe served calls, but never ended after SIGTERM, so that the platform killed it.

Cause: the log's destructor waits for its thread, which waits in a write.

The thread writes only what the pipe takes without blocking, and gives up 100 ms after the process wants to end. Standard descriptors that are closed at the start are opened, so that no connection gets the one of the log.

Evidence: the new test of "[resources]" fails before the change: the process still runs 8 s after SIGTERM.

--- a/include/zinniagauge/observe/event_log.h
+++ b/include/zinniagauge/observe/event_log.h
@@ -47,7 +47,8 @@
   EventLog(std::string node, EventLevel level);
   EventLog(const EventLog &) = delete;
   EventLog &operator=(const EventLog &) = delete;
-  /// Writes out the remaining lines and stops the thread.
+  /// Writes out the remaining lines, as far as standard output takes them, and
+  /// stops the thread.
   ~EventLog();
 
   /// Whether lines about single calls are logged.
@@ -65,6 +66,7 @@
 
 private:
   void run();
+  void writeOut(std::string_view text) const;
 
   std::string Node;
   std::atomic<EventLevel> Level;
@@ -72,7 +74,7 @@
   std::mutex Mutex;
   std::condition_variable StopRequested;
   std::string Pending;
-  bool Stopping = false;
+  std::atomic<bool> Stopping{false};
   std::thread Thread;
 };
 
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -9,7 +9,9 @@
 
 #include "../platform/platform.h"
 
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -89,6 +91,14 @@
                                                lim.rlim_cur - OwnDescriptors);
 }
 
+/// Opens what is closed of standard input, output and error, so that no
+/// connection gets the descriptor to which the log is written.
+void openStandardDescriptors() {
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; ++fd)
+    if (::fcntl(fd, F_GETFD) < 0)
+      static_cast<void>(::open("/dev/null", O_RDWR)); // Gets the lowest, fd.
+}
+
 /// Applies the settings that may change while the process runs. Keeps the
 /// current ones if the file can't be read or is invalid.
 void reload(Front &f, const std::string &path) {
@@ -194,6 +204,7 @@
 
 int main(int argc, char **argv) {
   catchSignals();
+  openStandardDescriptors();
   bool checkonly = false;
   std::string path;
   const CommandLine line = commandLine(checkonly, path);
--- a/src/observe/event_log.cpp
+++ b/src/observe/event_log.cpp
@@ -2,9 +2,13 @@
 #include "zinniagauge/observe/event_log.h"
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <climits>
 
 namespace zinniagauge {
 
@@ -18,6 +22,20 @@
 /// Limit of buffered bytes; with FlushPeriod it limits the output to 480 KB/s.
 constexpr std::size_t MaxPendingBytes = std::size_t{96} << 10U;
 
+/// How often the thread looks for the end of the process while standard output
+/// takes nothing.
+constexpr std::chrono::milliseconds WritablePeriod{50};
+
+/// How long the end of the process waits for standard output.
+constexpr Duration EndPatience = std::chrono::milliseconds(100);
+
+/// Whether standard output takes PIPE_BUF bytes without blocking, within
+/// WritablePeriod.
+bool isWritable() noexcept {
+  pollfd out{STDOUT_FILENO, POLLOUT, 0};
+  return ::poll(&out, 1, static_cast<int>(WritablePeriod.count())) != 0;
+}
+
 bool needsEscape(std::string_view text) noexcept {
   return std::any_of(text.begin(), text.end(), [](unsigned char c) {
     return c < 0x20 || c == '"' || c == '\\' || c >= 0x7f;
@@ -90,13 +108,31 @@
   Pending.append(line.Text).append("}\n");
 }
 
+/// Writes \p text to standard output. Gives up if that is closed, or if it
+/// takes nothing while the process ends.
+void EventLog::writeOut(std::string_view text) const {
+  Time progress = monotonicNow();
+  while (!text.empty()) {
+    ssize_t n = 0;
+    if (isWritable())
+      n = ::write(STDOUT_FILENO, text.data(),
+                  std::min<std::size_t>(text.size(), PIPE_BUF));
+    if (n < 0 && errno != EINTR && errno != EAGAIN)
+      return;
+    if (n > 0) {
+      text.remove_prefix(static_cast<std::size_t>(n));
+      progress = monotonicNow();
+    } else if (Stopping && monotonicNow() - progress > EndPatience) {
+      return;
+    }
+  }
+}
+
 void EventLog::run() {
-  spdlog::sinks::stdout_sink_st sink;
-  sink.set_pattern("%v");
   std::uint64_t reported = 0;
   std::unique_lock<std::mutex> lk(Mutex);
   for (;;) {
-    StopRequested.wait_for(lk, FlushPeriod, [this] { return Stopping; });
+    StopRequested.wait_for(lk, FlushPeriod, [this] { return Stopping.load(); });
     std::string out;
     out.swap(Pending);
     const bool end = Stopping;
@@ -108,11 +144,7 @@
              "\"count\":" + std::to_string(lost - reported) + "}\n";
       reported = lost;
     }
-    if (!out.empty()) {
-      out.pop_back(); // The sink appends a newline.
-      sink.log(spdlog::details::log_msg("", spdlog::level::info, out));
-      sink.flush();
-    }
+    writeOut(out);
     if (end)
       return;
     lk.lock();
--- a/tests/process/front_resources_test.cpp
+++ b/tests/process/front_resources_test.cpp
@@ -81,3 +81,24 @@
   REQUIRE(::prlimit(d.Front->id(), RLIMIT_NOFILE, nullptr, &got) == 0);
   CHECK(got.rlim_cur > 512);
 }
+
+// Guards against a front that can't end as nobody reads its log.
+TEST_CASE("a front whose log isn't read serves and stops",
+          "[process][resources]") {
+  const bool nonblocking = GENERATE(false, true);
+  INFO("pipe without blocking: " << nonblocking);
+  FrontDeployment d;
+  d.Front->kill();
+  int ends[2];
+  REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
+  if (nonblocking)
+    REQUIRE(::fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
+  REQUIRE(::fcntl(ends[1], F_SETPIPE_SZ, 4096) > 0);
+  d.startFront(ends[1]);
+  for (int n = 0; n < 100; ++n)
+    REQUIRE(hasStatus(d.call("/safe/a"), 200));
+  d.Front->signal(SIGTERM);
+  CHECK(d.Front->wait(std::chrono::seconds(8)) == 0);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
