Wait for a port that is still held at the start

A front ended at once if one of its ports was held, by a process that was still ending or by an outgoing connection.

Cause: bind() was tried once.

Evidence: the new test of "[resources]" holds each port for a second and fails before the change.

--- a/include/zinniagauge/net/listener.h
+++ b/include/zinniagauge/net/listener.h
@@ -30,7 +30,8 @@
   void *Ctx = nullptr;
 };
 
-/// Starts to accept connections at \p address. Fails with Unavailable.
+/// Starts to accept connections at \p address. Waits for BindPatience while it
+/// is in use. Fails with Unavailable.
 [[nodiscard]] Result<void> startListening(Listener &ls, Loop &lp,
                                           PeerAddress address,
                                           const ListenerHandlers &handlers,
--- a/include/zinniagauge/net/tcp_connection.h
+++ b/include/zinniagauge/net/tcp_connection.h
@@ -107,8 +107,10 @@
 /// reset, so that the peer detects the abort.
 void close(TcpConnection &conn, bool reset = false);
 
-/// Opens a listening socket at \p address. Fails with Unavailable.
-[[nodiscard]] Result<int> listenAt(PeerAddress address);
+/// Opens a listening socket at \p address. Waits for at most \p patience while
+/// the address is in use. Fails with Unavailable.
+[[nodiscard]] Result<int> listenAt(PeerAddress address,
+                                   Duration patience = Duration::zero());
 
 /// Accepts one connection from the listening socket \p fd and returns its
 /// non-blocking socket, or -1 if there is none.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,6 +1,7 @@
 // Accepts connections, also when the process runs out of descriptors.
 #include "zinniagauge/net/listener.h"
 
+#include "zinniagauge/net/socket_address.h"
 #include "zinniagauge/net/tcp_connection.h"
 
 #include <sys/epoll.h>
@@ -53,7 +54,7 @@
 
 Result<void> startListening(Listener &ls, Loop &lp, PeerAddress address,
                             const ListenerHandlers &handlers, void *ctx) {
-  BOOST_LEAF_AUTO(fd, listenAt(address));
+  BOOST_LEAF_AUTO(fd, listenAt(address, BindPatience));
   ls.EventLoop = &lp;
   ls.Handlers = &handlers;
   ls.Ctx = ctx;
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -304,14 +304,12 @@
   std::string().swap(conn.SendBuffer);
 }
 
-Result<int> listenAt(PeerAddress address) {
+Result<int> listenAt(PeerAddress address, Duration patience) {
   const int fd =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd >= 0) {
     setOption(fd, SOL_SOCKET, SO_REUSEADDR, 1);
-    const sockaddr_in sa = socketAddress(address);
-    if (::bind(fd, reinterpret_cast<const sockaddr *>(&sa), sizeof sa) == 0 &&
-        ::listen(fd, ListenQueue) == 0)
+    if (bindSocket(fd, address, patience) && ::listen(fd, ListenQueue) == 0)
       return fd;
   }
   const Error err{ErrorCode::Unavailable, Step::Receive, toString(address),
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -643,10 +643,8 @@
   gossip.Incarnation = ct.Coordinators.Incarnation;
   gossip.Socket.Fd =
       ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in sa = socketAddress(ct.Settings.GossipAddress);
   if (gossip.Socket.Fd < 0 ||
-      ::bind(gossip.Socket.Fd, reinterpret_cast<const sockaddr *>(&sa),
-             sizeof sa) != 0)
+      !bindSocket(gossip.Socket.Fd, ct.Settings.GossipAddress, BindPatience))
     return fail({ErrorCode::Unavailable, Step::Exchange,
                  toString(ct.Settings.GossipAddress), std::strerror(errno)});
   gossip.Socket.Fn = onDatagram;
--- a/tests/process/front_resources_test.cpp
+++ b/tests/process/front_resources_test.cpp
@@ -102,3 +102,25 @@
   ::close(ends[0]);
   ::close(ends[1]);
 }
+
+// Guards against a front that ends at once as its port is still held.
+TEST_CASE("a front waits for a port that is still held",
+          "[process][resources]") {
+  FrontDeployment d;
+  d.Front->kill();
+  const std::size_t which = GENERATE(3, 4, 5);
+  INFO("port " << which);
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in sa = socketAddress({INADDR_LOOPBACK, d.Ports[which]});
+  const int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  REQUIRE(::bind(fd, reinterpret_cast<const sockaddr *>(&sa), sizeof sa) == 0);
+  REQUIRE(::listen(fd, 1) == 0);
+  std::thread release([fd] {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    ::close(fd);
+  });
+  d.startFront();
+  release.join();
+  CHECK(hasStatus(d.call("/safe/a"), 200));
+}
