--- a/tests/unit/endless_bytes_test.cpp
+++ b/tests/unit/endless_bytes_test.cpp
@@ -246,7 +246,7 @@
   const std::string head =
       "POST /safe/x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
       std::to_string(body.size() + 1) + "\r\n\r\n";
-  const auto sendBody = [&] {
+  const auto sendbody = [&] {
     f.send(f.Caller, head);
     for (std::size_t at = 0; at < body.size();) {
       const ssize_t n = ::send(f.Caller.Fd, body.data() + at, body.size() - at,
@@ -257,11 +257,11 @@
       f.step();
     }
   };
-  sendBody();
+  sendbody();
   f.wait(std::chrono::milliseconds(20));
   CHECK(f.Rl->Callers.size() == 1);
   f.useNewCaller();
-  sendBody();
+  sendbody();
   const std::string got = f.receive(f.Caller, "\r\n\r\n");
   CHECK((got.empty() || got.starts_with("HTTP/1.1 503")));
   CHECK(f.Rl->Callers.size() == 1);
