--- a/tests/unit/own_answers_test.cpp
+++ b/tests/unit/own_answers_test.cpp
@@ -77,7 +77,7 @@
   const std::size_t at = got.find(Name);
   if (at == std::string::npos)
     return {};
-  const std::string id = got.substr(at + Name.size(), 5);
+  std::string id = got.substr(at + Name.size(), 5);
   f.send(conn, "HTTP/1.1 200 OK\r\nZinniagauge-Attempt-Id: " + id +
                    "\r\nZinniagauge-Response-Seal: s\r\nKeep-Alive: timeout=60"
                    "\r\nContent-Length: 9\r\n\r\nran " +
@@ -204,8 +204,10 @@
     f.useNewCaller();
     f.EarlierCallers.clear();
     f.send(f.Caller, first.substr(0, n));
-    f.send(f.Caller, first.substr(n) + refused + refused +
-                         requestText("POST /unsafe/y", idOf(n), {}, "second"));
+    std::string rest = first.substr(n);
+    rest.append(refused).append(refused);
+    rest.append(requestText("POST /unsafe/y", idOf(n), {}, "second"));
+    f.send(f.Caller, rest);
     REQUIRE(answerNext(f, conn) == idOf(size + n));
     REQUIRE(answerNext(f, conn) == idOf(n));
     const std::string got = f.receive(f.Caller, "ran " + idOf(n));
