--- a/tests/process/front_resources_test.cpp
+++ b/tests/process/front_resources_test.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -124,3 +125,24 @@
   release.join();
   CHECK(hasStatus(d.call("/safe/a"), 200));
 }
+
+// Guards against the log being written to a connection that got the descriptor
+// of a standard output that was closed at the start.
+TEST_CASE("a front that is started without standard output keeps its log from "
+          "its connections",
+          "[process][resources]") {
+  FrontDeployment d;
+  d.Front->kill();
+  d.Front.emplace(std::vector<std::string>{
+      "/bin/sh", "-c",
+      "exec " ZINNIA_BINARY_DIR "/zinnia-front " +
+          d.Folder.write("settings.json", d.settings().dump()) +
+          " <&- >&- 2>&-"});
+  REQUIRE(waitForStatus(
+      "http://" + loopbackAddress(d.Ports[4]) + "/v1/readiness", 200));
+  CHECK(hasStatus(d.call("/safe/a"), 200));
+  for (const char *fd : {"0", "1", "2"})
+    CHECK(std::filesystem::read_symlink(
+              "/proc/" + std::to_string(d.Front->id()) + "/fd/" + fd) ==
+          "/dev/null");
+}
