Agree on what the parts for cold endpoints and overload share

Cause: five parts are built side by side and meet on the board, in the gossip reports and in the rank of a waiting call. Nothing sets them yet.

--- a/include/zinniagauge/board/backend.h
+++ b/include/zinniagauge/board/backend.h
@@ -4,6 +4,7 @@
 
 #include "zinniagauge/board/address.h"
 #include "zinniagauge/board/ids.h"
+#include "zinniagauge/time/clock.h"
 
 #include <cstdint>
 #include <string>
@@ -23,6 +24,8 @@
   VersionId Version;
   std::uint32_t Slots = 1; // Calls that it runs at the same time.
   bool Leaving = false;
+  /// By bootNow; in the past if it is warm as far as its row says.
+  Time ColdUntil;
 
   bool operator==(const Backend &) const = default;
 };
--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/board/backend_limit.h"
 #include "zinniagauge/board/cell.h"
 #include "zinniagauge/board/crash_evidence.h"
+#include "zinniagauge/board/evacuation.h"
 #include "zinniagauge/board/load.h"
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
@@ -22,8 +23,9 @@
 /// The shared state of one front. Each section is written by one thread; any
 /// thread may read any section at any time without blocking.
 struct FrontBoard {
-  Cell<TrafficPlan> Plan;       // Written by the plan controller.
-  Cell<BackendList> Backends;   // Written by the discovery controller.
+  Cell<TrafficPlan> Plan;           // Written by the plan controller.
+  Cell<BackendList> Backends;       // Written by the discovery controller.
+  Cell<EvacuatedZones> Evacuations; // Written by the plan controller.
   Cell<PoolMoveList> PoolMoves; // Written by the controller of version moves.
   Cell<VersionStatsList> OwnStats;   // Written by the request loop.
   Cell<LoadList> PeerLoads;          // Written by the gossip controller.
--- a/include/zinniagauge/board/traffic_plan.h
+++ b/include/zinniagauge/board/traffic_plan.h
@@ -52,6 +52,9 @@
   std::string Name;
   PoolId Id;
   std::uint32_t TokensPerEvent = 1; // Tokens in each event of a stream.
+  /// How long a back end is cold after its start; zero: it never is.
+  Duration ColdStart = Duration::zero();
+  double ColdCallsPerSecond = 0; // What a cold back end bears.
 };
 
 /// A workspace, with the limits of what it may spend.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -101,8 +101,9 @@
   ResultStats Results;
   /// Without the responses of a new version during its move.
   std::map<RouteId, ResponseBaseline> Baselines;
-  double PromptMs = 0; // Time per prompt token at a back end of mean speed.
-  double EventMs = 0;  // Mean time per event over its back ends.
+  double PromptMs = 0;     // Time per prompt token at a back end of mean speed.
+  double EventMs = 0;      // Mean time per event over its back ends.
+  bool StatesPace = false; // Some back end states its present pace.
 };
 
 /// The state of the request loop. It belongs to the loop's thread.
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -10,6 +10,7 @@
 #include "zinniagauge/board/backend.h"
 #include "zinniagauge/board/board.h"
 #include "zinniagauge/board/error.h"
+#include "zinniagauge/board/evacuation.h"
 #include "zinniagauge/board/front_board.h"
 #include "zinniagauge/board/invariant.h"
 #include "zinniagauge/board/load.h"
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -36,6 +36,13 @@
   limits @27 :List(FrontLimit); # All that the sender knows, or nothing new.
   markEra @28 :UInt64;        # Era of the table service that mark belongs to.
   digestEra @29 :UInt64;      # Era in which the list of digest was read.
+  cold @30 :List(FrontCold);  # All that the sender knows, or nothing new.
+}
+
+struct FrontCold {
+  backend @0 :UInt64;         # Was unreachable, so it may have started again.
+  ageMs @1 :UInt32;           # Since the latest connection to it was lost.
+  remainingMs @2 :UInt32;     # How much longer it is assumed to be cold.
 }
 
 struct FrontCrash {
@@ -100,6 +107,11 @@
   running @1 :UInt32;         # Calls of this front at the back end.
   pendingTokens @2 :UInt32;   # Prompt tokens of calls without a response yet.
   eventMicros @3 :UInt32;     # Time per event, measured by this front; 0: unknown.
+  # What the back end said of itself most recently, if it states its pace.
+  saidRunning @4 :UInt32;
+  saidWaiting @5 :UInt32;
+  saidPace @6 :UInt32;        # Percent of the usual time; 0: states none.
+  saidAgeMs @7 :UInt32;
 }
 
 struct FrontSpent {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(def9de05377f5711);
+CAPNP_DECLARE_SCHEMA(fa4bab23dbfe24e5);
 CAPNP_DECLARE_SCHEMA(f077d44a7b6ec6dd);
 CAPNP_DECLARE_SCHEMA(d0e31a3e882001d0);
 CAPNP_DECLARE_SCHEMA(95698aa73726df23);
@@ -42,7 +43,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 15, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 15, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontCold {
+  FrontCold() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fa4bab23dbfe24e5, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -177,7 +193,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db459021a7de973f, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(db459021a7de973f, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -288,6 +304,9 @@
 
   inline  ::uint64_t getDigestEra() const;
 
+  inline bool hasCold() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Reader getCold() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -446,6 +465,13 @@
   inline  ::uint64_t getDigestEra();
   inline void setDigestEra( ::uint64_t value);
 
+  inline bool hasCold();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Builder getCold();
+  inline void setCold( ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Builder initCold(unsigned int size);
+  inline void adoptCold(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>> disownCold();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -472,6 +498,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class FrontCold::Reader {
+public:
+  typedef FrontCold Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBackend() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint32_t getRemainingMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontCold::Builder {
+public:
+  typedef FrontCold Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBackend();
+  inline void setBackend( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getRemainingMs();
+  inline void setRemainingMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontCold::Pipeline {
+public:
+  typedef FrontCold Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FrontCrash::Reader {
 public:
   typedef FrontCrash Reads;
@@ -1245,6 +1357,14 @@
 
   inline  ::uint32_t getEventMicros() const;
 
+  inline  ::uint32_t getSaidRunning() const;
+
+  inline  ::uint32_t getSaidWaiting() const;
+
+  inline  ::uint32_t getSaidPace() const;
+
+  inline  ::uint32_t getSaidAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1285,6 +1405,18 @@
   inline  ::uint32_t getEventMicros();
   inline void setEventMicros( ::uint32_t value);
 
+  inline  ::uint32_t getSaidRunning();
+  inline void setSaidRunning( ::uint32_t value);
+
+  inline  ::uint32_t getSaidWaiting();
+  inline void setSaidWaiting( ::uint32_t value);
+
+  inline  ::uint32_t getSaidPace();
+  inline void setSaidPace( ::uint32_t value);
+
+  inline  ::uint32_t getSaidAgeMs();
+  inline void setSaidAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2014,6 +2146,82 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FrontReport::Reader::hasCold() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasCold() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getCold() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setCold( ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initCold(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptCold(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FrontCold::Reader::getBackend() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontCold::Builder::getBackend() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontCold::Builder::setBackend( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontCold::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontCold::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FrontCold::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontCold::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontCold::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FrontCold::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontCrash::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2592,6 +2800,62 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FrontLoad::Reader::getSaidRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontLoad::Builder::getSaidRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FrontLoad::Builder::setSaidRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontLoad::Reader::getSaidWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontLoad::Builder::getSaidWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FrontLoad::Builder::setSaidWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontLoad::Reader::getSaidPace() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontLoad::Builder::getSaidPace() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FrontLoad::Builder::setSaidPace( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontLoad::Reader::getSaidAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontLoad::Builder::getSaidAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void FrontLoad::Builder::setSaidAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t FrontSpent::Reader::getWorkspace() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
