Send no calls to the endpoints of an evacuated zone

Cause: an operator's order to evacuate an availability zone wasn't known to the fronts. Change: the plan controller reads the orders with the operators' rows and publishes the zones on the board; decide/zone_evacuation.h says which orders are in force after deletions, full readings and restores of the table service. Endpoints of such zones aren't usable; a pool that has no others refuses with its reason.

--- a/include/zinniagauge/decide/call_explanation.h
+++ b/include/zinniagauge/decide/call_explanation.h
@@ -50,6 +50,7 @@
   NoCapacity,       ///< No back end had capacity before the call's wait ended.
   Quarantined,      ///< Calls like it had crashed back ends.
   NoFileDescriptor, ///< The front had no file descriptor left.
+  ZoneEvacuated,    ///< The pool has back ends in evacuated zones only.
   BackendsRefused,  ///< Each back end tried reported that the call hasn't run.
   BackendsUnreachable, ///< No back end that was tried could be reached.
   BackendFailed,       ///< A back end responded with a failure.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -74,6 +74,7 @@
 struct BackendState {
   Backend Info;
   bool Listed = true;              // In the board's list of back ends.
+  bool Evacuated = false;          // Its availability zone is.
   bool WrongIncarnation = false;   // Answered 421: not the process listed.
   std::uint32_t Running = 0;       // Calls sent there by this process.
   std::uint64_t PendingTokens = 0; // Prompt tokens without a response yet.
@@ -221,12 +222,19 @@
 
 // Pools ----------------------------------------------------------------------
 
+/// Why a call isn't sent to the back ends of an evacuated zone.
+inline constexpr std::string_view ZoneEvacuated = "zone evacuated";
+
 /// Whether new calls may be sent to \p b.
 [[nodiscard]] bool isUsable(const BackendState &b) noexcept;
 
 /// Updates Backends and Pools from the board's list of back ends.
 void refreshBackends(RequestLoop &rl);
 
+/// Whether back ends of \p pool could take calls if their zones weren't
+/// evacuated, and none can otherwise.
+[[nodiscard]] bool isPoolEvacuated(const RequestLoop &rl, PoolId pool);
+
 /// Returns the best back end with free capacity for \p call, or null.
 [[nodiscard]] BackendState *pickBackend(RequestLoop &rl, const Call &call);
 
--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -8,6 +8,7 @@
 #include "zinniagauge/decide/backend_tracker.h"
 #include "zinniagauge/decide/coordinator.h"
 #include "zinniagauge/decide/store_era.h"
+#include "zinniagauge/decide/zone_evacuation.h"
 #include "zinniagauge/front/front_settings.h"
 #include "zinniagauge/front/status_server.h"
 #include "zinniagauge/net/loop.h"
@@ -34,9 +35,10 @@
   Controllers *Owner = nullptr;
   StoreConnection Connection;
   LoopTimer Timer;
-  TableVersion ReadUpTo;         // Changes up to it were read.
-  TableVersion NewestRow;        // Of the operators' rows; number zero: none.
-  PlanRow Row;                   // Of the plan, as last read.
+  TableVersion ReadUpTo;  // Changes up to it were read.
+  TableVersion NewestRow; // Of the operators' rows; number zero: none.
+  PlanRow Row;            // Of the plan, as last read.
+  EvacuationOrders Evacuations;
   bool ReadsAll = false;         // The request in progress is a full read.
   bool FullyRead = false;        // ReadUpTo started from a full read.
   bool StoreUnreachable = false; // The last request failed.
@@ -133,6 +135,12 @@
 void onStoreRestored(DiscoveryController &dc);
 
 void startPlanController(PlanController &pc);
+
+/// Applies the rows in \p rd that evacuate zones or end that. The reading was
+/// requested at \p requestedat, by bootNow.
+void applyEvacuationRows(PlanController &pc, const TableReadResult &rd,
+                         Time requestedat);
+
 /// Fails with Unavailable if the port for other fronts can't be opened.
 [[nodiscard]] Result<void> startDiscoveryController(DiscoveryController &dc);
 
--- a/include/zinniagauge/store/store_protocol.h
+++ b/include/zinniagauge/store/store_protocol.h
@@ -11,6 +11,7 @@
 #include "zinniagauge/store/store_connection.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -60,6 +61,10 @@
   /// Parses the back end in a row of Backends. Fails with Invalid if the row
   /// doesn't describe a usable one.
   Result<Backend> (*ParseBackend)(const TableRow &row);
+  /// The name of the zone that a row of Operators, possibly a deleted one, asks
+  /// to evacuate. Fails with NotFound if the row holds something else, with
+  /// Invalid if it names no zone.
+  Result<std::string> (*ParseEvacuation)(const TableRow &row);
 };
 
 } // namespace zinniagauge
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -50,6 +50,7 @@
 #include "zinniagauge/decide/silence_timeout.h"
 #include "zinniagauge/decide/stream_end.h"
 #include "zinniagauge/decide/version_evaluator.h"
+#include "zinniagauge/decide/zone_evacuation.h"
 #include "zinniagauge/fwd.h"
 #include "zinniagauge/time/timer_service.h"
 
--- a/src/decide/call_explanation.cpp
+++ b/src/decide/call_explanation.cpp
@@ -76,7 +76,7 @@
 }
 
 /// Causes of calls that ended as "refused", by the field "why".
-constexpr std::array<CauseWord, 10> Refusals = {
+constexpr std::array<CauseWord, 11> Refusals = {
     CauseWord{"no plan yet", CallCause::NoPlan},
     CauseWord{"plan may be outdated", CallCause::PlanOutdated},
     CauseWord{"no such route", CallCause::NoRoute},
@@ -86,7 +86,8 @@
     CauseWord{"no back end had room in time", CallCause::NoCapacity},
     CauseWord{"call in quarantine", CallCause::Quarantined},
     CauseWord{"prompt part in quarantine", CallCause::Quarantined},
-    CauseWord{"no socket left", CallCause::NoFileDescriptor}};
+    CauseWord{"no socket left", CallCause::NoFileDescriptor},
+    CauseWord{"zone evacuated", CallCause::ZoneEvacuated}};
 
 /// Causes of all other calls, by the field "end".
 constexpr std::array<CauseWord, 6> Endings = {
@@ -262,7 +263,7 @@
 }
 
 std::string_view toString(CallCause cause) noexcept {
-  constexpr std::array<std::string_view, 21> Names = {
+  constexpr std::array<std::string_view, 22> Names = {
       "served",
       "no line names the call",
       "its front logged no end of it",
@@ -277,6 +278,7 @@
       "no back end had room in time",
       "a part of its prompt had crashed back ends",
       "the front had no descriptor left",
+      "all back ends of its pool are in evacuated zones",
       "each back end that was tried refused it",
       "no back end that was tried could be reached",
       "a back end answered with a failure",
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -365,10 +365,12 @@
       keepIdle(conn, DefaultKeepAlive);
     return;
   }
+  const std::string_view reason = postponed ? "back end takes no calls now"
+                                  : conn.Target->Evacuated ? ZoneEvacuated
+                                                           : "back end left";
   const std::shared_ptr<Call> call = closeConnection(conn);
   if (call)
-    onAttemptEnd(call, AttemptEnd::NotSent,
-                 postponed ? "back end takes no calls now" : "back end left");
+    onAttemptEnd(call, AttemptEnd::NotSent, reason);
 }
 
 /// Ends the attempt of a call whose request couldn't be sent.
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -63,10 +63,18 @@
     respondAndEnd(call, CallEnd::Refused, 503, reason, retryafter);
 }
 
+/// Told to callers whose pool has back ends in evacuated zones only. Operators
+/// empty a zone for minutes rather than for moments.
+constexpr Duration EvacuatedRetryAfter = std::chrono::seconds(2);
+
 /// Refuses a call that has waited for a back end for too long. If the back ends
 /// asked for fewer calls, the caller is told when they take the next one.
 void refuseWaiting(const std::shared_ptr<Call> &call) {
   constexpr Duration MaxWait = std::chrono::seconds(5);
+  if (isPoolEvacuated(*call->Owner, call->Plan.Pool)) {
+    refuse(call, ZoneEvacuated, EvacuatedRetryAfter);
+    return;
+  }
   const Duration wait = timeUntilSend(*call->Owner, call->Plan.Pool);
   if (wait > Duration::zero())
     refuse(call, "back ends ask for fewer calls",
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -1,5 +1,6 @@
 // The back ends of each pool: choice, queue, measurements and ejection.
 #include "zinniagauge/decide/share_gate.h"
+#include "zinniagauge/decide/zone_evacuation.h"
 #include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
@@ -190,6 +191,11 @@
   return pool.Baselines[route];
 }
 
+/// Whether \p b would take calls, wherever it is.
+bool isServing(const BackendState &b) noexcept {
+  return b.Listed && !b.Info.Leaving && !b.Asked.Leaving && !b.WrongIncarnation;
+}
+
 void addSuccess(VersionStatsCounts &c, const Call &call,
                 const ResponseTimes &times, bool slow) {
   c.FirstTokenNanos += static_cast<std::uint64_t>(times.First.count());
@@ -202,12 +208,26 @@
 } // namespace
 
 bool isUsable(const BackendState &b) noexcept {
-  return b.Listed && !b.Info.Leaving && !b.Asked.Leaving && !b.WrongIncarnation;
+  return isServing(b) && !b.Evacuated;
+}
+
+bool isPoolEvacuated(const RequestLoop &rl, PoolId pool) {
+  const auto it = rl.Pools.find(pool);
+  if (it == rl.Pools.end())
+    return false;
+  const auto &list = it->second.Backends;
+  return std::none_of(list.begin(), list.end(),
+                      [](const BackendState *b) { return isUsable(*b); }) &&
+         std::any_of(list.begin(), list.end(),
+                     [](const BackendState *b) { return isServing(*b); });
 }
 
 void refreshBackends(RequestLoop &rl) {
   const ReadGuard guard;
   const BackendList &list = rl.Board.Backends.read(guard);
+  const EvacuatedZones &evacuated = rl.Board.Evacuations.read(guard);
+  setGauge(rl.Metrics, "zones_evacuated",
+           static_cast<double>(evacuated.Zones.size()));
   for (auto &[id, st] : rl.Backends)
     st->Listed = false;
   for (const Backend &b : list.List) {
@@ -216,6 +236,7 @@
       st = std::make_unique<BackendState>();
     st->Info = b;
     st->Listed = true;
+    st->Evacuated = isEvacuated(evacuated, b.Zone);
   }
   for (auto &[id, pool] : rl.Pools)
     pool.Backends.clear();
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -89,8 +89,13 @@
     applyHeldOrders(pc.Owner->Moves);
   const Time now = pc.Owner->EventLoop.Now;
   const bool isreader = pc.Owner->Board.IsStoreReader;
-  if (applyReaderReport(pc) ||
-      (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt))
+  // Only a reading after the operators' time to write again tells whether an
+  // evacuation that a restored table service lacks has ended.
+  if (lacksOrders(pc.Evacuations) &&
+      !mayLackRows(pc.Owner->Board.TableEra.copy(), bootNow()))
+    requestNext(pc);
+  else if (applyReaderReport(pc) ||
+           (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt))
     arm(pc.Owner->EventLoop, pc.Timer, now + CheckPeriod);
   else
     requestNext(pc);
@@ -189,6 +194,8 @@
   const std::uint64_t before = board.PlanVersion;
   if (pc.NewestRow.Era != era.Number)
     pc.NewestRow = {era.Number, 0};
+  // Before the plan: calls are served once there is one.
+  applyEvacuationRows(pc, rd, requestedat);
   bool allreadable = true;
   for (const TableRow &row : rd.Rows) {
     pc.NewestRow = std::max(pc.NewestRow, {era.Number, row.Version});
--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -45,12 +45,14 @@
   reply(conn, status, body, {{"Store-Era", era}});
 }
 
-/// The rows of \p table that changed after version \p after.
+/// The rows of \p table that changed after version \p after; dropped ones only
+/// if that isn't zero.
 json rowsResponse(const Consortium &st, const std::string &table,
                   std::uint64_t after) {
   json rows = json::array();
   for (const auto &[key, row] : st.Rows)
-    if (key.first == table && row.at("schema_version") > after)
+    if (key.first == table && row.at("schema_version") > after &&
+        (after > 0 || !row.contains("deleted")))
       rows.push_back(row);
   return {{"rows", rows},
           {"has_more", false},
@@ -101,15 +103,17 @@
                  json{{"schema_version", st.Version}, {"now_ms", 1}}.dump());
 }
 
-/// Serves /stand-in: POST writes a row, sets a mode, or copies or restores the
-/// store; GET returns how many calls arrived at each engine and ran there, and
-/// how often it crashed.
+/// Serves /stand-in: POST writes or drops a row, sets a mode, or copies or
+/// restores the store; GET returns how many calls arrived at each engine and
+/// ran there, and how often it crashed.
 void handleControl(Consortium &st, PortConnection &conn,
                    const MessageHead &head) {
   if (head.Method == "POST") {
     const json doc = json::parse(conn.Body);
     if (doc.contains("row"))
       putRow(st, doc.at("row"));
+    else if (doc.contains("drop"))
+      dropRow(st, doc.at("drop"));
     else if (doc.contains("store"))
       st.Ports[0]->Mode = doc.at("store");
     else if (doc.contains("copy"))
@@ -375,6 +379,13 @@
   st.Rows[{row.at("table"), row.at("key")}] = std::move(stored);
 }
 
+void dropRow(Consortium &st, const json &row) {
+  putRow(st, {{"table", row.at("table")},
+              {"part", ""},
+              {"key", row.at("key")},
+              {"deleted", true}});
+}
+
 StoreCopy copyStore(const Consortium &st, const std::string &without) {
   StoreCopy copy{st.Rows, st.Version};
   std::erase_if(copy.Rows,
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -110,6 +110,10 @@
 /// base64), and assigns it the next version.
 void putRow(Consortium &st, const nlohmann::json &row);
 
+/// Drops the row with the fields table and key, which takes a version of its
+/// own.
+void dropRow(Consortium &st, const nlohmann::json &row);
+
 /// A copy of the rows as they are now, but for those of table \p without.
 [[nodiscard]] StoreCopy copyStore(const Consortium &st,
                                   const std::string &without = {});
