Evacuate zones in the fault soak

Cause: nothing played an evacuation together with kills, pauses, outages and restores of the table service. Change: engines are in two zones, one of which is evacuated at a time; no call of a front in touch may reach it 5 s later. The stand-in drops rows.

--- a/tests/support/soak_checks.cpp
+++ b/tests/support/soak_checks.cpp
@@ -139,6 +139,31 @@
   }
 }
 
+/// A call doesn't reach an engine of an evacuated zone after the timeout,
+/// unless the front or its path to the store was disturbed.
+void checkEvacuation(Check &ck, const std::string &id, const SoakCall &call) {
+  const SoakFront &f = *ck.World.Fronts[call.Front];
+  for (std::size_t n = 0; n < call.Arrivals.size(); ++n) {
+    const Time t = call.Arrivals[n];
+    const auto it = ck.World.Evacuations.find(
+        zoneOfEngine(static_cast<std::size_t>(call.Engines[n])));
+    if (it == ck.World.Evacuations.end())
+      continue;
+    for (const TimeRange &s : it->second) {
+      const bool late = t > s.Begin + EvacuationTimeout && t < s.End;
+      const Time before = s.Begin - seconds(1);
+      if (late && !overlaps(f.Disturbed, before, t) &&
+          !overlaps(f.StoreFaults, before, t) &&
+          !overlaps(ck.World.StoreOutages, before, t) &&
+          !overlaps(ck.World.StoreRestores, before, t))
+        report(ck, id, call,
+               "reached an engine at " + secondsAt(ck, t) +
+                   " in a zone that was evacuated at " +
+                   secondsAt(ck, s.Begin));
+    }
+  }
+}
+
 struct RetryTimes {
   std::vector<Time> Calls;
   std::vector<Time> Retries;
@@ -296,6 +321,7 @@
     checkKey(ck, id, call);
     checkValidKey(ck, id, call);
     checkDrain(ck, id, call);
+    checkEvacuation(ck, id, call);
     checkRecovery(ck, id, call);
   }
   checkRetryBudget(ck);
--- a/tests/support/soak_world.cpp
+++ b/tests/support/soak_world.cpp
@@ -218,8 +218,9 @@
 /// Writes the server list entry of engine \p n.
 void listEngine(SoakWorld &w, std::size_t n, const char *state) {
   const SoakEngine &e = *w.Engines[n];
-  writeRow(w, tableRow("servers", "i-" + std::to_string(n),
-                       engineEntry(e.Port, state, e.Incarnation)));
+  nlohmann::json entry = engineEntry(e.Port, state, e.Incarnation);
+  entry["zone"] = zoneOfEngine(n);
+  writeRow(w, tableRow("servers", "i-" + std::to_string(n), entry));
 }
 
 /// Removes the entry of engine \p n from the server list.
@@ -311,8 +312,9 @@
   });
   for (const auto &[key, row] : w.Written) {
     const auto it = w.Platform.Rows.find(key);
-    if (key.first == table && (it == w.Platform.Rows.end() ||
-                               it->second.at("value") != row.at("value")))
+    if (key.first == table &&
+        (it == w.Platform.Rows.end() ||
+         it->second.value("value", "") != row.at("value")))
       putRow(w.Platform, row);
   }
 }
@@ -355,6 +357,28 @@
   });
 }
 
+/// Evacuates one of the two zones for a while, and schedules the next time.
+void evacuateZone(SoakWorld &w) {
+  const std::string zone = zoneOfEngine(randomBelow(w.EvacuationRandom, 2));
+  const auto span = EvacuationTimeout - milliseconds(1500) +
+                    milliseconds(randomBelow(w.EvacuationRandom, 5000));
+  const auto pause = milliseconds(randomBelow(w.EvacuationRandom, 3000));
+  const std::string key = "evacuate/" + zone;
+  ++w.Faults["zone evacuated"];
+  beginRange(w, w.Evacuations[zone]);
+  writeRow(w, tableRow("op", key, nlohmann::json::object()));
+  const Duration left = std::max(w.FaultsEnd - now(w), TickPeriod);
+  runAfter(w, std::min<Duration>(span, left), [&w, zone, key, pause] {
+    w.Written.erase({"op", key});
+    dropRow(w.Platform, {{"table", "op"}, {"key", key}});
+    endRange(w, w.Evacuations[zone]);
+    runAfter(w, pause, [&w] {
+      if (now(w) < w.FaultsEnd)
+        evacuateZone(w);
+    });
+  });
+}
+
 /// Keeps copies of the store for restoreFromCopy.
 void keepCopies(SoakWorld &w) {
   w.Copies.push_back(copyStore(w.Platform));
@@ -470,9 +494,13 @@
   });
 }
 
+const char *zoneOfEngine(std::size_t n) noexcept {
+  return n % 2 == 0 ? "z" : "y";
+}
+
 SoakWorld::SoakWorld(const SoakOptions &opt)
     : Options(opt), Random(mix64(opt.Seed)), AskRandom(mix64(opt.Seed + 2)),
-      RestoreRandom(mix64(opt.Seed + 3)),
+      RestoreRandom(mix64(opt.Seed + 3)), EvacuationRandom(mix64(opt.Seed + 4)),
       ActiveKeys(AllKeys.begin(), AllKeys.end()) {}
 
 Result<void> startWorld(SoakWorld &w) {
@@ -522,6 +550,7 @@
            [&w] { startCallers(w.Callers, w.Options.Callers); });
   runAfter(w, WarmUpPeriod, [&w] { injectFault(w); });
   runAfter(w, WarmUpPeriod, [&w] { askForLess(w); });
+  runAfter(w, WarmUpPeriod, [&w] { evacuateZone(w); });
   keepCopies(w);
   runAfter(w, WarmUpPeriod + std::chrono::seconds(2),
            [&w] { restoreFromCopy(w); });
--- a/tests/support/soak_world.h
+++ b/tests/support/soak_world.h
@@ -75,7 +75,8 @@
   std::uint64_t Random = 0;
   // Separate, so that a seed's faults stay the same without what engines ask.
   std::uint64_t AskRandom = 0;
-  std::uint64_t RestoreRandom = 0; // Likewise, for restores of the store.
+  std::uint64_t RestoreRandom = 0;    // Likewise, for restores of the store.
+  std::uint64_t EvacuationRandom = 0; // Likewise, for evacuations.
   Consortium Platform;
   SoakCallers Callers;
   std::vector<std::unique_ptr<SoakFront>> Fronts;
@@ -88,6 +89,7 @@
   /// The rows that operators and engines have written last, by table and key.
   std::map<std::pair<std::string, std::string>, nlohmann::json> Written;
   std::map<std::string, std::vector<TimeRange>> WithdrawnKeys; // By key.
+  std::map<std::string, std::vector<TimeRange>> Evacuations;   // By zone.
   std::set<std::string> ActiveKeys;                            // Valid keys.
   int Version = 1; // Version of the configuration.
   std::multimap<Time, std::function<void()>> PendingEvents;
@@ -102,6 +104,12 @@
 /// The time after which a withdrawn key must be rejected.
 inline constexpr Duration KeyWithdrawalTimeout = std::chrono::seconds(5);
 
+/// The time after which an evacuated zone must get no calls.
+inline constexpr Duration EvacuationTimeout = std::chrono::seconds(5);
+
+/// The zone of engine \p n.
+[[nodiscard]] const char *zoneOfEngine(std::size_t n) noexcept;
+
 /// What engines in need ask for: the calls a second that they take from all
 /// fronts, or the seconds for which they take none.
 inline constexpr const char *LimitLine = "Server-Limit: 2\r\n";
