Send cold back ends no more calls than they sustain

A back end that has just started fails if it gets calls much faster than it can take while cold; up to 30 a second were seen where 23 are allowed. The fronts now read the cold phase from configuration and rows, divide the rate among them by independent permissions, and prefer warm back ends. A lost connection or an ended evacuation makes a back end count as cold.

--- a/include/zinniagauge/board/backend.h
+++ b/include/zinniagauge/board/backend.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/time/clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   bool Leaving = false;
   /// By bootNow; in the past if it is warm as far as its row says.
   Time ColdUntil;
+  /// What its row states; zero: it is warm, or the row doesn't say; empty: the
+  /// row's value can't be read. Only in readings of the list.
+  std::optional<Duration> ColdRemaining = Duration::zero();
 
   bool operator==(const Backend &) const = default;
 };
--- a/include/zinniagauge/decide/backend_tracker.h
+++ b/include/zinniagauge/decide/backend_tracker.h
@@ -31,6 +31,7 @@
 struct TrackedBackend {
   Backend LastEntry;
   bool Listed = true; // Whether the latest reading has it.
+  Time ColdUntil;     // By bootNow; in the past if its row says it is warm.
 };
 
 /// The back ends known to one process. An incarnation that was once marked as
@@ -47,11 +48,11 @@
 };
 
 /// Applies a complete reading of the list that was requested at \p requested
-/// and arrived at \p now. Returns true if the usable back ends may have
-/// changed.
+/// and arrived at \p now, which is \p boot by bootNow. Returns true if the
+/// usable back ends may have changed.
 [[nodiscard]] bool applyReading(BackendTracker &tracker,
                                 std::span<const Backend> listed, Time requested,
-                                Time now);
+                                Time now, Time boot);
 
 /// Records, at \p now, that a reading requested at \p requested would have
 /// returned the same list. Returns true if the usable back ends may have
--- a/include/zinniagauge/front/front_settings.h
+++ b/include/zinniagauge/front/front_settings.h
@@ -5,6 +5,7 @@
 #include "zinniagauge/board/address.h"
 #include "zinniagauge/board/error.h"
 #include "zinniagauge/decide/allowance.h"
+#include "zinniagauge/decide/cold_start.h"
 #include "zinniagauge/decide/freshness.h"
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/retry_window.h"
@@ -29,6 +30,7 @@
   RetryLimits Retries; // Slack is the total of all front processes.
   AllowanceMargin Margin;
   ExposureLimits Exposure; // Of a new version.
+  ColdTolerance ColdCalls; // Of a cold back end, for all front processes.
   /// After this the platform kills the process.
   Duration StopTimeout = std::chrono::seconds(8);
   std::size_t MaxDescriptors = 1024; // Sockets of callers and back ends.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/decide/allowance.h"
 #include "zinniagauge/decide/backend_choice.h"
 #include "zinniagauge/decide/backpressure.h"
+#include "zinniagauge/decide/cold_start.h"
 #include "zinniagauge/decide/freshness.h"
 #include "zinniagauge/decide/outlier.h"
 #include "zinniagauge/decide/pool_move.h"
@@ -26,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -84,6 +86,9 @@
   Time LastByteAt;                 // Received on any of its connections.
   ResultStats Results;
   Backpressure Asked; // What it asked for in its responses.
+  ColdPhase Cold;
+  ColdPermits Permits; // While it is cold; by bootNow.
+  Time LostAt;         // The latest loss of a connection, by bootNow.
   /// The most recently used one is last.
   std::vector<BackendConnection *> IdleConnections;
   std::uint32_t ConnectionCount = 0;
@@ -91,6 +96,14 @@
   std::vector<CrashRecord> UnconfirmedCrashes;
 };
 
+/// The calls that a cold back end of one pool may be sent.
+struct PoolColdLimit {
+  Duration Start = Duration::zero(); // Zero: the pool has no cold phase.
+  double PerSecond = 0;              // Of all fronts together, as planned.
+  std::uint32_t Fronts = 0;          // By which it is divided; zero: unknown.
+  double OwnPerSecond = 0;           // The part of this front.
+};
+
 /// The state of one pool in the request loop.
 struct PoolState {
   std::vector<BackendState *> Backends;
@@ -102,8 +115,9 @@
   ResultStats Results;
   /// Without the responses of a new version during its move.
   std::map<RouteId, ResponseBaseline> Baselines;
-  double PromptMs = 0;     // Time per prompt token at a back end of mean speed.
-  double EventMs = 0;      // Mean time per event over its back ends.
+  double PromptMs = 0; // Time per prompt token at a back end of mean speed.
+  double EventMs = 0;  // Mean time per event over its back ends.
+  PoolColdLimit ColdLimit;
   bool StatesPace = false; // Some back end states its present pace.
 };
 
@@ -134,6 +148,7 @@
   std::map<VersionStatsKey, VersionStatsCounts> MoveStats;
   CrashEvidence Crashes;
   AnsweredTraits Answered;
+  FrontCount FrontsKnown;
   BackendLimitList BackendLimits; // All that are known, also from peers.
   OutlierLimits Outliers;
   ChoiceWeights Weights;
@@ -325,6 +340,48 @@
 /// responses say; zero if one does now or all are leaving.
 [[nodiscard]] Duration timeUntilSend(const RequestLoop &rl, PoolId pool);
 
+// Cold back ends -------------------------------------------------------------
+
+/// Takes over the cold phases that the board's rows, plan and ended evacuations
+/// name.
+void refreshColdPools(RequestLoop &rl);
+
+/// Updates the rates at which calls may be sent to cold back ends, and logs
+/// those that have become cold or warm.
+void updateColdBackends(RequestLoop &rl);
+
+/// Whether \p b of \p pool is cold at \p now, by bootNow.
+[[nodiscard]] bool isCold(const PoolState &pool, const BackendState &b,
+                          Time now) noexcept;
+
+/// The earliest time from \p now on, by bootNow, at which its cold phase lets
+/// this front send a call to \p b.
+[[nodiscard]] Time nextColdSendAt(const RequestLoop &rl, const PoolState &pool,
+                                  const BackendState &b, Time now) noexcept;
+
+/// Records that a call is being sent to \p to.
+void recordColdSend(const PoolState &pool, BackendState &to) noexcept;
+
+/// Marks the cold ones of RequestLoop::Candidates as not usable, and returns
+/// their indexes.
+[[nodiscard]] std::vector<std::size_t> setColdAside(RequestLoop &rl,
+                                                    const PoolState &pool);
+
+/// Makes only the candidates \p cold usable, for a call that no warm one has
+/// room for. Returns false if there is none or \p call waits for a warm one.
+[[nodiscard]] bool useColdInstead(RequestLoop &rl, const Call &call,
+                                  std::span<const std::size_t> cold);
+
+/// Whether all back ends of \p pool that may be used are cold.
+[[nodiscard]] bool isPoolCold(const RequestLoop &rl, PoolId pool);
+
+/// Records a connection to \p to that was refused, reset or silent for too
+/// long: it may have started again.
+void recordUnreachable(RequestLoop &rl, BackendState &to);
+
+/// Records that \p to has answered a call.
+void recordReachable(RequestLoop &rl, BackendState &to);
+
 // Calls ----------------------------------------------------------------------
 
 /// Starts the call of a complete request.
--- a/include/zinniagauge/zinniagauge.h
+++ b/include/zinniagauge/zinniagauge.h
@@ -34,6 +34,7 @@
 #include "zinniagauge/decide/call_order.h"
 #include "zinniagauge/decide/check_bundle.h"
 #include "zinniagauge/decide/clock_bound.h"
+#include "zinniagauge/decide/cold_start.h"
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/dispatch.h"
 #include "zinniagauge/decide/exchange.h"
--- a/src/decide/backend_tracker.cpp
+++ b/src/decide/backend_tracker.cpp
@@ -43,10 +43,31 @@
   return dropped > 0;
 }
 
+/// An earlier end of a cold phase that is nearer to the known one than this
+/// isn't taken over, so that not every reading changes the list.
+constexpr Duration MinColdCorrection = std::chrono::milliseconds(500);
+
+/// The end of the cold phase of \p next, which was read at \p boot; \p known
+/// is the entry before it. The row was written before it was read, so the phase
+/// ends no later than that.
+Time coldUntilOf(const TrackedBackend &known, const Backend &next, Time boot) {
+  const Duration left = next.ColdRemaining.value_or(Duration::zero());
+  const Duration before =
+      known.LastEntry.ColdRemaining.value_or(Duration::zero());
+  if (left <= Duration::zero())
+    return {};
+  const Time end = boot + left;
+  if (left > before)
+    return end;
+  const bool earlier =
+      left < before && known.ColdUntil - end >= MinColdCorrection;
+  return earlier ? end : known.ColdUntil;
+}
+
 } // namespace
 
 bool applyReading(BackendTracker &tracker, std::span<const Backend> listed,
-                  Time requested, Time now) {
+                  Time requested, Time now, Time boot) {
   if (recordReadAt(tracker, requested) && tracker.HasReading)
     tracker.GraceDeadline = now + RenewalGrace;
   tracker.HasReading = true;
@@ -58,7 +79,8 @@
     const BackendIncarnation inc{b.Name, b.StartedAtMs};
     if (b.Leaving)
       recordLeaving(tracker, inc, now);
-    tracker.Incarnations[inc] = {b, true};
+    TrackedBackend &entry = tracker.Incarnations[inc];
+    entry = {b, true, coldUntilOf(entry, b, boot)};
   }
   if (!grace)
     dropMissing(tracker, now);
@@ -96,7 +118,8 @@
     lines.push_back(b.Name + "@" + std::to_string(b.StartedAtMs) + "@" +
                     toString(b.Address) + "@" +
                     std::to_string(b.Pool.Value ^ b.Version.Value) + "@" +
-                    std::to_string(b.Slots) + (b.Leaving ? "-" : "+"));
+                    std::to_string(b.Slots) + (b.Leaving ? "-" : "+") +
+                    (b.ColdRemaining == Duration::zero() ? "" : "cold"));
   std::sort(lines.begin(), lines.end());
   std::string text;
   for (const std::string &line : lines)
@@ -108,6 +131,8 @@
   BackendList out;
   for (const auto &[inc, entry] : tracker.Incarnations) {
     Backend b = entry.LastEntry;
+    b.ColdUntil = entry.ColdUntil;
+    b.ColdRemaining = Duration::zero();
     // A later incarnation of the same name replaces all earlier ones.
     const auto next = tracker.Incarnations.upper_bound(inc);
     const bool replaced =
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -210,6 +210,9 @@
   if (!id && conn.Uses > 1)
     return "answer names no call";
   recordBackpressure(*conn.Owner, *conn.Target, head, id.has_value());
+  constexpr int Misdirected = 421; // Another process answered.
+  if (head.Status != Misdirected)
+    recordReachable(*conn.Owner, *conn.Target);
   if (lacksProof(head, names))
     return "answer without its proof";
   conn.Streaming = conn.ActiveCall->Facts.Kind == CallKind::Stream &&
@@ -385,8 +388,10 @@
 
 void onBackendEnd(void *ctx, ConnectionEnd how, int /*err*/) {
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
-  if (how == ConnectionEnd::Refused)
+  if (how == ConnectionEnd::Refused) {
+    recordUnreachable(*conn.Owner, *conn.Target);
     onBackendDown(*conn.Owner, *conn.Target);
+  }
   if (!conn.ActiveCall) {
     removeConnection(conn);
     return;
--- a/src/front/backpressure.cpp
+++ b/src/front/backpressure.cpp
@@ -150,10 +150,16 @@
   if (it == rl.Pools.end())
     return Duration::zero();
   const Time now = rl.EventLoop.Now;
+  const Time boot = bootNow();
   Time first = Time::max();
-  for (const BackendState *b : it->second.Backends)
-    if (isUsable(*b))
-      first = std::min(first, nextSendAt(b->Asked, rl.Board.LivingFronts, now));
+  for (const BackendState *b : it->second.Backends) {
+    if (!isUsable(*b))
+      continue;
+    const Time asked = nextSendAt(b->Asked, rl.Board.LivingFronts, now);
+    const Time cold = nextColdSendAt(rl, it->second, *b, boot);
+    if (cold != Time::max())
+      first = std::min(first, std::max(asked, now + (cold - boot)));
+  }
   return first == Time::max() ? Duration::zero() : first - now;
 }
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -76,6 +76,11 @@
     return;
   }
   const Duration wait = timeUntilSend(*call->Owner, call->Plan.Pool);
+  if (isPoolCold(*call->Owner, call->Plan.Pool)) {
+    refuse(call, "back ends are cold",
+           std::clamp(wait, DefaultRetryAfter, MaxWait));
+    return;
+  }
   if (wait > Duration::zero())
     refuse(call, "back ends ask for fewer calls",
            std::clamp(wait, DefaultRetryAfter, MaxWait));
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -40,6 +40,16 @@
   return EventLevel::Calls;
 }
 
+/// Without either of its settings there is no limit.
+void readColdTolerance(JsonReader &rd, ColdTolerance &tolerance) {
+  constexpr double Missing = -1;
+  const double factor = rd.realNumber("cold_overage", -1e-9, 1e6, Missing);
+  const double slack = rd.realNumber("cold_slack", -1e-9, 1e6, Missing);
+  tolerance.Limited = factor != Missing || slack != Missing;
+  tolerance.Factor = factor != Missing ? factor : 1;
+  tolerance.Slack = slack != Missing ? slack : 0;
+}
+
 void readLimits(JsonReader &rd, FrontSettings &set) {
   const Duration apply = rd.duration("plan_apply");
   set.FreshnessBounds.MaxServeAge =
@@ -54,6 +64,7 @@
   set.Margin.Slack = rd.realNumber("allowance_slack", -1e-9, 1e9);
   set.Exposure.Share = rd.realNumber("exposure_share", 0, 1);
   set.Exposure.Slack = rd.realNumber("exposure_slack", -1e-9, 1e9);
+  readColdTolerance(rd, set.ColdCalls);
   set.StopTimeout = rd.duration("stop");
   set.CpuShare = rd.realNumber("cpu_share", 0, 1024);
   set.MaxDescriptors =
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -83,6 +83,7 @@
   const LoadList &peers = rl.Board.PeerLoads.read(guard);
   const double processes = rl.Board.LivingFronts;
   const ZoneId zone = ZoneId::of(rl.Settings.Zone);
+  const Time boot = bootNow();
   rl.Candidates.clear();
   for (const BackendState *b : pool.Backends) {
     Candidate c;
@@ -101,6 +102,7 @@
                   b->Info.Id) != call.TriedBackends.end();
     c.Usable = isUsable(*b) && !tried &&
                maySend(b->Asked, rl.Board.LivingFronts, rl.EventLoop.Now) &&
+               nextColdSendAt(rl, pool, *b, boot) <= boot &&
                !(skipejected && isEjected(b->Results, rl.EventLoop.Now));
     c.Contended = isContended(rl, pool, *b, c.Running, processes);
     c.SameZone = b->Info.Zone == zone;
@@ -254,6 +256,7 @@
               [](const BackendState *a, const BackendState *b) {
                 return a->Info.Id < b->Info.Id;
               });
+  refreshColdPools(rl);
 }
 
 BackendState *pickBackend(RequestLoop &rl, const Call &call) {
@@ -276,11 +279,17 @@
   work.TargetLeftMs =
       millisOf(call.Arrived + call.Plan.LatencyTarget - rl.EventLoop.Now);
   work.TimeLeftMs = millisOf(call.Deadline - rl.EventLoop.Now);
+  const std::vector<std::size_t> cold = setColdAside(rl, pool);
   placeAssumedSends(rl.Candidates, work, rl.Weights,
                     unseenSends(rl, pool, call.Plan.Pool));
   // A crash ends all calls of the back end.
-  const auto at = suspect ? chooseEmptiest(rl.Candidates)
-                          : chooseBackend(rl.Candidates, work, rl.Weights);
+  const auto choose = [&] {
+    return suspect ? chooseEmptiest(rl.Candidates)
+                   : chooseBackend(rl.Candidates, work, rl.Weights);
+  };
+  auto at = choose();
+  if (!at && useColdInstead(rl, call, cold))
+    at = choose();
   return at ? rl.Backends[rl.Candidates[*at].Id].get() : nullptr;
 }
 
@@ -418,6 +427,7 @@
                 to.Info.Version == move->NewVersion);
   }
   usePermission(to.Asked, rl.Board.LivingFronts, rl.EventLoop.Now);
+  recordColdSend(poolOf(rl, to.Info.Pool), to);
   if (rl.EventLoop.Now - to.LastSentAt > ContentionWindow)
     to.RecentSends = 0;
   ++to.RecentSends;
@@ -433,6 +443,7 @@
 }
 
 void recordLostConnection(RequestLoop &rl, BackendState &to) {
+  recordUnreachable(rl, to);
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
       recordLostConnection(to.Results, rl.Outliers, rl.EventLoop.Now))
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -63,6 +63,7 @@
   trackAllowances(rl);
   updateCrashes(rl);
   updateLimits(rl);
+  updateColdBackends(rl);
   arm(rl.EventLoop, rl.TrackTimer, now + TrackPeriod);
 }
 
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -122,6 +122,10 @@
   for (const TableRow &row : rd.Rows)
     handleResult([&] { return dc.Owner->Protocol.ParseBackend(row); },
                  [&](Backend b) {
+                   if (!b.ColdRemaining)
+                     logUnreadable(dc, row,
+                                   {ErrorCode::Invalid, Step::Bundle, row.Key,
+                                    "no remaining cold time"});
                    dc.BackendsRead.push_back(std::move(b));
                    return 0;
                  },
@@ -185,11 +189,25 @@
     arm(dc.Owner->EventLoop, dc.Owner->PeerGossip.QueryTimer, now);
 }
 
+/// The back ends that were read. One whose remaining cold time can't be read
+/// counts as cold for as long as its pool's are after a start.
+std::vector<Backend> withColdStart(const DiscoveryController &dc) {
+  std::vector<Backend> out = dc.BackendsRead;
+  const ReadGuard guard;
+  const TrafficPlan &plan = dc.Owner->Board.Plan.read(guard);
+  for (Backend &b : out)
+    if (!b.ColdRemaining) {
+      const PlanPool *pool = findPool(plan, b.Pool);
+      b.ColdRemaining = pool ? pool->ColdStart : Duration::zero();
+    }
+  return out;
+}
+
 /// Applies a reading from the table service. Returns when to read again.
 Time applyOwnReading(DiscoveryController &dc) {
   FrontBoard &board = dc.Owner->Board;
-  if (applyReading(dc.Track, dc.BackendsRead, dc.ReadStartedAt,
-                   dc.Owner->EventLoop.Now))
+  if (applyReading(dc.Track, withColdStart(dc), dc.ReadStartedAt,
+                   dc.Owner->EventLoop.Now, bootNow()))
     publish(dc);
   publishGrace(dc, "read from the table service");
   board.BackendsDigest = digestOf(dc.BackendsRead);
@@ -209,7 +227,7 @@
     return now + CheckPeriod;
   const std::int64_t confirmedat = board.ReportedBackendsDigestAt;
   const Duration age = bootNow() - fromNanos(confirmedat);
-  if (applyReading(dc.Track, dc.BackendsRead, now - age, now))
+  if (applyReading(dc.Track, withColdStart(dc), now - age, now, bootNow()))
     publish(dc);
   publishGrace(dc, "read from another front");
   board.BackendsDigest = board.ReportedBackendsDigest.load();
--- a/tests/unit/backend_tracker_test.cpp
+++ b/tests/unit/backend_tracker_test.cpp
@@ -26,7 +26,7 @@
 
   bool read(std::vector<Backend> list, Duration after = seconds(1)) {
     Now += after;
-    return applyReading(Tracker, list, Now, Now);
+    return applyReading(Tracker, list, Now, Now, Now);
   }
   [[nodiscard]] bool usableNow(const char *name) const {
     for (const Backend &b : usableBackends(Tracker).List)
@@ -166,3 +166,34 @@
   static_cast<void>(rd.read({}, milliseconds(100)));
   CHECK(rd.Tracker.ReadableSince >= rd.Now - milliseconds(100));
 }
+
+TEST_CASE("the remaining time of a row counts from when it was read first",
+          "[backends]") {
+  Reader rd;
+  const auto until = [&] {
+    return usableBackends(rd.Tracker).List.front().ColdUntil;
+  };
+  const auto row = [](std::optional<Duration> left) {
+    Backend b = backend("a");
+    b.ColdRemaining = left;
+    return std::vector<Backend>{b};
+  };
+  CHECK(rd.read(row(seconds(8))));
+  const Time first = rd.Now + seconds(8);
+  CHECK(until() == first);
+  // The same row, and one that was written meanwhile.
+  CHECK_FALSE(rd.read(row(seconds(8))));
+  CHECK_FALSE(rd.read(row(milliseconds(6900))));
+  CHECK(until() == first);
+  CHECK(rd.read(row(seconds(7))));
+  CHECK(until() == rd.Now + seconds(7));
+  const std::uint64_t cold = digestOf(row(seconds(7)));
+  CHECK(digestOf(row(seconds(2))) == cold);
+  CHECK(digestOf(row(Duration::zero())) != cold);
+  CHECK(digestOf(row(std::nullopt)) == cold);
+  CHECK(rd.read(row(Duration::zero())));
+  CHECK(until() < rd.Now);
+  // Cold again.
+  CHECK(rd.read(row(seconds(3))));
+  CHECK(until() == rd.Now + seconds(3));
+}
--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -53,3 +53,20 @@
     CHECK_FALSE(parsed(doc));
   }
 }
+
+TEST_CASE("cold back ends have a limit only with a setting for it",
+          "[settings]") {
+  json doc = validSettings();
+  doc.erase("cold_overage");
+  doc.erase("cold_slack");
+  REQUIRE(parsed(doc));
+  CHECK_FALSE(parsed(doc)->ColdCalls.Limited);
+  doc["cold_overage"] = 1.5;
+  doc["cold_slack"] = 5;
+  REQUIRE(parsed(doc));
+  CHECK(parsed(doc)->ColdCalls.Limited);
+  CHECK(parsed(doc)->ColdCalls.Factor == 1.5);
+  CHECK(parsed(doc)->ColdCalls.Slack == 5);
+  doc["cold_slack"] = -5;
+  CHECK_FALSE(parsed(doc));
+}
