--- a/tests/unit/cold_start_test.cpp
+++ b/tests/unit/cold_start_test.cpp
@@ -89,8 +89,9 @@
     if (sock.Fd < 0)
       continue;
     static_cast<void>(f.receive(sock, "\r\n\r\n"));
-    f.send(sock, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n"
-                 "Server-Call: " +
+    f.send(sock, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                 "Content-Length: 0\r\nZinniagauge-Response-Seal: s\r\n"
+                 "Zinniagauge-Attempt-Id: " +
                      id + "\r\n\r\n");
     out.at(at) += 1;
   }
