--- a/include/zinniagauge/decide/admission_forecast.h
+++ b/include/zinniagauge/decide/admission_forecast.h
@@ -63,18 +63,18 @@
 };
 
 /// Why a call is refused.
-enum class RefusalReason : std::uint8_t {
+enum class WaitRefusal : std::uint8_t {
   None,           ///< It isn't.
   TargetMissed,   ///< It would start too long after its latency target.
   DeadlineMissed, ///< It couldn't end before its deadline.
 };
 
 /// The name of \p reason in responses, logs and metrics.
-[[nodiscard]] std::string_view toString(RefusalReason reason) noexcept;
+[[nodiscard]] std::string_view toString(WaitRefusal reason) noexcept;
 
 /// Whether a call waits.
 struct WaitDecision {
-  RefusalReason Refusal = RefusalReason::None;
+  WaitRefusal Refusal = WaitRefusal::None;
   Time DecideAgainAt; // Of a call that waits.
 };
 
--- a/src/decide/admission_forecast.cpp
+++ b/src/decide/admission_forecast.cpp
@@ -147,7 +147,7 @@
   return fromSeconds((ahead + 1) / std::max(persecond, MinSendsPerSecond));
 }
 
-std::string_view toString(RefusalReason reason) noexcept {
+std::string_view toString(WaitRefusal reason) noexcept {
   constexpr std::array<std::string_view, 3> Names = {"", "would start too late",
                                                      "could not end in time"};
   return Names[static_cast<std::size_t>(reason)];
@@ -162,14 +162,14 @@
       now < limits.Arrived + scaled(limits.LatencyTarget, EarlyRefusal);
   const Duration room = std::max(latestStart(limits) - now, Duration::zero());
   if (now >= limits.Deadline)
-    out.Refusal = RefusalReason::DeadlineMissed;
+    out.Refusal = WaitRefusal::DeadlineMissed;
   else if (limits.MayHaveRun)
-    out.Refusal = RefusalReason::None;
+    out.Refusal = WaitRefusal::None;
   else if (start > last)
-    out.Refusal = RefusalReason::DeadlineMissed;
+    out.Refusal = WaitRefusal::DeadlineMissed;
   else if ((!waiting && forecast > room) ||
            (waiting && early && forecast > scaled(room, AcceptedTolerance)))
-    out.Refusal = RefusalReason::TargetMissed;
+    out.Refusal = WaitRefusal::TargetMissed;
   out.DecideAgainAt = std::min(limits.Deadline, now + DecisionPeriod);
   return out;
 }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -90,7 +90,7 @@
   const auto decision = decideWait(rl, *call);
   if (!decision)
     return false;
-  if (decision->Refusal == RefusalReason::None)
+  if (decision->Refusal == WaitRefusal::None)
     arm(rl.EventLoop, call->Timer, decision->DecideAgainAt);
   else
     refuse(call, toString(decision->Refusal), forecastRetryAfter(rl, *call));
