Let the next call wait although sends had stopped

Cause: after a stall the measured rate is near zero; if every call were refused by it, no call would wait and the rate would never be measured again. A timer that finds no forecast, for example since back ends ask for fewer calls, refused before the fixed limit of the queue time. Change: a call with none ahead waits; the timer goes on to the fixed limit.

--- a/src/decide/admission_forecast.cpp
+++ b/src/decide/admission_forecast.cpp
@@ -161,14 +161,11 @@
   const bool early =
       now < limits.Arrived + scaled(limits.LatencyTarget, EarlyRefusal);
   const Duration room = std::max(latestStart(limits) - now, Duration::zero());
-  if (now >= limits.Deadline)
+  if (now >= limits.Deadline || (start > last && !limits.MayHaveRun))
     out.Refusal = WaitRefusal::DeadlineMissed;
-  else if (limits.MayHaveRun)
-    out.Refusal = WaitRefusal::None;
-  else if (start > last)
-    out.Refusal = WaitRefusal::DeadlineMissed;
-  else if ((!waiting && forecast > room) ||
-           (waiting && early && forecast > scaled(room, AcceptedTolerance)))
+  else if (!limits.MayHaveRun &&
+           ((!waiting && forecast > room) ||
+            (early && forecast > scaled(room, AcceptedTolerance))))
     out.Refusal = WaitRefusal::TargetMissed;
   out.DecideAgainAt = std::min(limits.Deadline, now + DecisionPeriod);
   return out;
--- a/src/front/call_forecast.cpp
+++ b/src/front/call_forecast.cpp
@@ -68,10 +68,14 @@
   if (!persecond)
     return std::nullopt;
   const bool waiting = call.Forecast.has_value() || call.Arrived < now;
-  call.Forecast = forecastStart(callsBefore(rl, pool, call), *persecond);
+  const WaitingCalls before = callsBefore(rl, pool, call);
+  call.Forecast = forecastStart(before, *persecond);
   if (call.ForecastStart == Time())
     call.ForecastStart = now + *call.Forecast;
-  return decideAdmission(waitLimits(pool, call), *call.Forecast, waiting, now);
+  // The next call to be sent waits, whatever the rate was: if all were refused,
+  // a rate measured while sends had stopped would never be measured again.
+  const Duration start = before.Ahead == 0 ? Duration::zero() : *call.Forecast;
+  return decideAdmission(waitLimits(pool, call), start, waiting, now);
 }
 
 Duration forecastRetryAfter(RequestLoop &rl, const Call &call) {
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -83,6 +83,8 @@
     refuse(call, "no back end had room in time");
 }
 
+Time queueDeadline(const Call &call, Time now);
+
 /// Applies the decision on a call without a free slot. Returns false if the
 /// fixed limits of the queue time hold.
 bool waitByForecast(const std::shared_ptr<Call> &call) {
@@ -118,7 +120,12 @@
   if (!call)
     return;
   if (call->Phase == CallPhase::Waiting) {
-    if (!sendIfPossible(call) && !waitByForecast(call))
+    if (sendIfPossible(call) || waitByForecast(call))
+      return;
+    const Time now = call->Owner->EventLoop.Now;
+    if (const Time end = queueDeadline(*call, now); end > now)
+      arm(call->Owner->EventLoop, call->Timer, end);
+    else
       refuseWaiting(call);
     return;
   }
