Decide once whether the plan is read again

Cause: the linter found two equal branches in scheduleNext. Change: one condition; the behaviour is the same.

--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -91,11 +91,13 @@
   const bool isreader = pc.Owner->Board.IsStoreReader;
   // Only a reading after the operators' time to write again tells whether an
   // evacuation that a restored table service lacks has ended.
-  if (lacksOrders(pc.Evacuations) &&
-      !mayLackRows(pc.Owner->Board.TableEra.copy(), bootNow()))
-    requestNext(pc);
-  else if (applyReaderReport(pc) ||
-           (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt))
+  const bool unsure = lacksOrders(pc.Evacuations) &&
+                      !mayLackRows(pc.Owner->Board.TableEra.copy(), bootNow());
+  const bool waits =
+      !unsure &&
+      (applyReaderReport(pc) ||
+       (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt));
+  if (waits)
     arm(pc.Owner->EventLoop, pc.Timer, now + CheckPeriod);
   else
     requestNext(pc);
