--- a/include/zinniagauge/decide/call_order.h
+++ b/include/zinniagauge/decide/call_order.h
@@ -14,8 +14,6 @@
 struct CallRank {
   /// The workspace's if it has one, else the route's.
   std::uint32_t Priority = 0;
-  /// 1: its workspace has used more than its share of the pool.
-  std::uint32_t BeyondShare = 0;
   /// The route's, if Priority is the workspace's.
   std::uint32_t RoutePriority = 0;
   std::uint32_t TargetMissed = 0; // 1: the call has missed its target.
--- a/src/front/call_forecast.cpp
+++ b/src/front/call_forecast.cpp
@@ -17,7 +17,7 @@
 /// same priority go before them.
 bool isAhead(const CallRank &other, const CallRank &call) {
   const auto priority = [](const CallRank &r) {
-    return std::tie(r.Priority, r.BeyondShare, r.RoutePriority);
+    return std::tie(r.Priority, r.RoutePriority);
   };
   return other < call ||
          (other.TargetMissed == 1 && priority(other) == priority(call) &&
