--- a/review/world-2.h
+++ b/review/world-2.h
@@ -168,9 +168,10 @@
 enum class ReadEnd { Whole, Closed, Reset, TimedOut };
 
 /// Reads one message with a Content-Length or none into \p out. Bytes after it
-/// stay in \p rest. Ends at \p until.
+/// stay in \p rest. Ends at \p until. The answer to a HEAD request has no body,
+/// whatever its Content-Length says.
 inline ReadEnd readMessage(int fd, Message &out, std::string &rest,
-                           Clock::time_point until) {
+                           Clock::time_point until, bool tohead = false) {
   out = {};
   std::size_t need = std::string::npos;
   for (;;) {
@@ -190,7 +191,7 @@
         at = next;
       }
       const std::string len = out.field("content-length");
-      need = end + 4 + (len.empty() ? 0 : std::stoul(len));
+      need = end + 4 + (len.empty() || tohead ? 0 : std::stoul(len));
     }
     if (need != std::string::npos && rest.size() >= need) {
       out.Body = rest.substr(end + 4, need - end - 4);
@@ -489,11 +490,14 @@
       ++run.Ended;
       run.EndedAt = secondsSinceStart();
     }
-    const bool sent =
-        sendAll(fd, responseText(200,
-                                 echo + "Zinniagauge-Response-Seal: " + Id +
-                                     "." + id + "\r\nKeep-Alive: timeout=20\r\n",
-                                 "done " + id));
+    std::string text =
+        responseText(200,
+                     echo + "Zinniagauge-Response-Seal: " + Id + "." + id +
+                         "\r\nKeep-Alive: timeout=20\r\n",
+                     "done " + id);
+    if (msg.word(0) == "HEAD") // Its answer has the length but no body.
+      text.resize(text.find("\r\n\r\n") + 4);
+    const bool sent = sendAll(fd, text);
     Rec.line("engine " + Id + " answers " + id + (sent ? "" : ", channel gone"));
     return sent;
   }
