--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -11,6 +11,7 @@
 #include "zinniagauge/board/load.h"
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
+#include "zinniagauge/board/relay_peer.h"
 #include "zinniagauge/board/spend.h"
 #include "zinniagauge/board/store_era.h"
 #include "zinniagauge/board/traffic_plan.h"
@@ -38,6 +39,8 @@
   Cell<CrashEvidence> PeerCrashes;   // Written by the gossip controller.
   Cell<BackendLimitList> OwnLimits;  // All that are known; by the request loop.
   Cell<BackendLimitList> PeerLimits; // Written by the gossip controller.
+  Cell<UnreachedPools> OwnUnreached; // Written by the request loop.
+  Cell<RelayPeerList> RelayPeers;    // Written by the gossip controller.
 
   Cell<StoreEra> TableEra; // Written by the controllers' thread.
 
@@ -85,6 +88,10 @@
   std::atomic<std::uint64_t> ReportedBackendsDigest{0};
   std::atomic<std::int64_t> ReportedBackendsDigestAt{0};
 
+  /// What relayed calls must state; random, set before the threads start. Zero:
+  /// this front accepts none.
+  std::atomic<std::uint64_t> RelayToken{0};
+
   /// Whether this front also reads the table service on behalf of other fronts.
   std::atomic<bool> IsStoreReader{false};
 
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -106,6 +106,7 @@
   CallFacts Facts;
   CallPhase Phase = CallPhase::Waiting;
   CallRank Rank;
+  bool FromPeer = false;     // Another front has relayed it.
   bool CostReported = false; // Counted as spent, since it was sent once.
   bool WasAnswered = false;  // A back end answered and didn't crash at once.
   bool Evaluated = false;    // Counts in the statistics of a version move.
--- a/include/zinniagauge/front/front_settings.h
+++ b/include/zinniagauge/front/front_settings.h
@@ -25,6 +25,9 @@
   PeerAddress Metrics; // Listening address of the metrics.
   /// Address for datagrams of the other front processes.
   PeerAddress GossipAddress;
+  /// Listening address for calls that other front processes relay; a zero port
+  /// disables relaying in both directions.
+  PeerAddress RelayAddress;
   PeerAddress TableServiceAddress; // The table service.
   FreshnessLimits FreshnessBounds;
   RetryLimits Retries; // Slack is the total of all front processes.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -13,6 +13,7 @@
 #include "zinniagauge/decide/outlier.h"
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/quarantine.h"
+#include "zinniagauge/decide/reachability.h"
 #include "zinniagauge/decide/reported_load.h"
 #include "zinniagauge/decide/response_baseline.h"
 #include "zinniagauge/decide/retry_window.h"
@@ -47,6 +48,7 @@
   std::shared_ptr<Call> ActiveCall; // Null between requests.
   LoopTimer Timer; // Timeout of an unfinished request or an idle connection.
   std::size_t UnsentAtTimer = 0; // Bytes to send when Timer expired last.
+  bool FromPeer = false;         // Of another front, for relayed calls.
 };
 
 struct BackendState;
@@ -99,6 +101,10 @@
   std::uint32_t ConnectionCount = 0;
   /// Crashes to record if it turns out to have crashed.
   std::vector<CrashRecord> UnconfirmedCrashes;
+  /// Another front, through which calls are relayed: in RequestLoop::Peers, and
+  /// of its members only those that concern connections are used.
+  bool IsPeer = false;
+  std::uint64_t PeerToken = 0; // What calls relayed to it must state.
 };
 
 /// The calls that a cold back end of one pool may be sent.
@@ -126,6 +132,7 @@
   double EventMs = 0;  // Mean time per event over its back ends.
   PoolColdLimit ColdLimit;
   bool StatesPace = false; // Some back end states its present pace.
+  PoolReachability Reach;
 };
 
 /// The state of the request loop. It belongs to the loop's thread.
@@ -142,13 +149,16 @@
   EventLog &Log;
   FrontMetrics &Metrics;
   Loop EventLoop;
-  Listener Listening;  // For callers.
-  CallerLimits Limits; // Of the active plan.
+  Listener Listening;     // For callers.
+  Listener PeerListening; // For relayed calls.
+  CallerLimits Limits;    // Of the active plan.
   std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>>
       Callers;
   std::unordered_map<BackendConnection *, std::shared_ptr<BackendConnection>>
       BackendConnections;
   std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Backends;
+  /// Other fronts to which calls are relayed.
+  std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Peers;
   std::unordered_map<PoolId, PoolState> Pools;
   std::unordered_map<WorkspaceId, AllowanceState> Allowances;
   /// Of pools with a version move.
--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -9,6 +9,7 @@
 #include "zinniagauge/board/load.h"
 #include "zinniagauge/board/move.h"
 #include "zinniagauge/board/pool_move.h"
+#include "zinniagauge/board/relay_peer.h"
 #include "zinniagauge/board/spend.h"
 #include "zinniagauge/board/store_era.h"
 #include "zinniagauge/decide/coordinator.h"
@@ -44,6 +45,9 @@
   CrashEvidence Crashes;
   /// Likewise.
   BackendLimitList Limits;
+  /// The fronts that accept relayed calls: the sender, and those it sums up.
+  /// Empty if unchanged: the receiver keeps the last ones.
+  std::optional<std::vector<RelayPeer>> Relays;
   /// Of the newest operators' row the sender knows.
   TableVersion OperatorRows;
   /// Of the list of back ends the sender knows, and the era of that list.
--- a/schema/gossip.capnp
+++ b/schema/gossip.capnp
@@ -37,6 +37,17 @@
   markEra @28 :UInt64;        # Era of the table service that mark belongs to.
   digestEra @29 :UInt64;      # Era in which the list of digest was read.
   cold @30 :List(FrontCold);  # All that the sender knows, or nothing new.
+  relays @31 :List(FrontRelay); # Fronts that accept relayed calls, if relaysKnown.
+  relaysKnown @32 :Bool;
+}
+
+struct FrontRelay {
+  node @0 :UInt64;            # Hash of the front's name.
+  zone @1 :UInt64;
+  ip @2 :UInt32;
+  port @3 :UInt16;
+  token @4 :UInt64;           # Random number that relayed calls must state.
+  unreached @5 :List(UInt64); # Pools whose back ends it can't reach.
 }
 
 struct FrontCold {
--- a/schema/gossip.capnp.h
+++ b/schema/gossip.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(def9de05377f5711);
+CAPNP_DECLARE_SCHEMA(f4be79f1506c7fe2);
 CAPNP_DECLARE_SCHEMA(fa4bab23dbfe24e5);
 CAPNP_DECLARE_SCHEMA(f077d44a7b6ec6dd);
 CAPNP_DECLARE_SCHEMA(d0e31a3e882001d0);
@@ -43,7 +44,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 15, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(def9de05377f5711, 15, 12)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FrontRelay {
+  FrontRelay() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f4be79f1506c7fe2, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -307,6 +323,11 @@
   inline bool hasCold() const;
   inline  ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>::Reader getCold() const;
 
+  inline bool hasRelays() const;
+  inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+
+  inline bool getRelaysKnown() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -472,6 +493,16 @@
   inline void adoptCold(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontCold,  ::capnp::Kind::STRUCT>> disownCold();
 
+  inline bool hasRelays();
+  inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Builder getRelays();
+  inline void setRelays( ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
+  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>> disownRelays();
+
+  inline bool getRelaysKnown();
+  inline void setRelaysKnown(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -498,6 +529,113 @@
 };
 #endif  // !CAPNP_LITE
 
+class FrontRelay::Reader {
+public:
+  typedef FrontRelay Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNode() const;
+
+  inline  ::uint64_t getZone() const;
+
+  inline  ::uint32_t getIp() const;
+
+  inline  ::uint16_t getPort() const;
+
+  inline  ::uint64_t getToken() const;
+
+  inline bool hasUnreached() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreached() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FrontRelay::Builder {
+public:
+  typedef FrontRelay Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNode();
+  inline void setNode( ::uint64_t value);
+
+  inline  ::uint64_t getZone();
+  inline void setZone( ::uint64_t value);
+
+  inline  ::uint32_t getIp();
+  inline void setIp( ::uint32_t value);
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline bool hasUnreached();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreached();
+  inline void setUnreached( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreached(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreached(unsigned int size);
+  inline void adoptUnreached(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnreached();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FrontRelay::Pipeline {
+public:
+  typedef FrontRelay Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FrontCold::Reader {
 public:
   typedef FrontCold Reads;
@@ -2180,6 +2318,162 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline bool FrontReport::Reader::hasRelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontReport::Builder::hasRelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Reader FrontReport::Reader::getRelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::getRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void FrontReport::Builder::setRelays( ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>::Builder FrontReport::Builder::initRelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void FrontReport::Builder::adoptRelays(
+    ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>> FrontReport::Builder::disownRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::zinniagauge::wire::FrontRelay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline bool FrontReport::Reader::getRelaysKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool FrontReport::Builder::getRelaysKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void FrontReport::Builder::setRelaysKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontRelay::Reader::getNode() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontRelay::Builder::getNode() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FrontRelay::Builder::setNode( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontRelay::Reader::getZone() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontRelay::Builder::getZone() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FrontRelay::Builder::setZone( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FrontRelay::Reader::getIp() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FrontRelay::Builder::getIp() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FrontRelay::Builder::setIp( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t FrontRelay::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FrontRelay::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void FrontRelay::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FrontRelay::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FrontRelay::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FrontRelay::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FrontRelay::Reader::hasUnreached() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FrontRelay::Builder::hasUnreached() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FrontRelay::Reader::getUnreached() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FrontRelay::Builder::getUnreached() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FrontRelay::Builder::setUnreached( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void FrontRelay::Builder::setUnreached(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FrontRelay::Builder::initUnreached(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FrontRelay::Builder::adoptUnreached(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FrontRelay::Builder::disownUnreached() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t FrontCold::Reader::getBackend() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -21,8 +21,9 @@
 /// unknown: a read of the table service waits up to a second for changes.
 constexpr Duration DenyAgeMargin = std::chrono::milliseconds(200);
 
-PeerAddress readAddress(JsonReader &rd, const char *key) {
-  const std::string text = rd.text(key);
+PeerAddress readAddress(JsonReader &rd, const char *key,
+                        bool optional = false) {
+  const std::string text = optional ? rd.optionalText(key) : rd.text(key);
   if (text.empty())
     return {};
   const auto address = parseAddress(text);
@@ -93,6 +94,7 @@
     set.Status = readAddress(rd, "status");
     set.Metrics = readAddress(rd, "metrics");
     set.GossipAddress = readAddress(rd, "peers");
+    set.RelayAddress = readAddress(rd, "relay", true);
     set.TableServiceAddress = readAddress(rd, "table");
     readLimits(rd, set);
     set.LogLevel = readLogLevel(rd);
