--- a/tests/unit/silent_backend_test.cpp
+++ b/tests/unit/silent_backend_test.cpp
@@ -207,3 +207,22 @@
   CHECK_FALSE(call->Standby);
   CHECK(endsWhole(f, st));
 }
+
+TEST_CASE("a stream isn't ended by the rejection of the back end that took it "
+          "over",
+          "[silent_backend]") {
+  TestedFrontLoop f(3);
+  const RunningStream st = startStream(f);
+  f.wait(Pause);
+  const auto [second, rejecting] = f.acceptAny();
+  REQUIRE_FALSE(f.receive(rejecting, "\r\n\r\n").empty());
+  f.send(rejecting, "HTTP/1.1 503 Full\r\nZinniagauge-Attempt-Id: c-1\r\n"
+                    "Zinniagauge-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  RunningStream next;
+  std::tie(next.At, next.Connection) = f.acceptAny();
+  REQUIRE(next.At != second);
+  REQUIRE(f.receive(next.Connection, "\r\n\r\n").find("Last-Event-Id: 1") !=
+          std::string::npos);
+  f.send(next.Connection, streamHead("c-1"));
+  CHECK(endsWhole(f, next));
+}
