Give the fronts of process tests a relay address

Each front of the deployments, fleets and soaks gets one more port; without one the setting is left out.

--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -221,12 +221,12 @@
 TEST_CASE("a front that reads through another always recognises keys",
           "[process][front]") {
   FrontDeployment d;
-  const auto ports = freePorts(4);
+  const auto ports = freePorts(5);
   const Process second(
       {ZINNIA_BINARY_DIR "/zinnia-front",
        d.Folder.write("second.json",
                       frontSettings("front-2", {ports[0], ports[1], ports[2],
-                                                ports[3], d.Ports[0]})
+                                                ports[3], d.Ports[0], ports[4]})
                           .dump())});
   REQUIRE(waitForStatus("http://" + loopbackAddress(ports[1]) + "/v1/readiness",
                         200));
--- a/tests/support/consortium_rows.cpp
+++ b/tests/support/consortium_rows.cpp
@@ -60,28 +60,31 @@
 }
 
 json frontSettings(const std::string &node, const FrontPorts &ports) {
-  return {{"node", node},
-          {"zone", "z"},
-          {"callers", loopbackAddress(ports.Callers)},
-          {"status", loopbackAddress(ports.Status)},
-          {"metrics", loopbackAddress(ports.Metrics)},
-          {"peers", loopbackAddress(ports.Peers)},
-          {"table", loopbackAddress(ports.Table)},
-          {"plan_apply_ms", 2000},
-          {"key_withdrawal_ms", 3200},
-          {"fail_closed", true},
-          {"retry_ratio", 0.2},
-          {"retry_slack", 20},
-          {"retry_window_s", 10},
-          {"allowance_window_s", 8},
-          {"allowance_overage", 0.1},
-          {"allowance_slack", 1000},
-          {"exposure_share", 0.1},
-          {"exposure_slack", 50},
-          {"stop_s", 8},
-          {"cpu_share", 1},
-          {"memory_mb", 128},
-          {"descriptors", 512}};
+  json settings = {{"node", node},
+                   {"zone", "z"},
+                   {"callers", loopbackAddress(ports.Callers)},
+                   {"status", loopbackAddress(ports.Status)},
+                   {"metrics", loopbackAddress(ports.Metrics)},
+                   {"peers", loopbackAddress(ports.Peers)},
+                   {"table", loopbackAddress(ports.Table)},
+                   {"plan_apply_ms", 2000},
+                   {"key_withdrawal_ms", 3200},
+                   {"fail_closed", true},
+                   {"retry_ratio", 0.2},
+                   {"retry_slack", 20},
+                   {"retry_window_s", 10},
+                   {"allowance_window_s", 8},
+                   {"allowance_overage", 0.1},
+                   {"allowance_slack", 1000},
+                   {"exposure_share", 0.1},
+                   {"exposure_slack", 50},
+                   {"stop_s", 8},
+                   {"cpu_share", 1},
+                   {"memory_mb", 128},
+                   {"descriptors", 512}};
+  if (ports.Relay != 0)
+    settings["relay"] = loopbackAddress(ports.Relay);
+  return settings;
 }
 
 json engineEntry(std::uint16_t port, const char *state, int incarnation) {
--- a/tests/support/consortium_rows.h
+++ b/tests/support/consortium_rows.h
@@ -26,6 +26,7 @@
   std::uint16_t Metrics = 0;
   std::uint16_t Peers = 0;
   std::uint16_t Table = 0;
+  std::uint16_t Relay = 0; // Zero: the setting is left out.
 };
 
 /// The settings of the front \p node.
--- a/tests/support/front_deployment.cpp
+++ b/tests/support/front_deployment.cpp
@@ -69,8 +69,8 @@
 }
 
 json FrontDeployment::settings() const {
-  return frontSettings("front-1",
-                       {Ports[3], Ports[4], Ports[5], Ports[6], Ports[0]});
+  return frontSettings(
+      "front-1", {Ports[3], Ports[4], Ports[5], Ports[6], Ports[0], Ports[7]});
 }
 
 void FrontDeployment::control(const json &doc) const {
--- a/tests/support/front_deployment.h
+++ b/tests/support/front_deployment.h
@@ -49,7 +49,7 @@
                                  std::uint16_t port = 0,
                                  const std::string &body = "hi") const;
 
-  std::vector<std::uint16_t> Ports = freePorts(7);
+  std::vector<std::uint16_t> Ports = freePorts(8);
   ScratchFolder Folder;
   Process Platform{{std::string(ZINNIA_BINARY_DIR) + "/standin-consortium",
                     "--store", loopbackAddress(Ports[0]), "--engine",
--- a/tests/support/front_fleet.cpp
+++ b/tests/support/front_fleet.cpp
@@ -10,13 +10,14 @@
 FrontFleet::FrontFleet() {
   for (int n = 2; n <= 5; ++n) {
     const std::string name = "front-" + std::to_string(n);
-    Ports.push_back(freePorts(4));
+    Ports.push_back(freePorts(5));
     const auto &p = Ports.back();
     More.push_back(std::make_unique<Process>(std::vector<std::string>{
         ZINNIA_BINARY_DIR "/zinnia-front",
-        D.Folder.write(name + ".json",
-                       frontSettings(name, {p[0], p[1], p[2], p[3], D.Ports[0]})
-                           .dump())}));
+        D.Folder.write(
+            name + ".json",
+            frontSettings(name, {p[0], p[1], p[2], p[3], D.Ports[0], p[4]})
+                .dump())}));
   }
   for (const auto &p : Ports)
     REQUIRE(waitForStatus("http://" + loopbackAddress(p[1]) + "/v1/readiness",
--- a/tests/support/soak_world.cpp
+++ b/tests/support/soak_world.cpp
@@ -508,7 +508,7 @@
   BOOST_LEAF_CHECK(openLoop(lp));
   const std::size_t engines = w.Options.Engines;
   const std::size_t fronts = w.Options.Fronts;
-  const auto ports = freePorts(1 + 2 * engines + 5 * fronts);
+  const auto ports = freePorts(1 + 2 * engines + 6 * fronts);
   const auto peer = [](std::uint16_t port) {
     return parseAddress(loopbackAddress(port)).value_or(PeerAddress{});
   };
@@ -532,8 +532,8 @@
     w.Fronts.push_back(std::make_unique<SoakFront>());
     SoakFront &f = *w.Fronts.back();
     f.Name = "front-" + std::to_string(n);
-    const std::uint16_t *p = &ports[1 + 2 * engines + 5 * n];
-    f.Ports = {p[0], p[1], p[2], p[3], p[4]};
+    const std::uint16_t *p = &ports[1 + 2 * engines + 6 * n];
+    f.Ports = {p[0], p[1], p[2], p[3], p[4], p[5]};
     BOOST_LEAF_CHECK(startRelay(f.StoreRelay, lp, peer(p[4]), peer(ports[0])));
     f.Settings =
         w.Folder.write(f.Name + ".json", frontSettings(f.Name, f.Ports).dump());
--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 json validSettings() {
-  return frontSettings("front-1", {7001, 7002, 7003, 7004, 7005});
+  return frontSettings("front-1", {7001, 7002, 7003, 7004, 7005, 7006});
 }
 
 /// The settings in \p doc, or nothing if they are invalid.
