--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -1,153 +1,20 @@
 // The exchange between coordinators and members, with real datagrams on fake
 // time: who sends to whom, what is summed up, and how a silent coordinator is
 // replaced.
-#include "zinniagauge/net/socket_address.h"
-#include "zinniagauge/store/controllers.h"
+#include "support/gossip_front.h"
 
 #include <catch2/catch.hpp>
 
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <array>
 #include <memory>
 
 using namespace zinniagauge;
+using namespace zinniagauge::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
 
-/// Another front: a UDP socket on a port that the system chooses.
-struct OtherFront {
-  std::string Name;
-  int Fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  PeerAddress Address;
-  std::uint64_t Heartbeat = 0;
-
-  explicit OtherFront(std::string name) : Name(std::move(name)) {
-    sockaddr_in sa = socketAddress({INADDR_LOOPBACK, 0});
-    socklen_t len = sizeof sa;
-    REQUIRE(::bind(Fd, reinterpret_cast<sockaddr *>(&sa), len) == 0);
-    REQUIRE(::getsockname(Fd, reinterpret_cast<sockaddr *>(&sa), &len) == 0);
-    Address = {INADDR_LOOPBACK, ntohs(sa.sin_port)};
-  }
-  OtherFront(const OtherFront &) = delete;
-  OtherFront &operator=(const OtherFront &) = delete;
-  ~OtherFront() { ::close(Fd); }
-
-  /// Receives all pending reports.
-  [[nodiscard]] std::vector<GossipReport> takeReports() const {
-    std::vector<GossipReport> out;
-    std::array<char, 16384> buf{};
-    for (ssize_t n = ::recv(Fd, buf.data(), buf.size(), 0); n > 0;
-         n = ::recv(Fd, buf.data(), buf.size(), 0)) {
-      auto rep =
-          decodeReport(std::span(buf.data(), static_cast<std::size_t>(n)));
-      REQUIRE(rep);
-      out.push_back(std::move(*rep));
-    }
-    return out;
-  }
-
-  /// A report of two running calls at back end 7.
-  [[nodiscard]] GossipReport report(ReportKind kind) {
-    GossipReport rep;
-    rep.Node = nameHash(Name);
-    rep.Incarnation = 1;
-    rep.Heartbeat = ++Heartbeat;
-    rep.Kind = kind;
-    rep.Loads = {{EndpointId{7}, 2, 100, 0}};
-    return rep;
-  }
-};
-
-CoordinatorRow rowOf(const OtherFront &front, std::uint32_t slot) {
-  CoordinatorRow row;
-  row.Key = slotKey("z", slot);
-  row.Zone = "z";
-  row.Node = front.Name;
-  row.Address = front.Address;
-  row.GroupSize = 1;
-  return row;
-}
-
-StoreRequest noRequest(StoreTable /*table*/, std::string_view /*from*/) {
-  return {"GET", "/", {}};
-}
-
-Result<TableReadResult> noRows(const StoreResponse & /*response*/) {
-  return fail({ErrorCode::Unavailable, Step::Platform, "store", "test"});
-}
-
-std::uint64_t noEra(const StoreResponse & /*response*/) { return 0; }
-
-/// The front under test.
-struct TestedFront {
-  FrontBoard Board;
-  FrontSettings Settings;
-  EventLog Log{"front", EventLevel::Changes};
-  FrontMetrics Metrics;
-  StoreProtocol Protocol;
-  std::unique_ptr<Controllers> Ct;
-  PeerAddress Address;
-
-  TestedFront() {
-    Settings.Node = "front-1";
-    Settings.Zone = "z";
-    Settings.GossipAddress = {INADDR_LOOPBACK, 0};
-    Protocol.ReadRequest = noRequest;
-    Protocol.ParseRows = noRows;
-    Protocol.EraOf = noEra;
-    Ct = std::make_unique<Controllers>(Board, Protocol, Settings, Log, Metrics);
-    Ct->OnChange = [] {};
-    REQUIRE(openLoop(Ct->EventLoop));
-    Ct->Coordinators.Owner = Ct.get();
-    setUpStoreConnection(Ct->Coordinators.Connection, Ct->EventLoop, {});
-    Ct->PeerGossip.Owner = Ct.get();
-    Ct->EventLoop.Now = Time(seconds(100));
-    REQUIRE(startGossip(Ct->PeerGossip));
-    sockaddr_in sa{};
-    socklen_t len = sizeof sa;
-    REQUIRE(::getsockname(Ct->PeerGossip.Socket.Fd,
-                          reinterpret_cast<sockaddr *>(&sa), &len) == 0);
-    Address = {INADDR_LOOPBACK, ntohs(sa.sin_port)};
-  }
-
-  void setCoordinators(std::span<const CoordinatorRow> rows, bool holdsslot) {
-    updateCoordinators(Ct->Coordinators.Table, rows, 0, Ct->EventLoop.Now);
-    Ct->Coordinators.HoldsSlot = holdsslot;
-    onCoordinatorsChanged(Ct->PeerGossip);
-  }
-
-  void receive(const OtherFront &from, const GossipReport &rep) const {
-    const std::string raw = encodeReport(rep);
-    const sockaddr_in sa = socketAddress(Address);
-    REQUIRE(::sendto(from.Fd, raw.data(), raw.size(), 0,
-                     reinterpret_cast<const sockaddr *>(&sa),
-                     sizeof sa) == static_cast<ssize_t>(raw.size()));
-    Ct->PeerGossip.Socket.Fn(Ct->PeerGossip.Socket.Ctx, EPOLLIN);
-  }
-
-  /// Advances the fake time by \p span and runs the timers that are due.
-  void advance(Duration span) const {
-    Loop &lp = Ct->EventLoop;
-    const Time end = lp.Now + span;
-    while (!lp.ArmedTimers.empty() && lp.ArmedTimers.begin()->Deadline <= end) {
-      LoopTimer &t = *lp.ArmedTimers.begin();
-      lp.Now = t.Deadline;
-      disarm(lp, t);
-      t.Fn(t.Ctx, lp.Now);
-    }
-    lp.Now = end;
-  }
-
-  [[nodiscard]] std::uint32_t runningAt(std::uint64_t backend) const {
-    return findLoad(Board.PeerLoads.copy(), EndpointId{backend}).Running;
-  }
-};
-
 /// The three coordinators of a zone.
 struct Coordinators {
   std::array<OtherFront, 3> Fronts = {OtherFront("c-0"), OtherFront("c-1"),
