Exchange the fronts that accept relayed calls by gossip

A front that is cut off from the back ends of a pool needs to know which other fronts reach them. Reports now list them, with their tokens and the pools that they can't reach; the gossip controller publishes the result as RelayPeers.

- Lists of senders that were silent for FrontTimeout, restarted, or were heard before a suspension don't count.
A member keeps its list while it seeks another coordinator.
- Loads of pools that a front can't reach are left out of its report.

--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -19,12 +19,20 @@
 
 struct Controllers;
 
+/// The lists of relay peers that were sent to the same recipients.
+struct RelayStream {
+  std::vector<RelayPeer> Sent; // The last one.
+  Time SentAt;                 // Zero: the recipients have none.
+  bool SentTwice = false;      // Not only when it had changed.
+};
+
 /// A stream of reports to the same recipients. Partial reports are relative to
 /// the last one sent.
 struct ReportStream {
   GossipReport LastReport;
   Time LastSentAt;
   std::uint32_t RoundsSinceFull = 0;
+  RelayStream Relays; // Not used by summaries, whose lists differ by member.
 };
 
 /// A member as its coordinator knows it.
@@ -32,6 +40,8 @@
   PeerAddress Address;
   std::int64_t QuerySentAt = 0;  // Of its last report, to be echoed.
   std::uint64_t Incarnation = 0; // Of the process that sent that report.
+  RelayStream Relays;
+  std::uint64_t RelaysVersion = 0; // Gossip::RelaysVersion that it has.
 };
 
 /// What a front that isn't a coordinator knows of the one it reports to.
@@ -58,6 +68,7 @@
   LoopTimer RoundTimer;
   LoopTimer QueryTimer;
   LoopTimer PublishTimer;
+  LoopTimer RelayTimer; // Armed while a list of relay peers is to be sent.
   std::uint64_t Incarnation = 0;
   std::uint64_t Heartbeat = 0;
   bool IsCoordinator = false;
@@ -74,14 +85,20 @@
   Membership Coordinator;
   PeerAddress LastResponder; // Of a coordinator's last query.
   SpendMeter PeerSpending;
+  /// All relay peers that are known, sorted by node; a coordinator's include
+  /// itself.
+  std::vector<RelayPeer> KnownRelays;
+  std::uint64_t RelaysVersion = 1;  // Counts the changes of KnownRelays.
+  Time RelaysHeardAt;               // From a coordinator, or while it was one.
+  std::vector<RelayPeer> OwnRelays; // As of the last call of sendChanges.
   /// bootNow minus the loop's clock; it grows while the machine is suspended.
   Duration ClockOffset = Duration::zero();
   std::optional<bool> LoggedReader; // Whether this front reads for others.
 };
 
 /// Sends what has changed since the last report. Called when the board's own
-/// loads have changed. Sends nothing if no load differs or if the last report
-/// is too recent; a later report then covers the change.
+/// loads or unreached pools have changed. Sends nothing if no load differs or
+/// if the last report is too recent; a later report then covers the change.
 void sendChanges(Gossip &gossip);
 
 /// The front from which to read the list of back ends that was last reported:
--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -24,6 +24,15 @@
 
 namespace zinniagauge {
 
+/// A front counts as live, and its loads are included, for this long after its
+/// last report.
+inline constexpr Duration FrontTimeout = std::chrono::milliseconds(1500);
+
+/// A list of relay peers and its lists of pools are read up to these sizes; a
+/// front that can't reach more pools isn't listed.
+inline constexpr std::size_t MaxRelaysRead = 64;
+inline constexpr std::size_t MaxUnreachedPools = 64;
+
 /// Who sends a report, and what it sums up.
 enum class ReportKind : std::uint8_t {
   Group,   ///< A coordinator's, to other coordinators: itself and its members.
@@ -46,7 +55,7 @@
   /// Likewise.
   BackendLimitList Limits;
   /// The fronts that accept relayed calls: the sender, and those it sums up.
-  /// Empty if unchanged: the receiver keeps the last ones.
+  /// Sorted by node. Empty if unchanged: the receiver keeps the last ones.
   std::optional<std::vector<RelayPeer>> Relays;
   /// Of the newest operators' row the sender knows.
   TableVersion OperatorRows;
@@ -105,6 +114,7 @@
     GossipReport LastReport;
     Time LastReportAt;
     bool FullReportReceived = false; // At least one full report was applied.
+    Time RelaysChangedAt;            // When LastReport.Relays last changed.
   };
   std::map<std::uint64_t, Peer> Peers; // By node.
   /// Spent by earlier incarnations of all peers.
@@ -115,6 +125,8 @@
 
 /// Applies a report. It is ignored unless it is newer than the last one of the
 /// same incarnation. A partial report changes only the entries that it lists.
+/// Relay peers are kept from report to report unless the sender was silent for
+/// FrontTimeout.
 /// Returns whether it was applied.
 bool applyReport(GossipState &state, GossipReport rep, Time now);
 
--- a/include/zinniagauge/store/report_builder.h
+++ b/include/zinniagauge/store/report_builder.h
@@ -9,10 +9,6 @@
 
 namespace zinniagauge {
 
-/// A front counts as live, and its loads are included, for this long after its
-/// last report.
-inline constexpr Duration FrontTimeout = std::chrono::milliseconds(1500);
-
 /// The number of fronts that this one sums up: itself and its live members.
 [[nodiscard]] std::uint32_t groupSize(const Gossip &gossip);
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -5,6 +5,7 @@
 #include "zinniagauge/decide/quarantine.h"
 #include "zinniagauge/net/socket_address.h"
 #include "zinniagauge/store/controllers.h"
+#include "zinniagauge/store/relay_lists.h"
 #include "zinniagauge/store/report_builder.h"
 
 #include <sys/epoll.h>
@@ -14,6 +15,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace zinniagauge {
 
@@ -66,10 +68,16 @@
          MinIntervalPerRecipient * static_cast<int>(recipients);
 }
 
-/// The report that follows \p all on \p stream: in full, or only what changed.
+/// The report that follows \p all on \p stream, which has \p recipients: in
+/// full, or only what changed.
 GossipReport nextReport(Gossip &gossip, ReportStream &stream, GossipReport all,
-                        bool full) {
+                        bool full, std::size_t recipients) {
+  std::optional<std::vector<RelayPeer>> relays;
+  if (all.Relays)
+    relays = nextRelays(stream.Relays, *std::exchange(all.Relays, {}),
+                        gossip.Owner->EventLoop.Now, recipients);
   GossipReport rep = full ? all : changesSince(stream.LastReport, all);
+  rep.Relays = std::move(relays);
   stream.LastReport = std::move(all);
   stream.LastSentAt = gossip.Owner->EventLoop.Now;
   return rep;
@@ -93,11 +101,13 @@
 /// Sends \p rep to each live member, with the acknowledgement of its reports.
 void sendToMembers(Gossip &gossip, GossipReport rep) {
   const Time now = gossip.Owner->EventLoop.Now;
+  const std::size_t members = groupSize(gossip) - 1;
   for (const auto &[node, peer] : gossip.MemberReports.Peers) {
     const auto member = gossip.Members.find(node);
     if (now - peer.LastReportAt > FrontTimeout ||
         member == gossip.Members.end())
       continue;
+    rep.Relays = nextMemberRelays(gossip, node, member->second, members);
     rep.AckedHeartbeat = peer.LastReport.Heartbeat;
     rep.EchoedQuerySentAt = member->second.QuerySentAt;
     rep.EchoedIncarnation = member->second.Incarnation;
@@ -111,7 +121,7 @@
   if (ms.Current >= ms.Candidates.size())
     return;
   const GossipReport rep =
-      nextReport(gossip, gossip.Own, makeOwnReport(gossip), full);
+      nextReport(gossip, gossip.Own, makeOwnReport(gossip), full, 1);
   ms.Unacked.push_back(gossip.Own.LastReport);
   if (ms.Unacked.size() > MaxUnackedReports)
     ms.Unacked.pop_front();
@@ -207,6 +217,69 @@
   }
 }
 
+/// Lets the lists of relay peers be refreshed at \p at and sent if they differ.
+void scheduleRelays(Gossip &gossip, Time at) {
+  LoopTimer &t = gossip.RelayTimer;
+  if (!t.Hook.is_linked() || t.Deadline > at)
+    arm(gossip.Owner->EventLoop, t, at);
+}
+
+/// Sends a coordinator's list to its members if it differs for one of them.
+/// Returns when it must be called again; Time::max(): not before a change.
+Time sendRelaysToMembers(Gossip &gossip) {
+  const Time now = gossip.Owner->EventLoop.Now;
+  bool due = false;
+  Time next = Time::max();
+  for (const auto &[node, peer] : gossip.MemberReports.Peers) {
+    const auto member = gossip.Members.find(node);
+    if (now - peer.LastReportAt > FrontTimeout ||
+        member == gossip.Members.end() ||
+        member->second.RelaysVersion == gossip.RelaysVersion)
+      continue;
+    const std::vector<RelayPeer> list = memberRelays(gossip, node);
+    const Time at = changeDueAt(member->second.Relays, list);
+    if (at == Time::max())
+      member->second.RelaysVersion = gossip.RelaysVersion;
+    else if (at <= now)
+      due = true;
+    else
+      next = std::min(next, at);
+  }
+  if (due)
+    sendToMembers(gossip, nextReport(gossip, gossip.ToMembers,
+                                     makeSummary(gossip), false, 1));
+  return next;
+}
+
+/// Publishes the relay peers, and sends the lists that have changed. A change
+/// is worth a report of its own: calls wait for it.
+void onRelayTimer(void *ctx, Time now) {
+  Gossip &gossip = *static_cast<Gossip *>(ctx);
+  refreshRelays(gossip);
+  Time next = Time::max();
+  if (gossip.IsCoordinator) {
+    const std::size_t peers = gossip.OtherCoordinators.size();
+    const Time at =
+        changeDueAt(gossip.ToCoordinators.Relays, groupRelays(gossip));
+    if (peers > 0 && at <= now)
+      sendToCoordinators(gossip,
+                         nextReport(gossip, gossip.ToCoordinators,
+                                    makeGroupReport(gossip), false, peers));
+    else if (peers > 0)
+      next = at;
+    next = std::min(next, sendRelaysToMembers(gossip));
+  } else if (gossip.Coordinator.Current <
+             gossip.Coordinator.Candidates.size()) {
+    const Time at = changeDueAt(gossip.Own.Relays, ownRelays(gossip));
+    if (at <= now)
+      sendOwn(gossip, false);
+    else
+      next = at;
+  }
+  if (next != Time::max())
+    scheduleRelays(gossip, next);
+}
+
 /// After a suspension of the machine, counts no front as heard until it reports
 /// again: by the loop's clock old reports would look recent.
 void checkSuspension(Gossip &gossip) {
@@ -225,6 +298,8 @@
       peer.LastReportAt = Time();
   gossip.Coordinator.LastSummaryAt = Time();
   gossip.Owner->Board.HeardAt = 0;
+  gossip.RelaysHeardAt = Time();
+  scheduleRelays(gossip, gossip.Owner->EventLoop.Now);
 }
 
 void publish(Gossip &gossip) {
@@ -377,6 +452,7 @@
   ms.Unacked.clear();
   ms.Acked = {};
   ms.FirstAckedSpend.clear();
+  gossip.Own.Relays = {};
   logMembership(gossip, why);
   sendOwn(gossip, true);
 }
@@ -446,6 +522,28 @@
   ct.OnChange();
 }
 
+/// Applies \p rep to \p state. What it changes of the relay peers is published
+/// and passed on soon.
+bool applyWithRelays(Gossip &gossip, GossipState &state, GossipReport rep) {
+  const Time now = gossip.Owner->EventLoop.Now;
+  const std::uint64_t node = rep.Node;
+  if (!applyReport(state, std::move(rep), now))
+    return false;
+  if (state.Peers.at(node).RelaysChangedAt == now)
+    scheduleRelays(gossip, now);
+  return true;
+}
+
+/// Whether the sender of \p rep has restarted or was silent, and so lacks the
+/// lists of relay peers that it was sent before.
+bool lacksRelays(const Gossip &gossip, const GossipState &state,
+                 const GossipReport &rep) {
+  const auto it = state.Peers.find(rep.Node);
+  return it == state.Peers.end() ||
+         it->second.LastReport.Incarnation != rep.Incarnation ||
+         gossip.Owner->EventLoop.Now - it->second.LastReportAt > FrontTimeout;
+}
+
 void applySummary(Gossip &gossip, GossipReport rep) {
   Membership &ms = gossip.Coordinator;
   Controllers &ct = *gossip.Owner;
@@ -456,7 +554,7 @@
   const std::uint64_t acked = rep.AckedHeartbeat;
   const bool full = rep.IsFull;
   applyFreshness(gossip, rep);
-  if (!applyReport(gossip.Summaries, std::move(rep), ct.EventLoop.Now))
+  if (!applyWithRelays(gossip, gossip.Summaries, std::move(rep)))
     return;
   const bool first = ms.LastSummaryAt == Time();
   ms.LastSummaryAt = ct.EventLoop.Now;
@@ -480,9 +578,9 @@
 }
 
 void applyDatagram(Gossip &gossip, GossipReport rep, PeerAddress from) {
-  Loop &lp = gossip.Owner->EventLoop;
   applyCrashes(gossip, rep);
   applyLimits(gossip, rep);
+  completeRelayAddresses(rep, from);
   switch (rep.Kind) {
   case ReportKind::Summary:
     applySummary(gossip, std::move(rep));
@@ -490,13 +588,15 @@
   case ReportKind::Member:
     if (gossip.IsCoordinator) {
       GroupMember &member = gossip.Members[rep.Node];
+      if (lacksRelays(gossip, gossip.MemberReports, rep))
+        member.Relays = {};
       member.Address = from;
       // The clock of a machine that was restarted may have started over.
       member.QuerySentAt = member.Incarnation == rep.Incarnation
                                ? std::max(member.QuerySentAt, rep.QuerySentAt)
                                : rep.QuerySentAt;
       member.Incarnation = rep.Incarnation;
-      applyReport(gossip.MemberReports, std::move(rep), lp.Now);
+      applyWithRelays(gossip, gossip.MemberReports, std::move(rep));
     }
     return;
   case ReportKind::Group:
@@ -512,7 +612,9 @@
     applyFreshness(gossip, rep);
     // A front that is now a coordinator is no member any more.
     gossip.Members.erase(rep.Node);
-    applyReport(gossip.PeerReports, std::move(rep), lp.Now);
+    if (lacksRelays(gossip, gossip.PeerReports, rep))
+      gossip.ToCoordinators.Relays = {};
+    applyWithRelays(gossip, gossip.PeerReports, std::move(rep));
     return;
   }
 }
@@ -556,16 +658,17 @@
   Gossip &gossip = *static_cast<Gossip *>(ctx);
   arm(gossip.Owner->EventLoop, gossip.RoundTimer, now + RoundPeriod);
   checkSuspension(gossip);
+  refreshRelays(gossip);
   if (gossip.IsCoordinator) {
     const std::size_t peers = gossip.OtherCoordinators.size();
-    sendToCoordinators(gossip,
-                       nextReport(gossip, gossip.ToCoordinators,
-                                  makeGroupReport(gossip),
-                                  isFullRound(gossip.ToCoordinators, peers)));
+    sendToCoordinators(
+        gossip,
+        nextReport(gossip, gossip.ToCoordinators, makeGroupReport(gossip),
+                   isFullRound(gossip.ToCoordinators, peers), peers));
     if (const std::size_t members = memberCount(gossip); members > 0)
-      sendToMembers(gossip,
-                    nextReport(gossip, gossip.ToMembers, makeSummary(gossip),
-                               isFullRound(gossip.ToMembers, members)));
+      sendToMembers(
+          gossip, nextReport(gossip, gossip.ToMembers, makeSummary(gossip),
+                             isFullRound(gossip.ToMembers, members), members));
   } else {
     constexpr std::size_t RecipientsForFullEachSecond = 32;
     checkCoordinator(gossip);
@@ -591,6 +694,10 @@
 }
 
 void sendChanges(Gossip &gossip) {
+  if (std::vector<RelayPeer> own = ownRelays(gossip); own != gossip.OwnRelays) {
+    gossip.OwnRelays = std::move(own);
+    scheduleRelays(gossip, gossip.Owner->EventLoop.Now);
+  }
   if (!gossip.IsCoordinator) {
     if (!mayReport(gossip, gossip.Own, 1))
       return; // The next change or full report includes it.
@@ -602,15 +709,15 @@
     GossipReport all = makeGroupReport(gossip);
     if (changesLoad(gossip.ToCoordinators.LastReport, all))
       sendToCoordinators(gossip, nextReport(gossip, gossip.ToCoordinators,
-                                            std::move(all), false));
+                                            std::move(all), false, peers));
   }
   const std::size_t members = memberCount(gossip);
   if (members == 0 || !mayReport(gossip, gossip.ToMembers, members))
     return;
   GossipReport all = makeSummary(gossip);
   if (changesLoad(gossip.ToMembers.LastReport, all))
-    sendToMembers(gossip,
-                  nextReport(gossip, gossip.ToMembers, std::move(all), false));
+    sendToMembers(gossip, nextReport(gossip, gossip.ToMembers, std::move(all),
+                                     false, members));
 }
 
 void onCoordinatorsChanged(Gossip &gossip) {
@@ -650,12 +757,13 @@
   gossip.Socket.Fn = onDatagram;
   gossip.Socket.Ctx = &gossip;
   watch(ct.EventLoop, gossip.Socket, EPOLLIN);
-  for (LoopTimer *t :
-       {&gossip.RoundTimer, &gossip.QueryTimer, &gossip.PublishTimer})
+  for (LoopTimer *t : {&gossip.RoundTimer, &gossip.QueryTimer,
+                       &gossip.PublishTimer, &gossip.RelayTimer})
     t->Ctx = &gossip;
   gossip.RoundTimer.Fn = onRoundTimer;
   gossip.QueryTimer.Fn = onQueryTimer;
   gossip.PublishTimer.Fn = onPublishTimer;
+  gossip.RelayTimer.Fn = onRelayTimer;
   arm(ct.EventLoop, gossip.RoundTimer, ct.EventLoop.Now + RoundPeriod);
   arm(ct.EventLoop, gossip.QueryTimer, ct.EventLoop.Now + RoundPeriod);
   return {};
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -120,6 +120,57 @@
   return list;
 }
 
+void writeRelays(wire::FrontReport::Builder out,
+                 std::span<const RelayPeer> list) {
+  out.setRelaysKnown(true);
+  auto relays = out.initRelays(static_cast<unsigned>(list.size()));
+  for (unsigned n = 0; n < relays.size(); ++n) {
+    const RelayPeer &p = list[n];
+    relays[n].setNode(p.Node);
+    relays[n].setZone(p.Zone.Value);
+    relays[n].setIp(p.Address.Ip);
+    relays[n].setPort(p.Address.Port);
+    relays[n].setToken(p.Token);
+    if (p.Unreached.empty())
+      continue;
+    auto pools =
+        relays[n].initUnreached(static_cast<unsigned>(p.Unreached.size()));
+    for (unsigned k = 0; k < pools.size(); ++k)
+      pools.set(k, p.Unreached[k].Value);
+  }
+}
+
+/// Reads relay peers up to MaxRelaysRead, without those that can't be used.
+std::vector<RelayPeer> readRelays(wire::FrontReport::Reader in) {
+  const auto relays = in.getRelays();
+  const auto count = static_cast<unsigned>(
+      std::min<std::size_t>(relays.size(), MaxRelaysRead));
+  std::vector<RelayPeer> out;
+  for (unsigned n = 0; n < count; ++n) {
+    const auto r = relays[n];
+    const auto pools = r.getUnreached();
+    if (r.getPort() == 0 || r.getToken() == 0 ||
+        pools.size() > MaxUnreachedPools)
+      continue;
+    RelayPeer p;
+    p.Node = r.getNode();
+    p.Zone = ZoneId{r.getZone()};
+    p.Address = {r.getIp(), r.getPort()};
+    p.Token = r.getToken();
+    for (const std::uint64_t id : pools)
+      p.Unreached.push_back(PoolId{id});
+    std::ranges::sort(p.Unreached);
+    out.push_back(std::move(p));
+  }
+  std::ranges::stable_sort(out, {}, &RelayPeer::Node);
+  out.erase(std::unique(out.begin(), out.end(),
+                        [](const RelayPeer &a, const RelayPeer &b) {
+                          return a.Node == b.Node;
+                        }),
+            out.end());
+  return out;
+}
+
 } // namespace
 
 namespace {
@@ -231,6 +282,8 @@
     writeVersionStats(stats[n], rep.Stats[n]);
   writeCrashes(out, rep.Crashes);
   writeLimits(out, rep.Limits);
+  if (rep.Relays)
+    writeRelays(out, *rep.Relays);
   kj::VectorOutputStream raw;
   capnp::writePackedMessage(raw, msg);
   const auto bytes = raw.getArray();
@@ -279,6 +332,8 @@
       report.Stats.push_back(readVersionStats(e));
     report.Crashes = readCrashes(rep);
     report.Limits = readLimits(rep);
+    if (rep.getRelaysKnown())
+      report.Relays = readRelays(rep);
     out = std::move(report);
   });
   if (exception != nullptr)
--- a/src/store/gossip_report.cpp
+++ b/src/store/gossip_report.cpp
@@ -120,6 +120,12 @@
     rep.Coordinators = std::move(peer.LastReport.Coordinators);
     rep.VacantSlots = std::move(peer.LastReport.VacantSlots);
   }
+  const bool recent =
+      sameincarnation && now - peer.LastReportAt <= FrontTimeout;
+  if (rep.Relays ? rep.Relays != peer.LastReport.Relays : !recent)
+    peer.RelaysChangedAt = now;
+  else
+    rep.Relays = std::move(peer.LastReport.Relays);
   peer.LastReport = std::move(rep);
   peer.LastReportAt = now;
   return true;
--- a/src/store/report_builder.cpp
+++ b/src/store/report_builder.cpp
@@ -3,6 +3,7 @@
 
 #include "zinniagauge/decide/version_stats_sum.h"
 #include "zinniagauge/store/controllers.h"
+#include "zinniagauge/store/relay_lists.h"
 
 #include <algorithm>
 
@@ -46,6 +47,23 @@
   return rep;
 }
 
+/// This front's loads without those of pools whose back ends it can't reach:
+/// what it measured there says nothing of them any more.
+std::vector<BackendLoad> reachedLoads(const FrontBoard &board) {
+  std::vector<BackendLoad> loads = board.OwnLoads.copy().List;
+  const ReadGuard guard;
+  const std::vector<PoolId> &unreached = board.OwnUnreached.read(guard).Pools;
+  if (unreached.empty())
+    return loads;
+  const std::vector<Backend> &known = board.Backends.read(guard).List;
+  std::erase_if(loads, [&](const BackendLoad &l) {
+    const auto it = std::ranges::lower_bound(known, l.Id, {}, &Backend::Id);
+    return it != known.end() && it->Id == l.Id &&
+           std::ranges::find(unreached, it->Pool) != unreached.end();
+  });
+  return loads;
+}
+
 } // namespace
 
 std::uint32_t groupSize(const Gossip &gossip) {
@@ -60,12 +78,13 @@
 GossipReport makeOwnReport(Gossip &gossip) {
   const FrontBoard &board = gossip.Owner->Board;
   GossipReport rep = makeEmptyReport(gossip, ReportKind::Member);
-  rep.Loads = board.OwnLoads.copy().List;
+  rep.Loads = reachedLoads(board);
   rep.Queues = board.OwnQueues.copy().List;
   rep.SpendTotals = board.OwnSpend.copy().List;
   rep.Stats = board.OwnStats.copy().Rows;
   rep.Crashes = board.OwnCrashes.copy();
   rep.Limits = board.OwnLimits.copy();
+  rep.Relays = ownRelays(gossip);
   rep.QuerySentAt = toNanos(bootNow());
   return rep;
 }
@@ -85,6 +104,7 @@
     addVersionStats(stats, peer.LastReport.Stats);
   rep.Stats = std::move(stats.Rows);
   rep.GroupSize = groupSize(gossip);
+  rep.Relays = groupRelays(gossip);
   return rep;
 }
 
@@ -93,6 +113,7 @@
   GossipReport rep = makeGroupReport(gossip);
   rep.Kind = ReportKind::Summary;
   rep.Stats.clear();
+  rep.Relays.reset(); // They differ by member.
   addLoads(
       rep.Loads,
       sumPeerLoads(gossip.PeerReports, ct.EventLoop.Now, FrontTimeout).List);
