Relay calls through other fronts to back ends out of reach

A front that is cut off from a pool failed the calls for it, although the other fronts reach the pool. Its calls now go to one of them over TCP, as the caller's request with the plan in headers of its own, by the connections, timers and parser of back ends; a relayed call arrives there like a caller's. Route, workspace, allowance and key are decided once, by the front that the caller reached; first sends are counted there, and a retry by the front that sends it.

A call that reached no back end goes to another front without using up an attempt. What was sent and got no answer is lost: it is sent again only if it may run twice. Attempts that a lost front may have used count as used.

--- a/include/zinniagauge/decide/next_step.h
+++ b/include/zinniagauge/decide/next_step.h
@@ -12,7 +12,8 @@
 
 /// How an attempt ended.
 enum class AttemptEnd : std::uint8_t {
-  NotSent, ///< No byte was sent: no connection was established.
+  NotSent, ///< To no back end: no connection was established, or a relay peer
+           ///< passed the call to none.
   NotRun,  ///< The back end reported that it hasn't run the call.
   Failed,  ///< The back end responded with a failure.
   Lost,    ///< The connection or the response broke off; the call may have run.
--- a/include/zinniagauge/front/admission.h
+++ b/include/zinniagauge/front/admission.h
@@ -38,6 +38,10 @@
 [[nodiscard]] CallWork parseCallWork(const Call &call,
                                      const HeaderNames &names);
 
+/// Estimates the number of events of a stream from the token counts that its
+/// caller states; \p pool may be null.
+void estimateEvents(CallWork &work, const PlanPool *pool);
+
 /// Checks the call against the active plan and fills in Call::Plan. Returns the
 /// denial if the call isn't allowed.
 [[nodiscard]] std::optional<Denial> routeCall(RequestLoop &rl, Call &call);
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -98,7 +98,7 @@
   std::string Body;
   std::string Id;
   std::uint64_t RandomValue = 0; // Selects among weighted pools.
-  Time Arrived;
+  Time Arrived;                  // At the front that the caller reached.
   Time Deadline; // The caller gets a response or an error by then.
 
   CallPlan Plan;
@@ -106,7 +106,15 @@
   CallFacts Facts;
   CallPhase Phase = CallPhase::Waiting;
   CallRank Rank;
-  bool FromPeer = false;     // Another front has relayed it.
+  bool FromPeer = false; // Another front has relayed it.
+  /// That front can send the call once more if it is lost here.
+  bool SenderKeepsAttempt = false;
+  /// The latest attempt was relayed through another front.
+  bool ThroughPeer = false;
+  /// Counted in Facts.SentAttempts for the latest attempt: those that a peer
+  /// may use, else one.
+  std::uint32_t AttemptsCharged = 0;
+  std::vector<EndpointId> RefusedBy; // Peers that refused to relay it.
   bool CostReported = false; // Counted as spent, since it was sent once.
   bool WasAnswered = false;  // A back end answered and didn't crash at once.
   bool Evaluated = false;    // Counts in the statistics of a version move.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -105,6 +105,9 @@
   /// of its members only those that concern connections are used.
   bool IsPeer = false;
   std::uint64_t PeerToken = 0; // What calls relayed to it must state.
+  Time PassedOverUntil;        // After a peer's connection failed.
+  /// Until when a peer counts as not reaching a pool, as it said.
+  std::map<PoolId, Time> UnreachedUntil;
 };
 
 /// The calls that a cold back end of one pool may be sent.
@@ -173,6 +176,8 @@
   std::uint64_t RandomState = 0;
   std::uint64_t LastSequenceNumber = 0; // Latest CallRank::SequenceNumber.
   std::size_t ActiveCalls = 0;          // Calls that haven't ended.
+  std::size_t RelayedCalls = 0;         // Of these, relayed by other fronts.
+  std::size_t PeerConnections = 0;      // Of Callers, those of other fronts.
   Time StartedAt;
   LoopTimer DispatchTimer;
   LoopTimer TrackTimer;
@@ -189,6 +194,15 @@
 /// Starts to accept connections of callers. Fails with Unavailable.
 [[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
 
+/// Serves the connected socket \p fd of a caller or, if \p frompeer is set, of
+/// another front.
+void addCaller(RequestLoop &rl, int fd, bool frompeer);
+
+/// Closes the connection that has been idle for longest, of callers and other
+/// fronts or, if \p onlypeers is set, of these alone. Returns whether there was
+/// one.
+bool closeLongestIdle(RequestLoop &rl, bool onlypeers);
+
 /// Sends a response with \p status and a body that holds \p reason. A
 /// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
 /// connection closes after the response.
@@ -226,7 +240,9 @@
 
 /// Closes the connections without a request in progress, so that their callers
 /// connect to another process. A request that has arrived unread is served, and
-/// its response closes the connection.
+/// its response closes the connection. Those of other fronts stay open while
+/// further ones are accepted: a call that is on its way is told that it hasn't
+/// run.
 void closeIdleCallers(RequestLoop &rl);
 
 /// Whether a body that has grown from \p before to \p now bytes can't be read
@@ -270,6 +286,10 @@
 /// Returns the best back end with free capacity for \p call, or null.
 [[nodiscard]] BackendState *pickBackend(RequestLoop &rl, const Call &call);
 
+/// Returns the back end or, if their pool isn't reached from here, the peer to
+/// which \p call is sent now; null if there is none.
+[[nodiscard]] BackendState *pickTarget(RequestLoop &rl, const Call &call);
+
 /// Adds \p call to the queue of its pool.
 void enqueue(RequestLoop &rl, Call &call);
 
@@ -280,7 +300,7 @@
 void dispatchQueued(RequestLoop &rl, PoolId pool);
 
 /// Records a connection to \p to that was refused, reset or silent for too
-/// long. Ejects the back end after several in a row.
+/// long. Ejects the back end after several in a row; passes over a peer.
 void recordLostConnection(RequestLoop &rl, BackendState &to);
 
 /// The expected time from sending \p call to its back end to the first event.
@@ -425,7 +445,8 @@
 /// The Retry-After of \p call, which its forecast refuses.
 [[nodiscard]] Duration forecastRetryAfter(RequestLoop &rl, const Call &call);
 
-/// Whether \p call could be retried if its attempt were lost now.
+/// Whether \p call could be retried if its attempt were lost now, here or by
+/// the front that relayed it.
 [[nodiscard]] bool canRetry(RequestLoop &rl, const Call &call);
 
 /// Called when the caller has disconnected.
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -18,6 +18,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
+#include <random>
 #include <thread>
 
 using namespace zinniagauge;
@@ -122,9 +123,17 @@
                });
 }
 
+/// A random number other than zero.
+std::uint64_t randomToken() {
+  std::random_device rd;
+  constexpr unsigned HalfBits = 32;
+  return (std::uint64_t{rd()} << HalfBits) | rd() | 1U;
+}
+
 /// Starts the components. Fails with the error of the first that can't start.
 Result<void> start(Front &f, const std::string &path) {
   raiseDescriptorLimit(f, f.Requests.Settings);
+  f.Board.RelayToken = randomToken();
   const FrontSettings &set = f.Requests.Settings;
   BOOST_LEAF_CHECK(startRequestLoop(f.Requests));
   const auto onboardchange = f.Requests.EventLoop.OnWake;
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -16,19 +16,6 @@
   return target.substr(0, target.find('?'));
 }
 
-/// Estimates the number of events of a stream from the token counts that its
-/// caller states.
-void estimateEvents(CallWork &work, const PlanPool *pool) {
-  const double tokensperevent = pool ? pool->TokensPerEvent : 1;
-  const auto maxevents =
-      static_cast<double>(work.OutputTokens) / tokensperevent;
-  const auto expected =
-      static_cast<double>(work.ExpectedTokens) / tokensperevent;
-  work.MaxEvents = std::max(maxevents > 0 ? maxevents : DefaultEvents, 1.0);
-  work.ExpectedEvents =
-      std::clamp(expected > 0 ? expected : DefaultEvents, 1.0, work.MaxEvents);
-}
-
 /// The parts in \p list but the last, which belongs to the call itself or to
 /// its session. Further ones than the limit are ignored.
 std::vector<CallTraitId> parseSharedParts(std::string_view list) {
@@ -125,6 +112,17 @@
   return val;
 }
 
+void estimateEvents(CallWork &work, const PlanPool *pool) {
+  const double tokensperevent = pool ? pool->TokensPerEvent : 1;
+  const auto maxevents =
+      static_cast<double>(work.OutputTokens) / tokensperevent;
+  const auto expected =
+      static_cast<double>(work.ExpectedTokens) / tokensperevent;
+  work.MaxEvents = std::max(maxevents > 0 ? maxevents : DefaultEvents, 1.0);
+  work.ExpectedEvents =
+      std::clamp(expected > 0 ? expected : DefaultEvents, 1.0, work.MaxEvents);
+}
+
 CallWork parseCallWork(const Call &call, const HeaderNames &names) {
   CallWork work;
   const auto tokens = findField(call.Head.Fields, names.Tokens);
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -1,8 +1,8 @@
 // Connections to back ends: sending requests and reading responses.
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/silence_timeout.h"
+#include "zinniagauge/front/relay.h"
 #include "zinniagauge/front/reported_load.h"
-#include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -36,6 +36,10 @@
 /// A response that isn't streamed is buffered until it is complete.
 constexpr std::uint64_t MaxResponseBodyBytes = std::uint64_t{16} << 20U;
 
+/// Added to the silence timeout of a relayed call: the other front replaces
+/// back ends that are silent.
+constexpr Duration RelaySilenceMargin = std::chrono::seconds(1);
+
 /// Interim responses, and responses to earlier calls, that may precede the
 /// response to a call.
 constexpr std::uint32_t MaxSkippedResponses = 8;
@@ -70,7 +74,8 @@
   if (call) {
     call->Connection = nullptr;
     --conn.Target->Running;
-    recordChange(conn.Target->Reports.Calls, -1, conn.Owner->EventLoop.Now);
+    if (!conn.Target->IsPeer)
+      recordChange(conn.Target->Reports.Calls, -1, conn.Owner->EventLoop.Now);
     scheduleLoadReport(*conn.Owner);
   }
   return call;
@@ -119,7 +124,8 @@
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
   const std::shared_ptr<Call> call = closeConnection(conn);
-  if (cause == LossCause::Connection)
+  // After a response has begun, a peer passes on how its back end ended it.
+  if (cause == LossCause::Connection && !(to.IsPeer && conn.HeadRead))
     recordLostConnection(rl, to);
   else if (cause == LossCause::WrongAnswer)
     recordWrongAnswer(rl, to);
@@ -189,6 +195,25 @@
           findField(head.Fields, "Content-Encoding"));
 }
 
+/// Records what the response of a back end says of it.
+void recordHead(RequestLoop &rl, BackendState &from, const MessageHead &head,
+                bool echoesid) {
+  if (from.IsPeer)
+    return;
+  recordBackpressure(rl, from, head, echoesid);
+  constexpr int Misdirected = 421; // Another process answered.
+  if (head.Status != Misdirected)
+    recordReachable(rl, from);
+  recordReportedLoad(rl, from, head);
+}
+
+/// Whether a response that names no call may be that of the active call.
+bool mayNameNoCall(const BackendConnection &conn, const MessageHead &head) {
+  return conn.Target->IsPeer
+             ? conn.ActiveCall->Id.empty() || relayOutcome(head).has_value()
+             : conn.Uses <= 1;
+}
+
 /// Handles the header of a response, once it is complete. Returns why the
 /// response can't be that of the call, or nothing.
 std::string_view handleHead(BackendConnection &conn) {
@@ -209,13 +234,9 @@
     conn.Owner->Log.write(line);
     return {};
   }
-  if (!id && conn.Uses > 1)
+  if (!id && !mayNameNoCall(conn, head))
     return "answer names no call";
-  recordBackpressure(*conn.Owner, *conn.Target, head, id.has_value());
-  constexpr int Misdirected = 421; // Another process answered.
-  if (head.Status != Misdirected)
-    recordReachable(*conn.Owner, *conn.Target);
-  recordReportedLoad(*conn.Owner, *conn.Target, head);
+  recordHead(*conn.Owner, *conn.Target, head, id.has_value());
   if (lacksProof(head, names))
     return "answer without its proof";
   conn.Streaming = conn.ActiveCall->Facts.Kind == CallKind::Stream &&
@@ -313,7 +334,8 @@
   facts.LatencyTarget = call.Plan.LatencyTarget;
   facts.GapTarget = call.Plan.GapTarget;
   facts.ExpectedFirstEvent = expectedFirstEventTime(*conn.Owner, call);
-  return silenceTimeout(facts);
+  return silenceTimeout(facts) +
+         (conn.Target->IsPeer ? RelaySilenceMargin : Duration::zero());
 }
 
 void onSilenceTimer(void *ctx, Time now) {
@@ -391,7 +413,7 @@
 
 void onBackendEnd(void *ctx, ConnectionEnd how, int /*err*/) {
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
-  if (how == ConnectionEnd::Refused) {
+  if (how == ConnectionEnd::Refused && !conn.Target->IsPeer) {
     recordUnreachable(*conn.Owner, *conn.Target);
     onBackendDown(*conn.Owner, *conn.Target);
   }
@@ -415,7 +437,8 @@
   const LossCause cause = conn.Uses <= 1 || hasBegun(conn.Parser)
                               ? LossCause::Connection
                               : LossCause::IdleConnection;
-  onConnectionLost(*conn.Owner, *conn.Target, *conn.ActiveCall);
+  if (!conn.Target->IsPeer)
+    onConnectionLost(*conn.Owner, *conn.Target, *conn.ActiveCall);
   failAttempt(conn, how == ConnectionEnd::Closed ? "answer cut short" : "reset",
               cause);
 }
@@ -511,6 +534,7 @@
     }
     if (isHopByHopField(f.Name, connection) ||
         equalsIgnoreCase(f.Name, "Expect") || isOwnField(names, f.Name) ||
+        isRelayField(f.Name) ||
         (call.Stream.LastEventId &&
          equalsIgnoreCase(f.Name, names.ResumeAfter)))
       continue;
@@ -523,9 +547,13 @@
   writeField(
       out, names.TimeLeft,
       static_cast<std::uint64_t>(std::max<std::int64_t>(left.count(), 1)));
-  writeField(out, names.Endpoint, to.Info.Name);
-  if (call.Plan.HasWorkspace)
-    writeField(out, names.Workspace, call.Plan.WorkspaceName);
+  if (to.IsPeer) {
+    writeRelayFields(out, call, to);
+  } else {
+    writeField(out, names.Endpoint, to.Info.Name);
+    if (call.Plan.HasWorkspace)
+      writeField(out, names.Workspace, call.Plan.WorkspaceName);
+  }
   if (haslength)
     writeField(out, "Content-Length", std::uint64_t{call.Body.size()});
   out.append("\r\n").append(call.Body);
@@ -543,18 +571,21 @@
   if (!conn)
     return false;
   call->SentAt = rl.EventLoop.Now;
-  recordSent(rl, to);
-  call->TokensAhead = tokensAhead(rl, to);
+  call->TokensAhead = 0;
   conn->ActiveCall = call;
-  conn->PendingTokens = call->Work.PromptTokens;
-  to.PendingTokens += conn->PendingTokens;
+  if (!to.IsPeer) {
+    recordSent(rl, to);
+    call->TokensAhead = tokensAhead(rl, to);
+    conn->PendingTokens = call->Work.PromptTokens;
+    to.PendingTokens += conn->PendingTokens;
+    recordChange(to.Reports.Calls, 1, rl.EventLoop.Now);
+  }
   ++conn->Uses;
   conn->SkippedResponses = 0;
   conn->SkippedBytes = 0;
   conn->LastCallId = call->Id;
   call->Stream.EventsBefore = call->Stream.Events;
   ++to.Running;
-  recordChange(to.Reports.Calls, 1, rl.EventLoop.Now);
   scheduleLoadReport(rl);
   call->Connection = conn;
   beginResponse(*conn);
@@ -586,12 +617,13 @@
 }
 
 void closeIdleConnections(RequestLoop &rl, Time now) {
-  for (auto &[id, st] : rl.Backends) {
-    const std::vector<BackendConnection *> idle = st->IdleConnections;
-    for (BackendConnection *conn : idle)
-      if (!st->Listed || now - conn->IdleSince > conn->KeepAliveTime)
-        closeConnection(*conn);
-  }
+  for (const auto *targets : {&rl.Backends, &rl.Peers})
+    for (const auto &[id, st] : *targets) {
+      const std::vector<BackendConnection *> idle = st->IdleConnections;
+      for (BackendConnection *conn : idle)
+        if (!st->Listed || now - conn->IdleSince > conn->KeepAliveTime)
+          closeConnection(*conn);
+    }
 }
 
 } // namespace zinniagauge
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -1,5 +1,5 @@
 // Connections of callers: reading requests and sending responses.
-#include "zinniagauge/front/admission.h"
+#include "zinniagauge/front/relay.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -39,6 +39,8 @@
   const auto it = rl.Callers.find(&c);
   if (it == rl.Callers.end())
     return;
+  if (c.FromPeer)
+    --rl.PeerConnections;
   deleteLater(rl.EventLoop, it->second);
   rl.Callers.erase(it);
 }
@@ -117,7 +119,9 @@
   std::size_t taken = 0;
   while (taken < part.size() && mayReadRequest(c)) {
     if (!c.Parser.State) {
-      beginMessage(c.Parser, MessageKind::Request, c.Owner->Limits.MaxHeadBytes,
+      beginMessage(c.Parser, MessageKind::Request,
+                   c.Owner->Limits.MaxHeadBytes +
+                       (c.FromPeer ? relay::MaxFieldBytes : 0),
                    c.Owner->Limits.MaxBodyBytes);
       c.Body.clear();
       c.SentContinue = false;
@@ -185,20 +189,7 @@
                                            onCallerSent, true};
 
 void onConnection(void *ctx, int fd) {
-  RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  if (rl.Callers.size() + rl.BackendConnections.size() + 1 >=
-      rl.Settings.MaxDescriptors) {
-    ::close(fd);
-    return;
-  }
-  auto c = std::make_shared<CallerConnection>();
-  c->Owner = &rl;
-  c->Timer.Fn = onCallerTimer;
-  c->Timer.Ctx = c.get();
-  rl.Callers.emplace(c.get(), c);
-  adopt(c->Tcp, rl.EventLoop, fd, CallerHandlers, c.get());
-  setAckTimeout(c->Tcp, CallerAckTimeout);
-  armIdleTimer(*c);
+  addCaller(*static_cast<RequestLoop *>(ctx), fd, false);
 }
 
 /// Whether no request is in progress or has arrived on the connection.
@@ -207,31 +198,27 @@
          !hasUnreadData(c.Tcp);
 }
 
-/// Closes the caller's connection that has been idle for longest.
-bool closeLongestIdle(void *ctx) {
-  const RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  CallerConnection *longest = nullptr;
-  for (const auto &[c, owner] : rl.Callers)
-    if ((!longest || c->Timer.Deadline < longest->Timer.Deadline) &&
-        pendingBytes(c->Tcp) == 0 && isIdle(*c))
-      longest = c;
-  if (longest)
-    closeCallerAfterSending(*longest);
-  return longest != nullptr;
+bool freeConnection(void *ctx) {
+  return closeLongestIdle(*static_cast<RequestLoop *>(ctx), false);
 }
 
-const ListenerHandlers CallerListener = {onConnection, closeLongestIdle};
+const ListenerHandlers CallerListener = {onConnection, freeConnection};
 
 /// Appends the header fields of a back end's response that are passed on to the
-/// caller.
-void writeResponseFields(std::string &out, const MessageHead &head) {
+/// caller. Another front is told for which call it is in any case.
+void writeResponseFields(std::string &out, const CallerConnection &c,
+                         const MessageHead &head) {
   const auto connection = findField(head.Fields, "Connection").value_or("");
   for (std::size_t n = 0; n < head.Fields.Spans.size(); ++n) {
     const HeaderField f = fieldAt(head.Fields, n);
-    if (!isHopByHopField(f.Name, connection) &&
+    if (!isHopByHopField(f.Name, connection) && !isRelayField(f.Name) &&
         !equalsIgnoreCase(f.Name, "Content-Length"))
       writeField(out, f.Name, f.Value);
   }
+  const std::string_view idname = c.Owner->Names.CallId;
+  if (c.FromPeer && c.ActiveCall && !c.ActiveCall->Id.empty() &&
+      !findField(head.Fields, idname))
+    writeField(out, idname, c.ActiveCall->Id);
 }
 
 /// Appends the end of a response's header.
@@ -243,6 +230,35 @@
 
 } // namespace
 
+void addCaller(RequestLoop &rl, int fd, bool frompeer) {
+  if (rl.Callers.size() + rl.BackendConnections.size() + 1 >=
+      rl.Settings.MaxDescriptors) {
+    ::close(fd);
+    return;
+  }
+  auto c = std::make_shared<CallerConnection>();
+  c->Owner = &rl;
+  c->FromPeer = frompeer;
+  c->Timer.Fn = onCallerTimer;
+  c->Timer.Ctx = c.get();
+  rl.Callers.emplace(c.get(), c);
+  rl.PeerConnections += frompeer ? 1 : 0;
+  adopt(c->Tcp, rl.EventLoop, fd, CallerHandlers, c.get());
+  setAckTimeout(c->Tcp, CallerAckTimeout);
+  armIdleTimer(*c);
+}
+
+bool closeLongestIdle(RequestLoop &rl, bool onlypeers) {
+  CallerConnection *longest = nullptr;
+  for (const auto &[c, owner] : rl.Callers)
+    if ((!longest || c->Timer.Deadline < longest->Timer.Deadline) &&
+        (c->FromPeer || !onlypeers) && pendingBytes(c->Tcp) == 0 && isIdle(*c))
+      longest = c;
+  if (longest)
+    closeCallerAfterSending(*longest);
+  return longest != nullptr;
+}
+
 Result<void> listenForCallers(RequestLoop &rl) {
   return startListening(rl.Listening, rl.EventLoop, rl.Settings.Callers,
                         CallerListener, &rl);
@@ -258,6 +274,8 @@
                   std::chrono::duration<double>(retryafter).count());
     writeField(out, "Retry-After", buf.data());
   }
+  if (c.FromPeer)
+    writeRelayOutcome(out, *c.Owner, c.ActiveCall.get(), status);
   const std::string body = "{\"reason\":\"" + std::string(reason) + "\"}";
   writeField(out, "Content-Type", "application/json");
   writeField(out, "Content-Length", std::uint64_t{body.size()});
@@ -275,7 +293,7 @@
   constexpr std::size_t HeadReserve = 512;
   out.reserve(body.size() + HeadReserve);
   writeStatusLine(out, head.Status);
-  writeResponseFields(out, head);
+  writeResponseFields(out, c, head);
   const auto length = findField(head.Fields, "Content-Length");
   if (method == "HEAD" && length)
     writeField(out, "Content-Length", *length);
@@ -292,7 +310,7 @@
   constexpr std::size_t HeadReserve = 512;
   out.reserve(events.size() + HeadReserve);
   writeStatusLine(out, head.Status);
-  writeResponseFields(out, head);
+  writeResponseFields(out, c, head);
   writeField(out, "Transfer-Encoding", "chunked");
   writeHeadEnd(out, *c.Owner);
   if (!events.empty())
@@ -337,7 +355,7 @@
 void closeIdleCallers(RequestLoop &rl) {
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto &[key, c] : rl.Callers)
-    if (isIdle(*c))
+    if (isIdle(*c) && !(c->FromPeer && rl.PeerListening.Socket.Fd >= 0))
       idle.push_back(c);
   for (const auto &c : idle)
     closeCallerAfterSending(*c);
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -1,9 +1,10 @@
 // The course of a call: its attempts, its retries and its end.
-#include "zinniagauge/front/admission.h"
 #include "zinniagauge/front/call_fingerprint.h"
+#include "zinniagauge/front/relay.h"
 
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/random.h"
+#include "zinniagauge/decide/relay_choice.h"
 
 #include <algorithm>
 #include <array>
@@ -21,12 +22,22 @@
 /// Number of events over which the time per event is measured.
 constexpr std::uint32_t PaceEvents = 8;
 
-/// The back end of the latest attempt; null if there is none or it is gone.
+/// The back end of the latest attempt; null if there is none, it is gone, or
+/// the call was relayed.
 BackendState *backendOf(RequestLoop &rl, const Call &call) {
   const auto it = rl.Backends.find(call.LastBackend);
   return it == rl.Backends.end() ? nullptr : it->second.get();
 }
 
+/// The name of the back end or front to which the latest attempt was sent;
+/// \p other if there is none or it is gone.
+std::string_view targetName(const RequestLoop &rl, const Call &call,
+                            std::string_view other) {
+  const auto &targets = call.ThroughPeer ? rl.Peers : rl.Backends;
+  const auto it = targets.find(call.LastBackend);
+  return it == targets.end() ? other : it->second->Info.Name;
+}
+
 /// Ends a call after the caller received part of a stream. The connection
 /// closes without the last chunk, so that the stream doesn't look complete.
 void abortStream(const std::shared_ptr<Call> &call, std::string_view reason) {
@@ -47,7 +58,8 @@
   }
   CallerConnection *caller = call->Caller;
   if (caller)
-    respondWithStatus(*caller, status, reason, retryafter);
+    respondWithStatus(*caller, status, reason, retryafter,
+                      call->FromPeer && closesPeer(status));
   endCall(call, end, status, reason);
   if (caller)
     serveNextRequest(*caller);
@@ -108,7 +120,7 @@
 /// back in the queue aren't tried by each dispatch.
 bool sendIfPossible(const std::shared_ptr<Call> &call) {
   RequestLoop &rl = *call->Owner;
-  if (!call->Forecast || !pickBackend(rl, *call))
+  if (!call->Forecast || !pickTarget(rl, *call))
     return false;
   dequeue(rl, *call);
   dispatchCall(call);
@@ -196,10 +208,9 @@
   countAttempt(rl.Metrics, toString(end));
   if (!rl.Log.logsCalls())
     return;
-  const BackendState *b = backendOf(rl, call);
   EventLine line = eventLine("attempt_end");
   add(line, "call", call.Id);
-  add(line, "backend", b ? b->Info.Name : std::string_view("gone"));
+  add(line, "backend", targetName(rl, call, "gone"));
   add(line, "result", toString(end));
   add(line, "why", reason);
   add(line, "again", std::int64_t{retrying ? 1 : 0});
@@ -286,11 +297,18 @@
   call->Work = parseCallWork(*call, rl.Names);
   c.ActiveCall = call;
   ++rl.ActiveCalls;
-  std::optional<Denial> denial = routeCall(rl, *call);
-  call->Deadline = deadlineOf(*call, rl.Names);
+  call->FromPeer = c.FromPeer;
+  rl.RelayedCalls += call->FromPeer ? 1 : 0;
+  std::optional<Denial> denial;
+  if (call->FromPeer) {
+    denial = readRelayedPlan(rl, *call);
+  } else {
+    denial = routeCall(rl, *call);
+    call->Deadline = deadlineOf(*call, rl.Names);
+  }
   if (!denial && !acceptsCall(rl, *call))
     denial = Denial{503, "stopping", ShutdownRetryAfter};
-  if (!denial)
+  if (!denial && !call->FromPeer)
     denial = chargeCall(rl, *call);
   if (denial) {
     respondAndEnd(call, CallEnd::Refused, denial->Status, denial->Reason,
@@ -299,8 +317,9 @@
   }
   call->Work.Traits.push_back(fingerprintOf(*call));
   countArrival(rl.Pools[call->Plan.Pool].Arrivals, rl.EventLoop.Now);
-  countFirstSend(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries,
-                 rl.EventLoop.Now);
+  if (!call->FromPeer)
+    countFirstSend(rl.Pools[call->Plan.Pool].Retries, rl.Settings.Retries,
+                   rl.EventLoop.Now);
   dispatchCall(call);
 }
 
@@ -328,8 +347,8 @@
 void dispatchCall(const std::shared_ptr<Call> &call) {
   RequestLoop &rl = *call->Owner;
   call->Phase = CallPhase::Waiting;
-  if (call->Plan.Version !=
-      rl.Board.PlanVersion.load(std::memory_order_acquire)) {
+  if (!call->FromPeer && call->Plan.Version != rl.Board.PlanVersion.load(
+                                                   std::memory_order_acquire)) {
     if (const auto denial = routeCall(rl, *call)) {
       if (call->Facts.ResponseStarted)
         abortStream(call, denial->Reason);
@@ -345,7 +364,12 @@
     refuse(call, "call in quarantine", QuarantineRetryAfter);
     return;
   }
-  BackendState *to = pickBackend(rl, *call);
+  BackendState *to = pickTarget(rl, *call);
+  if (!to && call->FromPeer &&
+      rl.Pools[call->Plan.Pool].Reach.State != PoolReach::Reached) {
+    refuse(call, "pool isn't reached from here");
+    return;
+  }
   if (!to) {
     enqueue(rl, *call);
     if (!waitByForecast(call))
@@ -356,12 +380,14 @@
     recordForecastError(rl.Metrics, call->ForecastStart - rl.EventLoop.Now);
   call->LastBackend = to->Info.Id;
   call->TriedBackends.push_back(call->LastBackend);
+  call->ThroughPeer = to->IsPeer;
+  call->AttemptsCharged = to->IsPeer ? attemptsForPeer(call->Facts) : 1;
   if (!sendCall(rl, call, *to)) {
     refuse(call, "no socket left");
     return;
   }
   call->Phase = CallPhase::Sent;
-  ++call->Facts.SentAttempts;
+  call->Facts.SentAttempts += call->AttemptsCharged;
   if (call->Plan.Cost > 0 && !call->CostReported)
     recordSpent(rl.Allowances[call->Plan.Workspace], call->Plan.Cost);
   call->CostReported = true;
@@ -369,8 +395,11 @@
 }
 
 bool canRetry(RequestLoop &rl, const Call &call) {
-  return call.Caller && rl.EventLoop.Now < call.Deadline &&
-         mayRetry(call.Facts, AttemptEnd::Lost) &&
+  if (!call.Caller || rl.EventLoop.Now >= call.Deadline)
+    return false;
+  if (call.SenderKeepsAttempt)
+    return true;
+  return mayRetry(call.Facts, AttemptEnd::Lost) &&
          hasRetryBudget(rl.Pools[call.Plan.Pool].Retries, ownRetryLimits(rl),
                         rl.EventLoop.Now);
 }
@@ -398,7 +427,7 @@
     recordMoveStats(rl, *call, true);
   }
   if (end == AttemptEnd::NotSent) {
-    --facts.SentAttempts;
+    facts.SentAttempts -= call->AttemptsCharged;
     ++facts.UnreachableAttempts;
   }
   facts.HasTimeLeft = rl.EventLoop.Now < call->Deadline;
@@ -434,6 +463,11 @@
 void onResponse(const std::shared_ptr<Call> &call, const MessageHead &head,
                 std::string_view body) {
   RequestLoop &rl = *call->Owner;
+  if (const auto end = call->ThroughPeer ? relayOutcome(head) : std::nullopt) {
+    recordRelayEnd(rl, *call, head, *end);
+    onAttemptEnd(call, *end, "relay " + std::to_string(head.Status));
+    return;
+  }
   BackendState *b = backendOf(rl, *call);
   if (findField(head.Fields, rl.Names.NotRun) || head.Status == 421) {
     if (b && head.Status == 421)
@@ -551,6 +585,7 @@
   call->Phase = CallPhase::Ended;
   disarm(rl.EventLoop, call->Timer);
   --rl.ActiveCalls;
+  rl.RelayedCalls -= call->FromPeer ? 1 : 0;
   if (end == CallEnd::Refused && call->Plan.Cost > 0 && !call->CostReported)
     refundAllowance(rl.Allowances[call->Plan.Workspace], call->Plan.Cost);
   countCall(rl.Metrics, call->Facts.Kind, toString(end), status);
@@ -559,7 +594,6 @@
   recordQueueTime(rl.Metrics, call->Facts.Kind, call->QueueTime);
   if (!rl.Log.logsCalls())
     return;
-  const BackendState *b = backendOf(rl, *call);
   EventLine line = eventLine("call_end");
   add(line, "call", call->Id);
   add(line, "end", toString(end));
@@ -567,7 +601,8 @@
   add(line, "why", reason);
   add(line, "route", call->Plan.Route);
   add(line, "workspace", call->Plan.WorkspaceName);
-  add(line, "backend", b ? b->Info.Name : std::string_view());
+  add(line, "backend", targetName(rl, *call, ""));
+  add(line, "relayed", std::int64_t{call->FromPeer ? 1 : 0});
   add(line, "sent", std::int64_t{call->Facts.SentAttempts});
   add(line, "queue_ms", call->QueueTime);
   if (end == CallEnd::Refused && call->Forecast)
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -1,6 +1,7 @@
 // The back ends of each pool: choice, queue, measurements and ejection.
 #include "zinniagauge/decide/share_gate.h"
 #include "zinniagauge/decide/zone_evacuation.h"
+#include "zinniagauge/front/relay.h"
 #include "zinniagauge/front/reported_load.h"
 #include "zinniagauge/front/request_loop.h"
 
@@ -296,6 +297,15 @@
   return at ? rl.Backends[rl.Candidates[*at].Id].get() : nullptr;
 }
 
+BackendState *pickTarget(RequestLoop &rl, const Call &call) {
+  const PoolReach reach = poolOf(rl, call.Plan.Pool).Reach.State;
+  if (reach == PoolReach::Reached || (rl.Peers.empty() && !call.FromPeer))
+    return pickBackend(rl, call);
+  BackendState *to =
+      reach == PoolReach::NoNewConnections ? pickBackend(rl, call) : nullptr;
+  return to ? to : pickRelayPeer(rl, call);
+}
+
 std::uint64_t tokensAhead(const RequestLoop &rl, const BackendState &to) {
   const ReadGuard guard;
   return to.PendingTokens +
@@ -384,7 +394,7 @@
       ++at;
       continue;
     }
-    if (!pickBackend(rl, call)) {
+    if (!pickTarget(rl, call)) {
       ++skipped;
       ++at;
       continue;
@@ -443,6 +453,8 @@
 }
 
 void recordWrongAnswer(RequestLoop &rl, BackendState &to) {
+  if (to.IsPeer)
+    return;
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
       recordWrongAnswer(to.Results, pool.Results, rl.Outliers,
@@ -451,6 +463,10 @@
 }
 
 void recordLostConnection(RequestLoop &rl, BackendState &to) {
+  if (to.IsPeer) {
+    passOverPeer(rl, to);
+    return;
+  }
   recordUnreachable(rl, to);
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -1,6 +1,7 @@
 // The request loop's timers, and what it publishes on the board.
 #include "zinniagauge/front/request_loop.h"
 
+#include "zinniagauge/front/relay.h"
 #include "zinniagauge/front/reported_load.h"
 
 #include <algorithm>
@@ -100,6 +101,8 @@
   setGauge(rl.Metrics, "callers", static_cast<double>(rl.Callers.size()));
   setGauge(rl.Metrics, "links",
            static_cast<double>(rl.BackendConnections.size()));
+  setGauge(rl.Metrics, "relay_peers", static_cast<double>(rl.Peers.size()));
+  setGauge(rl.Metrics, "relayed_calls", static_cast<double>(rl.RelayedCalls));
   setReportGauges(rl);
   setGauge(rl.Metrics, "log_lines_dropped",
            static_cast<double>(rl.Log.dropped()));
@@ -119,6 +122,7 @@
     rl.Limits = rl.Board.Plan.read(guard).Limits;
   }
   refreshBackends(rl);
+  refreshRelayPeers(rl);
   updateCrashes(rl);
   updateLimits(rl);
   onDispatchTimer(&rl, rl.EventLoop.Now);
@@ -154,6 +158,7 @@
   arm(rl.EventLoop, rl.TrackTimer, rl.EventLoop.Now + TrackPeriod);
   arm(rl.EventLoop, rl.HousekeepingTimer,
       rl.EventLoop.Now + HousekeepingPeriod);
+  BOOST_LEAF_CHECK(listenForPeers(rl));
   return listenForCallers(rl);
 }
 
--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -57,6 +57,7 @@
     return;
   }
   stopListening(rl.Listening);
+  stopListening(rl.PeerListening);
   refuseWaitingCalls(rl, "stopping");
   endSentCalls(rl, "stopping");
   closeIdleCallers(rl);
@@ -82,6 +83,8 @@
 bool acceptsCall(const RequestLoop &rl, const Call &call) {
   if (!rl.Board.Stopping)
     return true;
+  if (call.FromPeer)
+    return false; // Another front can serve it.
   return rl.EventLoop.Now - rl.StoppingSince < LongCallAcceptTime ||
          (call.Facts.Kind != CallKind::Stream &&
           call.Deadline <= closingTime(rl));
--- a/tests/support/tested_front_loop.cpp
+++ b/tests/support/tested_front_loop.cpp
@@ -143,7 +143,11 @@
                     sizeof sa) == 0);
 }
 
-void TestedFrontLoop::step() { runOnce(Rl->EventLoop); }
+void TestedFrontLoop::step() {
+  runOnce(Rl->EventLoop);
+  for (TestedFrontLoop *other : Others)
+    runOnce(other->Rl->EventLoop);
+}
 
 void TestedFrontLoop::wait(Duration span) {
   const Time end = monotonicNow() + span;
--- a/tests/support/tested_front_loop.h
+++ b/tests/support/tested_front_loop.h
@@ -47,7 +47,7 @@
 struct TestedFrontLoop {
   explicit TestedFrontLoop(std::size_t backends);
 
-  /// Runs one iteration of the loop.
+  /// Runs one iteration of the loop and of those of Others.
   void step();
   /// Runs the loop for \p span.
   void wait(Duration span);
@@ -77,6 +77,7 @@
   std::vector<TestBackend> Backends;
   TestSocket Caller;
   std::vector<TestSocket> EarlierCallers;
+  std::vector<TestedFrontLoop *> Others; // Run together with this one.
 };
 
 } // namespace zinniagauge::testing
