--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -309,10 +309,10 @@
 TEST_CASE("a relayed call that can't be served is refused at once",
           "[front][relay]") {
   ServingFront f(1);
+  const ServingFront other(1);
   std::string reason;
   SECTION("its pool isn't known") { reason = "unknown pool"; }
   SECTION("its pool isn't reached, and calls aren't relayed on") {
-    ServingFront other(1);
     f.Board.RelayPeers.publish({{other.peer()}});
     refreshRelayPeers(*f.Rl);
     f.Rl->Pools[Model].Reach.State = PoolReach::Unreached;
@@ -339,6 +339,31 @@
   CHECK(f.accept(0).Fd < 0);
 }
 
+TEST_CASE("the connections of other fronts are bounded", "[front][relay]") {
+  ServingFront f(1);
+  f.Rl->Settings.MaxDescriptors = 64;
+  std::vector<TestSocket> conns;
+  for (int n = 0; n < 24; ++n) {
+    conns.push_back(connectTo(f.Rl->Settings.RelayAddress));
+    f.step();
+  }
+  CHECK(f.Rl->PeerConnections == 16);
+  conns.clear();
+  f.wait(milliseconds(10));
+  CHECK(f.Rl->PeerConnections == 0);
+}
+
+// Guards against a request whose header is as large as callers' may be failing
+// between the fronts, where it has more fields.
+TEST_CASE("the largest header of a caller is relayed", "[front][relay]") {
+  TwoFronts f;
+  f.Own.Rl->Limits.MaxHeadBytes = f.Peer.Rl->Limits.MaxHeadBytes = 1000;
+  f.Own.request("c-1", "X-Long: " + std::string(880, 'x') + "\r\n",
+                "/unsafe/x");
+  const TestSocket conn = f.Peer.acceptAny().second;
+  CHECK(has(f.Peer.receive(conn, "\r\n\r\n"), "X-Long: xxx"));
+}
+
 TEST_CASE("a call that a front hasn't run goes to another one",
           "[front][relay]") {
   PlayedPeers f(3);
