--- a/include/zinniagauge/decide/outlier.h
+++ b/include/zinniagauge/decide/outlier.h
@@ -53,6 +53,11 @@
 bool recordWrongAnswer(ResultStats &stats, ResultStats &pool,
                        const OutlierLimits &lim, Time now) noexcept;
 
+/// Ends an ejection that began at \p since or later, as what caused it wasn't
+/// the back end's fault, and forgets the connections lost in a row.
+void revokeEjection(ResultStats &stats, const OutlierLimits &lim,
+                    Time since) noexcept;
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_DECIDE_OUTLIER_H
--- a/src/decide/outlier.cpp
+++ b/src/decide/outlier.cpp
@@ -57,4 +57,15 @@
   return recordLostConnection(stats, lim, now);
 }
 
+void revokeEjection(ResultStats &stats, const OutlierLimits &lim,
+                    Time since) noexcept {
+  stats.ConsecutiveLosses = 0;
+  if (stats.EjectedUntil - stats.EjectionTime < since)
+    return;
+  stats.EjectedUntil = Time();
+  stats.EjectionTime = stats.EjectionTime <= lim.InitialEjection
+                           ? Duration::zero()
+                           : stats.EjectionTime / 2;
+}
+
 } // namespace zinniagauge
