Record nothing against back ends that a front can't reach

A front whose connections to all back ends are reset and refused recorded a crash for each sound prompt that ran, told all fronts, and counted the lost calls as failures of a version in roll-out. Crashes and version failures now count only once a connection that was opened after the loss is established; if calls open none within 50 ms, the front checks a back end. They are dropped after 700 ms, or once the pool is unreached. Ejections and cold marks of the time are revoked.

On a change of the state the front closes its dead idle connections, logs, publishes the pools that it can't reach and dispatches the queue; while only older connections work, calls are sent over idle ones.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -75,6 +75,7 @@
   LoopTimer ConnectTimer;
   LoopTimer SilenceTimer; // Only for a call that is safe to retry.
   Time LastByteAt;
+  Time OpenedAt;
 };
 
 /// The state of one back end in the request loop.
@@ -115,6 +116,28 @@
   double OwnPerSecond = 0;           // The part of this front.
 };
 
+/// Crashes of calls' prompts at one back end that don't count yet.
+struct HeldCrashes {
+  std::string Backend; // Its name.
+  std::vector<CrashRecord> Records;
+  Time At; // Of the latest.
+};
+
+/// A failed request of a version that doesn't count yet.
+struct HeldFailure {
+  VersionStatsKey Key;
+  Time At;
+};
+
+/// Losses in one pool that count only once the front has reached some back end
+/// of the pool after them: they may be faults of the front's own network.
+struct HeldLosses {
+  std::vector<HeldCrashes> Crashes;
+  std::vector<HeldFailure> Failures;
+  /// When the newest connection that was established was opened.
+  Time ConfirmedUntil;
+};
+
 /// The state of one pool in the request loop.
 struct PoolState {
   std::vector<BackendState *> Backends;
@@ -133,6 +156,8 @@
   PoolColdLimit ColdLimit;
   bool StatesPace = false; // Some back end states its present pace.
   PoolReachability Reach;
+  Time ReachedSince; // It was unreached before; zero: never.
+  HeldLosses Held;
 };
 
 /// The state of the request loop. It belongs to the loop's thread.
@@ -178,6 +203,7 @@
   LoopTimer TrackTimer;
   LoopTimer LoadTimer;
   LoopTimer HousekeepingTimer;
+  LoopTimer ReachTimer;
   LoopTimer StopTimer;
   Time StoppingSince;
   std::function<void()>
@@ -337,6 +363,9 @@
 /// Called when \p to has refused a connection: it has crashed or left.
 void onBackendDown(RequestLoop &rl, BackendState &to);
 
+/// Records crashes that onBackendDown has found.
+void recordCrashes(RequestLoop &rl, const HeldCrashes &crashes);
+
 /// Whether a lost attempt of \p call isn't retried since its prompt may have
 /// crashed back ends before.
 [[nodiscard]] bool mayCrashAgain(const RequestLoop &rl, const Call &call);
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -1,8 +1,8 @@
 // Connections to back ends: sending requests and reading responses.
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/silence_timeout.h"
+#include "zinniagauge/front/reachability.h"
 #include "zinniagauge/front/reported_load.h"
-#include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -118,8 +118,9 @@
                  LossCause cause) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
+  const bool counts = lossCounts(conn);
   const std::shared_ptr<Call> call = closeConnection(conn);
-  if (cause == LossCause::Connection)
+  if (cause == LossCause::Connection && counts)
     recordLostConnection(rl, to);
   else if (cause == LossCause::WrongAnswer)
     recordWrongAnswer(rl, to);
@@ -330,14 +331,17 @@
   }
   // If the call can't be retried it keeps waiting: a silent back end may still
   // respond.
-  if (canRetry(*conn.Owner, *conn.ActiveCall))
-    failAttempt(conn, "back end fell silent", LossCause::Connection);
+  if (!canRetry(*conn.Owner, *conn.ActiveCall))
+    return;
+  onBackendSilent(conn);
+  failAttempt(conn, "back end fell silent", LossCause::Connection);
 }
 
 std::size_t onBackendData(void *ctx, std::string_view part) {
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   conn.LastByteAt = conn.Owner->EventLoop.Now;
   conn.Target->LastByteAt = conn.LastByteAt;
+  onBackendBytes(conn);
   if (!conn.ActiveCall) {
     EventLine line = eventLine("unasked_bytes");
     add(line, "backend", conn.Target->Info.Name);
@@ -365,6 +369,7 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   disarm(conn.Owner->EventLoop, conn.ConnectTimer);
   conn.Target->UnconfirmedCrashes.clear();
+  onBackendReached(conn);
   const bool postponed = conn.Target->Asked.RetryAt > conn.Owner->EventLoop.Now;
   if (isUsable(*conn.Target) && !(conn.ActiveCall && postponed)) {
     if (!conn.ActiveCall)
@@ -383,17 +388,23 @@
 void onUnreachable(BackendConnection &conn, std::string_view reason) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
+  const bool counts = lossCounts(conn);
   const std::shared_ptr<Call> call = closeConnection(conn);
-  recordLostConnection(rl, to);
+  if (counts)
+    recordLostConnection(rl, to);
   if (call)
     onAttemptEnd(call, AttemptEnd::NotSent, reason);
 }
 
-void onBackendEnd(void *ctx, ConnectionEnd how, int /*err*/) {
+void onBackendEnd(void *ctx, ConnectionEnd how, int err) {
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   if (how == ConnectionEnd::Refused) {
-    recordUnreachable(*conn.Owner, *conn.Target);
+    onConnectFailed(*conn.Owner, *conn.Target, conn.OpenedAt);
+    if (lossCounts(conn))
+      recordUnreachable(*conn.Owner, *conn.Target);
     onBackendDown(*conn.Owner, *conn.Target);
+  } else if (how == ConnectionEnd::Reset) {
+    onBackendReset(conn, err);
   }
   if (!conn.ActiveCall) {
     removeConnection(conn);
@@ -424,6 +435,7 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   // Its machine or the network is silent, which says nothing of a crash.
   conn.Target->UnconfirmedCrashes.clear();
+  onConnectFailed(*conn.Owner, *conn.Target, conn.OpenedAt);
   onUnreachable(conn, "no connection in time");
 }
 
@@ -462,9 +474,15 @@
   conn->ConnectTimer.Ctx = conn.get();
   conn->SilenceTimer.Fn = onSilenceTimer;
   conn->SilenceTimer.Ctx = conn.get();
+  conn->OpenedAt = rl.EventLoop.Now;
   if (!openConnection(conn->Tcp, rl.EventLoop, to.Info.Address, AckTimeout,
-                      BackendHandlers, conn.get()))
+                      BackendHandlers, conn.get())) {
+    const int err = errno;
+    if (err == ECONNREFUSED || err == ENETUNREACH || err == EHOSTUNREACH)
+      onConnectFailed(rl, to, rl.EventLoop.Now);
+    errno = err;
     return nullptr;
+  }
   countConnection(rl.Metrics);
   arm(rl.EventLoop, conn->ConnectTimer, rl.EventLoop.Now + ConnectTimeout);
   rl.BackendConnections.emplace(conn.get(), conn);
@@ -474,6 +492,17 @@
 
 } // namespace
 
+bool hasIdleConnection(const RequestLoop &rl, const BackendState &to,
+                       const Call &call) {
+  const auto &list = to.IdleConnections;
+  const auto it = std::find_if(list.rbegin(), list.rend(), [&](const auto *c) {
+    return rl.EventLoop.Now - c->IdleSince <= c->KeepAliveTime;
+  });
+  return it != list.rend() && (*it)->LastCallId != call.Id &&
+         (isRetrySafe(call.Facts) ||
+          rl.EventLoop.Now - (*it)->IdleSince <= MaxIdleForUnsafe);
+}
+
 void checkBackend(RequestLoop &rl, BackendState &to) {
   if (openBackendConnection(rl, to))
     return;
@@ -585,6 +614,12 @@
     closeConnection(*call.Connection);
 }
 
+void closeIdleConnections(BackendState &to) {
+  const std::vector<BackendConnection *> idle = to.IdleConnections;
+  for (BackendConnection *conn : idle)
+    closeConnection(*conn);
+}
+
 void closeIdleConnections(RequestLoop &rl, Time now) {
   for (auto &[id, st] : rl.Backends) {
     const std::vector<BackendConnection *> idle = st->IdleConnections;
--- a/src/front/call_quarantine.cpp
+++ b/src/front/call_quarantine.cpp
@@ -1,6 +1,6 @@
 // Applies the quarantine to the calls of this front.
 #include "zinniagauge/decide/random.h"
-#include "zinniagauge/front/request_loop.h"
+#include "zinniagauge/front/reachability.h"
 
 #include <algorithm>
 
@@ -39,15 +39,15 @@
   scheduleLoadReport(rl);
 }
 
-/// Logs \p rec, one of the records \p all of the crash of \p at.
-void logCrash(RequestLoop &rl, const BackendState &at, const CrashRecord &rec,
+/// Logs \p rec, one of the records \p all of the crash of \p backend.
+void logCrash(RequestLoop &rl, std::string_view backend, const CrashRecord &rec,
               std::span<const CrashRecord> all) {
   std::vector<CallTraitId> traits;
   for (const CrashRecord &r : all)
     if (r.Call == rec.Call)
       traits.push_back(r.Trait);
   EventLine line = eventLine("crash_recorded");
-  add(line, "backend", at.Info.Name);
+  add(line, "backend", backend);
   add(line, "trait", static_cast<std::int64_t>(rec.Trait.Value));
   add(line, "whole_request", std::int64_t{isWholeRequest(rec.Trait) ? 1 : 0});
   add(line, "crashes",
@@ -97,7 +97,7 @@
 }
 
 void onConnectionLost(RequestLoop &rl, BackendState &to, const Call &call) {
-  if (call.WasAnswered)
+  if (call.WasAnswered || to.IsPeer)
     return;
   const bool checking = !to.UnconfirmedCrashes.empty();
   for (const CallTraitId trait : call.Work.Traits) {
@@ -113,14 +113,26 @@
 }
 
 void onBackendDown(RequestLoop &rl, BackendState &to) {
-  std::vector<CrashRecord> recorded = std::move(to.UnconfirmedCrashes);
+  HeldCrashes crashes;
+  crashes.Backend = to.Info.Name;
+  crashes.Records = std::move(to.UnconfirmedCrashes);
   to.UnconfirmedCrashes.clear();
+  std::erase_if(crashes.Records, [&](const CrashRecord &rec) {
+    return rl.EventLoop.Now - rec.At > MaxConfirmTime;
+  });
+  for (const CrashRecord &rec : crashes.Records)
+    crashes.At = std::max(crashes.At, rec.At);
+  if (!crashes.Records.empty())
+    recordOnceReached(rl, to, std::move(crashes));
+}
+
+void recordCrashes(RequestLoop &rl, const HeldCrashes &crashes) {
+  std::vector<CrashRecord> recorded = crashes.Records;
   std::erase_if(recorded, [&](const CrashRecord &rec) {
-    return rl.EventLoop.Now - rec.At > MaxConfirmTime ||
-           !recordCrash(rl.Crashes, rec);
+    return !recordCrash(rl.Crashes, rec);
   });
   for (const CrashRecord &rec : recorded)
-    logCrash(rl, to, rec, recorded);
+    logCrash(rl, crashes.Backend, rec, recorded);
   if (!recorded.empty())
     publishCrashes(rl);
 }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -1,6 +1,7 @@
 // The course of a call: its attempts, its retries and its end.
 #include "zinniagauge/front/admission.h"
 #include "zinniagauge/front/call_fingerprint.h"
+#include "zinniagauge/front/reachability.h"
 
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/random.h"
@@ -134,7 +135,7 @@
       refuseWaiting(call);
     return;
   }
-  recordMoveStats(*call->Owner, *call, true);
+  recordLostAttempt(*call->Owner, *call);
   abortTransfer(*call);
   respondAndEnd(call, CallEnd::TimedOut, 504, "time is over");
 }
@@ -395,7 +396,7 @@
   CallFacts &facts = call->Facts;
   if (end == AttemptEnd::Lost) {
     facts.MayHaveRun = true;
-    recordMoveStats(rl, *call, true);
+    recordLostAttempt(rl, *call);
   }
   if (end == AttemptEnd::NotSent) {
     --facts.SentAttempts;
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -1,8 +1,8 @@
 // The back ends of each pool: choice, queue, measurements and ejection.
 #include "zinniagauge/decide/share_gate.h"
 #include "zinniagauge/decide/zone_evacuation.h"
+#include "zinniagauge/front/reachability.h"
 #include "zinniagauge/front/reported_load.h"
-#include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
 #include <cmath>
@@ -105,6 +105,8 @@
     c.Usable = isUsable(*b) && !tried &&
                maySend(b->Asked, rl.Board.LivingFronts, rl.EventLoop.Now) &&
                nextColdSendAt(rl, pool, *b, boot) <= boot &&
+               (pool.Reach.State != PoolReach::NoNewConnections ||
+                hasIdleConnection(rl, *b, call)) &&
                !(skipejected && isEjected(b->Results, rl.EventLoop.Now));
     c.Contended = isContended(rl, pool, *b, c.Running, processes);
     c.SameZone = b->Info.Zone == zone;
