--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -1,5 +1,6 @@
 // The course of a call: its attempts, its retries and its end.
 #include "zinniagauge/front/call_fingerprint.h"
+#include "zinniagauge/front/reachability.h"
 #include "zinniagauge/front/relay.h"
 
 #include "zinniagauge/decide/complete_events.h"
@@ -146,7 +147,7 @@
       refuseWaiting(call);
     return;
   }
-  recordMoveStats(*call->Owner, *call, true);
+  recordLostAttempt(*call->Owner, *call);
   abortTransfer(*call);
   respondAndEnd(call, CallEnd::TimedOut, 504, "time is over");
 }
@@ -434,13 +435,9 @@
   if (!canRetry(rl, *call) || !takeRetryIfAllowed(rl, *call, AttemptEnd::Lost))
     return false;
   call->Facts.MayHaveRun = true;
-  recordMoveStats(rl, *call, true);
+  recordLostAttempt(rl, *call);
   logAttemptEnd(rl, *call, AttemptEnd::Lost, reason, true);
-  BackendState &from = *call->Connection->Target;
-  abortTransfer(*call);
-  // The back end is silent, not the other front.
-  if (!from.IsPeer)
-    recordLostConnection(rl, from);
+  giveUpSilent(*call->Connection);
   resetAttempt(rl, *call);
   recordChoice(*call, *next.Target);
   sendCallOver(next, call);
@@ -468,7 +465,7 @@
   CallFacts &facts = call->Facts;
   if (end == AttemptEnd::Lost) {
     facts.MayHaveRun = true;
-    recordMoveStats(rl, *call, true);
+    recordLostAttempt(rl, *call);
   }
   if (end == AttemptEnd::NotSent) {
     facts.SentAttempts -= call->AttemptsCharged;
