Test relay peers with rounds at different times

The fronts of the tests sent their rounds at the same time, so a change was known within one round even without a report of its own.

--- a/src/store/relay_lists.cpp
+++ b/src/store/relay_lists.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// Entries of a list at most. An entry takes some 40 bytes in a datagram.
+/// Entries of a list at most. An entry takes up to 40 bytes of a datagram.
 constexpr std::size_t MaxRelaysSent = 16;
 
 /// Minimum interval between two different lists to the same recipients.
@@ -23,8 +23,8 @@
 constexpr Duration SecondSendInterval = std::chrono::milliseconds(250);
 
 /// An unchanged list is sent again after the longer of these; the second is
-/// multiplied by the number of recipients. It bounds the bytes for 38 members
-/// to 6 KB a second.
+/// multiplied by the number of recipients. It bounds what unchanged lists cost
+/// to 6.4 KB a second for any number of recipients.
 constexpr Duration RepeatInterval = std::chrono::seconds(1);
 constexpr Duration RepeatIntervalPerRecipient = std::chrono::milliseconds(100);
 
--- a/tests/unit/relay_peers_test.cpp
+++ b/tests/unit/relay_peers_test.cpp
@@ -1,6 +1,7 @@
 // The lists of fronts that accept relayed calls: how they are encoded, selected
 // and passed on, and when entries end.
 #include "support/gossip_front.h"
+#include "zinniagauge/decide/random.h"
 #include "zinniagauge/decide/relay_selection.h"
 
 #include <catch2/catch.hpp>
@@ -36,6 +37,9 @@
   Fleet() {
     for (int n = 0; n < 4; ++n)
       add(n, static_cast<std::uint16_t>(701 + n));
+    // Their rounds are at different times.
+    for (int n = 0; n < 4; ++n)
+      at(n).advance(milliseconds(60) * n);
     advance(seconds(2));
   }
 
@@ -65,11 +69,12 @@
     return *Fronts.at(static_cast<std::size_t>(n));
   }
 
-  /// Lets all fronts run for \p span, except \p paused.
-  void advance(Duration span, int paused = -1) const {
+  /// Lets all fronts run for \p span, except those \p paused, whose clocks
+  /// stand still.
+  void advance(Duration span, const std::set<int> &paused = {}) const {
     for (Duration t{}; t < span; t += milliseconds(5))
       for (int n = 0; n < 4; ++n)
-        if (n != paused) {
+        if (!paused.contains(n)) {
           // Time spent in the test is no suspension.
           at(n).Ct->PeerGossip.ClockOffset = Duration::zero();
           at(n).receiveAll();
@@ -114,6 +119,14 @@
   CHECK(decodeReport(encodeReport(rep))->Relays == rep.Relays);
   rep.Relays = {relay(1), relay(2, "y", {PoolId{3}, PoolId{9}})};
   CHECK(decodeReport(encodeReport(rep))->Relays == rep.Relays);
+  // The largest list that is sent takes at most 40 bytes an entry.
+  rep.Relays.emplace();
+  const std::size_t empty = encodeReport(rep).size();
+  for (std::uint64_t n = 1; n <= 16; ++n) {
+    rep.Relays->push_back(relay(mix64(n)));
+    rep.Relays->back().Token = mix64(n + 100);
+  }
+  CHECK(encodeReport(rep).size() - empty <= 16 * 40);
 }
 
 TEST_CASE("relay peers out of range are ignored", "[gossip][relay]") {
@@ -210,6 +223,7 @@
   CHECK(fleet.at(3).Changes == changes); // Nothing new.
   for (const int cut : {2, 0}) {
     INFO(cut);
+    const int before = fleet.at(cut).Changes;
     for (const std::vector<PoolId> &pools :
          {std::vector{PoolId{5}}, std::vector{PoolId{5}, PoolId{6}},
           std::vector<PoolId>{}}) {
@@ -219,6 +233,7 @@
         if (n != cut)
           CHECK(fleet.known(n, cut)->Unreached == pools);
     }
+    CHECK(fleet.at(cut).Changes == before); // It knows of itself already.
   }
   CHECK(fleet.at(3).Changes > changes);
 }
@@ -238,10 +253,10 @@
 
 TEST_CASE("a silent front is no relay peer any more", "[gossip][relay]") {
   const Fleet fleet;
-  fleet.advance(milliseconds(1200), 2);
+  fleet.advance(milliseconds(1200), {2});
   CHECK(fleet.listings(2) == 3);
   // FrontTimeout, a round and the way to the others.
-  fleet.advance(milliseconds(900), 2);
+  fleet.advance(milliseconds(900), {2});
   CHECK(fleet.listings(2) == 0);
   CHECK(fleet.listings(3) == 2 + 1); // Front 2 still lists it.
   fleet.advance(milliseconds(1300));
@@ -256,23 +271,27 @@
   for (const int n : {0, 1, 3}) {
     REQUIRE(fleet.known(n, 2));
     CHECK(fleet.known(n, 2)->Token == 709);
+    CHECK(fleet.known(2, n)); // It has lost its list.
   }
 }
 
 TEST_CASE("relay peers outlast a change of the coordinator",
           "[gossip][relay]") {
   const Fleet fleet;
-  // The member of front 0 notices its silence after 0.7 s.
-  for (int n = 0; n < 28; ++n) {
-    fleet.advance(milliseconds(50), 0);
-    REQUIRE(fleet.known(2, 3));
-  }
+  // No other coordinator answers either, at first.
+  fleet.advance(milliseconds(1200), {0, 1});
+  CHECK(fleet.known(2, 3));
+  CHECK(fleet.known(3, 2));
+  // Both members report to front 1 now, for whose clock front 0 has just fallen
+  // silent.
+  fleet.advance(milliseconds(2000), {0});
   const Membership &ms = fleet.at(2).Ct->PeerGossip.Coordinator;
   CHECK(ms.Candidates.at(ms.Current).Node == "front-1");
-  fleet.advance(milliseconds(1000), 0);
   CHECK(fleet.known(2, 3));
   CHECK(fleet.known(3, 2));
   CHECK_FALSE(fleet.known(2, 0));
+  fleet.advance(milliseconds(1900), {0, 1});
+  CHECK_FALSE(fleet.known(2, 3));
 }
 
 TEST_CASE("after a suspension no relay peer from before counts",
