--- a/tests/unit/reachability_test.cpp
+++ b/tests/unit/reachability_test.cpp
@@ -2,6 +2,7 @@
 // records.
 #include "support/tested_front_loop.h"
 #include "zinniagauge/decide/reachability.h"
+#include "zinniagauge/net/socket_address.h"
 
 #include <catch2/catch.hpp>
 
@@ -386,6 +387,47 @@
   CHECK(published(f).empty());
 }
 
+namespace {
+
+/// Fills the backlog of back end \p n, so that further connections to it hang.
+/// Returns the connections that fill it.
+std::vector<TestSocket> dropConnections(TestedFrontLoop &f, std::size_t n) {
+  const TestSocket &listener = f.Backends.at(n).Listener;
+  REQUIRE(::listen(listener.Fd, 0) == 0);
+  const sockaddr_in sa = socketAddress(addressOf(listener.Fd));
+  std::vector<TestSocket> out;
+  for (int count = 0; count < 4; ++count) {
+    out.emplace_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    static_cast<void>(::connect(
+        out.back().Fd, reinterpret_cast<const sockaddr *>(&sa), sizeof sa));
+  }
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("a front whose connections hang finds that it can't reach their "
+          "pool, and that it can again",
+          "[reach][front]") {
+  TestedFrontLoop f(3);
+  std::vector<std::vector<TestSocket>> fillers;
+  for (std::size_t n = 0; n < 3; ++n)
+    fillers.push_back(dropConnections(f, n));
+  const Time cut = monotonicNow();
+  f.request("c-1");
+  REQUIRE(waitFor(f, PoolReach::Unreached, seconds(3)));
+  CHECK(monotonicNow() - cut >= seconds(1));
+  CHECK(published(f) == std::vector<PoolId>{Model});
+  const Time end = monotonicNow() + seconds(3);
+  fillers.clear();
+  while (stateOf(f) != PoolReach::Reached && monotonicNow() < end) {
+    for (const TestBackend &b : f.Backends)
+      TestSocket(::accept(b.Listener.Fd, nullptr, nullptr)).reset();
+    f.step();
+  }
+  CHECK(published(f).empty());
+}
+
 TEST_CASE("a front that one of three back ends refuses reaches their pool",
           "[reach][front]") {
   TestedFrontLoop f(3);
