Record a crash of a pool's only back end once that was restarted

No other back end can show that a pool of one is reached, so a crash there would never have counted. Its entry under a later start time shows it: the list of back ends comes from the table service, which a front that is cut off from them still reads.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -119,8 +119,12 @@
 /// Crashes of calls' prompts at one back end that don't count yet.
 struct HeldCrashes {
   std::string Backend; // Its name.
+  std::uint64_t StartedAtMs = 0;
   std::vector<CrashRecord> Records;
   Time At; // Of the latest.
+  /// No other back end was usable, so none can show that the pool is reached.
+  /// Its restart shows that it has crashed.
+  bool AwaitsRestart = false;
 };
 
 /// A failed request of a version that doesn't count yet.
--- a/src/front/call_quarantine.cpp
+++ b/src/front/call_quarantine.cpp
@@ -115,6 +115,7 @@
 void onBackendDown(RequestLoop &rl, BackendState &to) {
   HeldCrashes crashes;
   crashes.Backend = to.Info.Name;
+  crashes.StartedAtMs = to.Info.StartedAtMs;
   crashes.Records = std::move(to.UnconfirmedCrashes);
   to.UnconfirmedCrashes.clear();
   std::erase_if(crashes.Records, [&](const CrashRecord &rec) {
--- a/src/front/reachability.cpp
+++ b/src/front/reachability.cpp
@@ -12,6 +12,10 @@
 /// the front itself may have been cut off for a moment.
 constexpr Duration MaxHoldTime = std::chrono::milliseconds(700);
 
+/// A back end that is listed anew later than this after a crash may have been
+/// restarted for another reason.
+constexpr Duration MaxRestartTime = std::chrono::seconds(20);
+
 /// A connection that is opened for other reasons often shows soon after a loss
 /// that the pool is reached; a check isn't necessary then.
 constexpr Duration ConfirmDelay = std::chrono::milliseconds(50);
@@ -49,27 +53,49 @@
   return at <= pool.Held.ConfirmedUntil;
 }
 
+/// Whether \p crashes count, as their back end was restarted.
+bool isConfirmed(const PoolState &pool, const HeldCrashes &crashes) {
+  if (!crashes.AwaitsRestart)
+    return isConfirmed(pool, crashes.At);
+  return std::any_of(pool.Backends.begin(), pool.Backends.end(),
+                     [&](const BackendState *b) {
+                       return b->Info.Name == crashes.Backend &&
+                              b->Info.StartedAtMs > crashes.StartedAtMs;
+                     });
+}
+
+/// Whether what happened at \p at can't count any more.
+bool isOutdated(const RequestLoop &rl, const PoolState &pool, Time at) {
+  return pool.Reach.State != PoolReach::Reached ||
+         rl.EventLoop.Now - at > MaxHoldTime;
+}
+
 /// Records the losses that count by now and drops those that won't.
 void releaseHeld(RequestLoop &rl, PoolState &pool) {
-  const auto outdated = [&](const auto &held) {
-    return pool.Reach.State != PoolReach::Reached ||
-           rl.EventLoop.Now - held.At > MaxHoldTime;
-  };
-  const auto confirmed = [&](const auto &held) {
-    return isConfirmed(pool, held.At);
-  };
   HeldLosses &losses = pool.Held;
-  std::erase_if(losses.Crashes, outdated);
-  std::erase_if(losses.Failures, outdated);
-  for (const HeldCrashes &held : losses.Crashes)
-    if (confirmed(held))
+  std::erase_if(losses.Crashes, [&](const HeldCrashes &held) {
+    return held.AwaitsRestart ? rl.EventLoop.Now - held.At > MaxRestartTime
+                              : isOutdated(rl, pool, held.At);
+  });
+  std::erase_if(losses.Failures, [&](const HeldFailure &held) {
+    return isOutdated(rl, pool, held.At);
+  });
+  std::erase_if(losses.Crashes, [&](const HeldCrashes &held) {
+    const bool counts = isConfirmed(pool, held);
+    if (counts)
       recordCrashes(rl, held);
-  for (const HeldFailure &held : losses.Failures)
-    if (confirmed(held))
+    return counts;
+  });
+  std::erase_if(losses.Failures, [&](const HeldFailure &held) {
+    const bool counts = isConfirmed(pool, held.At);
+    if (counts)
       recordFailure(rl, held.Key);
-  std::erase_if(losses.Crashes, confirmed);
-  std::erase_if(losses.Failures, confirmed);
-  pool.Reach.Confirming = !losses.Crashes.empty() || !losses.Failures.empty();
+    return counts;
+  });
+  pool.Reach.Confirming =
+      !losses.Failures.empty() ||
+      std::any_of(losses.Crashes.begin(), losses.Crashes.end(),
+                  [](const HeldCrashes &held) { return !held.AwaitsRestart; });
 }
 
 void holdLosses(RequestLoop &rl, PoolState &pool) {
@@ -244,8 +270,11 @@
     recordCrashes(rl, crashes);
     return;
   }
+  crashes.AwaitsRestart = usableBackends(*pool).size() <= 1;
+  const bool check = !crashes.AwaitsRestart;
   pool->Held.Crashes.push_back(std::move(crashes));
-  holdLosses(rl, *pool);
+  if (check)
+    holdLosses(rl, *pool);
 }
 
 void recordLostAttempt(RequestLoop &rl, Call &call) {
--- a/tests/unit/reachability_test.cpp
+++ b/tests/unit/reachability_test.cpp
@@ -458,6 +458,21 @@
   CHECK(f.Rl->Crashes.Crashes.empty());
 }
 
+TEST_CASE("a crash of the only back end counts once that was restarted",
+          "[reach][front]") {
+  TestedFrontLoop f(1);
+  std::vector<TestSocket> conns = runCalls(f, "/unsafe/x");
+  stopListening(f, 0);
+  conns.clear();
+  REQUIRE(waitFor(f, PoolReach::Unreached, seconds(3)));
+  CHECK(f.Rl->Crashes.Crashes.empty());
+  f.Backends.at(0).Info.StartedAtMs = 1;
+  f.Backends.at(0).Info.Id = EndpointId::of("b-0@1");
+  listenAgain(f, 0);
+  CHECK(waitFor(f, PoolReach::Reached, seconds(3)));
+  CHECK_FALSE(f.Rl->Crashes.Crashes.empty());
+}
+
 TEST_CASE("a front that is cut off by resets holds nothing against a version",
           "[reach][front][move]") {
   TestedFrontLoop f(4);
