--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -238,11 +238,20 @@
                    rl.EventLoop.Now);
 }
 
+/// The facts of a relayed call, with the attempt that the front which relayed
+/// it keeps for the loss of this one.
+CallFacts withSendersAttempt(const Call &call) {
+  CallFacts facts = call.Facts;
+  facts.MaxAttempts += call.SenderKeepsAttempt ? 1 : 0;
+  return facts;
+}
+
 /// Whether \p call could be retried if its attempt were lost now.
 bool canRetry(const RequestLoop &rl, const Call &call) {
   const auto pool = rl.Pools.find(call.Plan.Pool);
   return call.Caller && rl.EventLoop.Now < call.Deadline &&
-         mayRetry(call.Facts, AttemptEnd::Lost) && !mayCrashAgain(rl, call) &&
+         mayRetry(withSendersAttempt(call), AttemptEnd::Lost) &&
+         !mayCrashAgain(rl, call) &&
          traitStatus(rl, call) != TraitStatus::Quarantined &&
          pool != rl.Pools.end() &&
          hasRetryBudget(pool->second.Retries, ownRetryLimits(rl),
@@ -432,7 +441,13 @@
 bool takeOver(BackendConnection &next, const std::shared_ptr<Call> &call,
               std::string_view reason) {
   RequestLoop &rl = *call->Owner;
-  if (!canRetry(rl, *call) || !takeRetryIfAllowed(rl, *call, AttemptEnd::Lost))
+  if (!canRetry(rl, *call))
+    return false;
+  if (!mayRetry(call->Facts, AttemptEnd::Lost)) {
+    call->Facts = withSendersAttempt(*call);
+    call->SenderKeepsAttempt = false;
+  }
+  if (!takeRetryIfAllowed(rl, *call, AttemptEnd::Lost))
     return false;
   call->Facts.MayHaveRun = true;
   recordLostAttempt(rl, *call);
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -32,6 +32,25 @@
   return address.value_or(PeerAddress{});
 }
 
+/// Without an address of its own, relaying uses the first port of the free ones
+/// that neither the metrics nor the reports between fronts use.
+void readRelayAddress(JsonReader &rd, FrontSettings &set) {
+  set.RelayAddress = readAddress(rd, "relay", true);
+  constexpr double MaxPort = 65535;
+  const auto first =
+      static_cast<unsigned>(rd.realNumber("first_free_port", 0, MaxPort, 0));
+  const auto last =
+      static_cast<unsigned>(rd.realNumber("last_free_port", 0, MaxPort, 0));
+  if (set.RelayAddress.Port != 0 || first == 0)
+    return;
+  for (unsigned port = first; port <= last; ++port)
+    if (port != set.Metrics.Port && port != set.GossipAddress.Port) {
+      set.RelayAddress = {set.GossipAddress.Ip,
+                          static_cast<std::uint16_t>(port)};
+      return;
+    }
+}
+
 EventLevel readLogLevel(JsonReader &rd) {
   const std::string text = rd.optionalText("log_level");
   if (text == "changes")
@@ -94,7 +113,7 @@
     set.Status = readAddress(rd, "status");
     set.Metrics = readAddress(rd, "metrics");
     set.GossipAddress = readAddress(rd, "peers");
-    set.RelayAddress = readAddress(rd, "relay", true);
+    readRelayAddress(rd, set);
     set.TableServiceAddress = readAddress(rd, "table");
     readLimits(rd, set);
     set.LogLevel = readLogLevel(rd);
--- a/src/front/reachability.cpp
+++ b/src/front/reachability.cpp
@@ -251,7 +251,10 @@
 }
 
 void onBackendSilent(BackendConnection &conn) {
-  recordLossOf(conn, conn.LastByteAt);
+  // With a connection established since, only the back end is silent.
+  const PoolState *pool = poolOf(*conn.Owner, *conn.Target);
+  if (pool && pool->Reach.LastConnectedAt <= conn.LastByteAt)
+    recordLossOf(conn, conn.LastByteAt);
 }
 
 bool lossCounts(const BackendConnection &conn) {
--- a/src/front/relay_client.cpp
+++ b/src/front/relay_client.cpp
@@ -179,9 +179,9 @@
   if (end == AttemptEnd::NotSent)
     call.RefusedBy.push_back(call.LastBackend);
   else
-    call.Facts.SentAttempts -=
-        call.AttemptsCharged -
-        std::min(relayAttempts(head), call.AttemptsCharged);
+    call.Facts.SentAttempts +=
+        std::min(relayAttempts(head), call.Facts.MaxAttempts) -
+        call.AttemptsCharged;
 }
 
 } // namespace zinniagauge
