--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -70,3 +70,23 @@
   doc["cold_slack"] = -5;
   CHECK_FALSE(parsed(doc));
 }
+
+TEST_CASE("relaying uses a free port that no other listener has",
+          "[settings]") {
+  json doc = validSettings();
+  doc.erase("relay");
+  doc.erase("first_free_port");
+  doc.erase("last_free_port");
+  REQUIRE(parsed(doc));
+  CHECK(parsed(doc)->RelayAddress.Port == 0);
+  const PeerAddress metrics = parsed(doc)->Metrics;
+  const PeerAddress peers = parsed(doc)->GossipAddress;
+  doc["first_free_port"] = metrics.Port;
+  doc["last_free_port"] = metrics.Port + 9;
+  const PeerAddress relay = parsed(doc)->RelayAddress;
+  CHECK(relay.Port > metrics.Port);
+  CHECK(relay.Port != peers.Port);
+  CHECK(relay.Ip == peers.Ip);
+  doc["last_free_port"] = metrics.Port;
+  CHECK(parsed(doc)->RelayAddress.Port == 0);
+}
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -198,6 +198,30 @@
   CHECK(has(f.Own.receive(f.Own.Caller, "\r\n\r\nok"), "s.c-2"));
 }
 
+TEST_CASE("a front that has lost all back ends serves its callers",
+          "[front][relay]") {
+  TwoFronts f;
+  f.Own.Rl->Pools[Model].Reach = {};
+  // Calls fail until the front has concluded that it is cut off.
+  const Time end = monotonicNow() + std::chrono::seconds(3);
+  for (int n = 0;
+       f.Own.Board.OwnUnreached.copy().Pools.empty() && monotonicNow() < end;
+       ++n) {
+    f.Own.useNewCaller();
+    f.Own.request("early-" + std::to_string(n), {}, "/unsafe/x");
+    f.Own.wait(milliseconds(100));
+  }
+  REQUIRE(f.Own.Board.OwnUnreached.copy().Pools == std::vector{Model});
+  f.Own.useNewCaller();
+  f.Own.request("late", {}, "/unsafe/x");
+  const auto [at, conn] = f.Peer.acceptAny();
+  while (!has(f.Peer.receive(conn, "\r\n\r\n"), "late") &&
+         monotonicNow() < end) {
+  }
+  f.Peer.send(conn, plain("late"));
+  CHECK(f.Own.receive(f.Own.Caller, "ok").starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("a relayed request states the plan, the time and attempts left",
           "[front][relay]") {
   PlayedPeers f(1);
