Apply what back ends ask for in responses that another front passes on

A front that relays a call passes the back end's response on to its caller, with what the back end asks of its senders in it: that it leaves, a limit of calls, or that it is brittle. Once the front reaches the back end again, it has to keep to that, but it didn't know which back end had answered.

The front that serves a relayed call names the back end in its response, and the other one records what the response asks for.

--- a/include/zinniagauge/front/relay.h
+++ b/include/zinniagauge/front/relay.h
@@ -22,6 +22,8 @@
 inline constexpr std::string_view Pool = "Zinnia-Relay-Pool";
 inline constexpr std::string_view Route = "Zinnia-Relay-Route";
 inline constexpr std::string_view Workspace = "Zinnia-Relay-Workspace";
+/// In a back end's response: the name of the back end.
+inline constexpr std::string_view Backend = "Zinnia-Relay-Backend";
 inline constexpr std::string_view Outcome = "Zinnia-Relay-Outcome";
 /// In a response with Outcome: the attempts that were used.
 inline constexpr std::string_view Attempts = "Zinnia-Relay-Attempts";
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -214,11 +214,18 @@
           findField(head.Fields, "Content-Encoding"));
 }
 
-/// Records what the response of a back end says of it.
+/// Records what the response of a back end says of it. A peer names the back
+/// end whose response it passes on.
 void recordHead(RequestLoop &rl, BackendState &from, const MessageHead &head,
                 bool echoesid) {
-  if (from.IsPeer)
+  if (from.IsPeer) {
+    const auto name = findField(head.Fields, relay::Backend);
+    const auto it =
+        name ? rl.Backends.find(EndpointId::of(*name)) : rl.Backends.end();
+    if (it != rl.Backends.end())
+      recordBackpressure(rl, *it->second, head, echoesid);
     return;
+  }
   recordBackpressure(rl, from, head, echoesid);
   constexpr int Misdirected = 421; // Another process answered.
   if (head.Status != Misdirected)
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -215,6 +215,10 @@
         !equalsIgnoreCase(f.Name, "Content-Length"))
       writeField(out, f.Name, f.Value);
   }
+  if (c.FromPeer && c.ActiveCall)
+    if (const auto it = c.Owner->Backends.find(c.ActiveCall->LastBackend);
+        it != c.Owner->Backends.end())
+      writeField(out, relay::Backend, it->second->Info.Name);
   const std::string_view idname = c.Owner->Names.CallId;
   if (c.FromPeer && c.ActiveCall && !c.ActiveCall->Id.empty() &&
       !findField(head.Fields, idname))
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -87,7 +87,7 @@
     cutOff(Own, {Peer.peer()});
   }
 
-  TestedFrontLoop Own{1};
+  TestedFrontLoop Own{2};
   ServingFront Peer{2};
 };
 
@@ -222,6 +222,23 @@
   CHECK(f.Own.receive(f.Own.Caller, "ok").starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("what a back end asks for in a relayed response holds for calls that "
+          "are sent to it later",
+          "[front][relay]") {
+  TwoFronts f;
+  f.Own.request("c-1", {}, "/safe/x");
+  const auto [at, conn] = f.Peer.acceptAny();
+  REQUIRE_FALSE(f.Peer.receive(conn, "\r\n\r\n").empty());
+  f.Peer.send(conn, sealed("c-1", "Server-Leaving: 1\r\nContent-Length: 2\r\n"
+                                  "\r\nok"));
+  const std::string got = f.Own.receive(f.Own.Caller, "ok");
+  CHECK(has(got, "Server-Leaving"));
+  CHECK_FALSE(has(got, "Zinnia-Relay"));
+  const EndpointId id = f.Peer.Backends[at].Info.Id;
+  CHECK(f.Peer.Rl->Backends.at(id)->Asked.Leaving);
+  CHECK(f.Own.Rl->Backends.at(id)->Asked.Leaving);
+}
+
 TEST_CASE("a relayed request states the plan, the time and attempts left",
           "[front][relay]") {
   PlayedPeers f(1);
