--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -13,6 +13,7 @@
 #include "zinniagauge/decide/outlier.h"
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/quarantine.h"
+#include "zinniagauge/decide/reachability.h"
 #include "zinniagauge/decide/reported_load.h"
 #include "zinniagauge/decide/response_baseline.h"
 #include "zinniagauge/decide/retry_window.h"
@@ -47,6 +48,7 @@
   std::shared_ptr<Call> ActiveCall; // Null between requests.
   LoopTimer Timer; // Timeout of an unfinished request or an idle connection.
   std::size_t UnsentAtTimer = 0; // Bytes to send when Timer expired last.
+  bool FromPeer = false;         // Of another front, for relayed calls.
 };
 
 struct BackendState;
@@ -75,6 +77,7 @@
   LoopTimer ConnectTimer;
   LoopTimer SilenceTimer; // Only for a call that is safe to retry.
   Time LastByteAt;
+  Time OpenedAt;
 };
 
 /// The state of one back end in the request loop.
@@ -101,6 +104,13 @@
   std::uint32_t ConnectionCount = 0;
   /// Crashes to record if it turns out to have crashed.
   std::vector<CrashRecord> UnconfirmedCrashes;
+  /// Another front, through which calls are relayed: in RequestLoop::Peers, and
+  /// of its members only those that concern connections are used.
+  bool IsPeer = false;
+  std::uint64_t PeerToken = 0; // What calls relayed to it must state.
+  Time PassedOverUntil;        // After a peer's connection failed.
+  /// Until when a peer counts as not reaching a pool, as it said.
+  std::map<PoolId, Time> UnreachedUntil;
 };
 
 /// The calls that a cold back end of one pool may be sent.
@@ -111,6 +121,32 @@
   double OwnPerSecond = 0;           // The part of this front.
 };
 
+/// Crashes of calls' prompts at one back end that don't count yet.
+struct HeldCrashes {
+  std::string Backend; // Its name.
+  std::uint64_t StartedAtMs = 0;
+  std::vector<CrashRecord> Records;
+  Time At; // Of the latest.
+  /// No other back end was usable, so none can show that the pool is reached.
+  /// Its restart shows that it has crashed.
+  bool AwaitsRestart = false;
+};
+
+/// A failed request of a version that doesn't count yet.
+struct HeldFailure {
+  VersionStatsKey Key;
+  Time At;
+};
+
+/// Losses in one pool that count only once the front has reached some back end
+/// of the pool after them: they may be faults of the front's own network.
+struct HeldLosses {
+  std::vector<HeldCrashes> Crashes;
+  std::vector<HeldFailure> Failures;
+  /// When the newest connection that was established was opened.
+  Time ConfirmedUntil;
+};
+
 /// The state of one pool in the request loop.
 struct PoolState {
   std::vector<BackendState *> Backends;
@@ -128,6 +164,9 @@
   double EventMs = 0;  // Mean time per event over its back ends.
   PoolColdLimit ColdLimit;
   bool StatesPace = false; // Some back end states its present pace.
+  PoolReachability Reach;
+  Time ReachedSince; // It was unreached before; zero: never.
+  HeldLosses Held;
 };
 
 /// The state of the request loop. It belongs to the loop's thread.
@@ -144,13 +183,16 @@
   EventLog &Log;
   FrontMetrics &Metrics;
   Loop EventLoop;
-  Listener Listening;  // For callers.
-  CallerLimits Limits; // Of the active plan.
+  Listener Listening;     // For callers.
+  Listener PeerListening; // For relayed calls.
+  CallerLimits Limits;    // Of the active plan.
   std::unordered_map<CallerConnection *, std::shared_ptr<CallerConnection>>
       Callers;
   std::unordered_map<BackendConnection *, std::shared_ptr<BackendConnection>>
       BackendConnections;
   std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Backends;
+  /// Other fronts to which calls are relayed.
+  std::unordered_map<EndpointId, std::unique_ptr<BackendState>> Peers;
   std::unordered_map<PoolId, PoolState> Pools;
   std::unordered_map<WorkspaceId, AllowanceState> Allowances;
   /// Of pools with a version move.
@@ -165,11 +207,14 @@
   std::uint64_t RandomState = 0;
   std::uint64_t LastSequenceNumber = 0; // Latest CallRank::SequenceNumber.
   std::size_t ActiveCalls = 0;          // Calls that haven't ended.
+  std::size_t RelayedCalls = 0;         // Of these, relayed by other fronts.
+  std::size_t PeerConnections = 0;      // Of Callers, those of other fronts.
   Time StartedAt;
   LoopTimer DispatchTimer;
   LoopTimer TrackTimer;
   LoopTimer LoadTimer;
   LoopTimer HousekeepingTimer;
+  LoopTimer ReachTimer;
   LoopTimer StopTimer;
   Time StoppingSince;
   std::function<void()>
@@ -181,6 +226,15 @@
 /// Starts to accept connections of callers. Fails with Unavailable.
 [[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
 
+/// Serves the connected socket \p fd of a caller or, if \p frompeer is set, of
+/// another front.
+void addCaller(RequestLoop &rl, int fd, bool frompeer);
+
+/// Closes the connection that has been idle for longest, of callers and other
+/// fronts or, if \p onlypeers is set, of these alone. Returns whether there was
+/// one.
+bool closeLongestIdle(RequestLoop &rl, bool onlypeers);
+
 /// Sends a response with \p status and a body that holds \p reason. A
 /// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
 /// connection closes after the response.
@@ -218,7 +272,9 @@
 
 /// Closes the connections without a request in progress, so that their callers
 /// connect to another process. A request that has arrived unread is served, and
-/// its response closes the connection.
+/// its response closes the connection. Those of other fronts stay open while
+/// further ones are accepted: a call that is on its way is told that it hasn't
+/// run.
 void closeIdleCallers(RequestLoop &rl);
 
 /// Whether a body that has grown from \p before to \p now bytes can't be read
@@ -236,6 +292,10 @@
 /// Sends \p call over \p conn, which has no call.
 void sendCallOver(BackendConnection &conn, const std::shared_ptr<Call> &call);
 
+/// Closes the connection of a call that another back end takes over, since this
+/// one has been silent for too long.
+void giveUpSilent(BackendConnection &conn);
+
 /// Aborts the current attempt of \p call by closing its back end connection.
 void abortTransfer(Call &call);
 
@@ -265,6 +325,10 @@
 /// Returns the best back end with free capacity for \p call, or null.
 [[nodiscard]] BackendState *pickBackend(RequestLoop &rl, const Call &call);
 
+/// Returns the back end or, if their pool isn't reached from here, the peer to
+/// which \p call is sent now; null if there is none.
+[[nodiscard]] BackendState *pickTarget(RequestLoop &rl, const Call &call);
+
 /// Adds \p call to the queue of its pool.
 void enqueue(RequestLoop &rl, Call &call);
 
@@ -275,7 +339,7 @@
 void dispatchQueued(RequestLoop &rl, PoolId pool);
 
 /// Records a connection to \p to that was refused, reset or silent for too
-/// long. Ejects the back end after several in a row.
+/// long. Ejects the back end after several in a row; passes over a peer.
 void recordLostConnection(RequestLoop &rl, BackendState &to);
 
 /// The expected time from sending \p call to its back end to the first event.
@@ -332,6 +396,9 @@
 /// Called when \p to has refused a connection: it has crashed or left.
 void onBackendDown(RequestLoop &rl, BackendState &to);
 
+/// Records crashes that onBackendDown has found.
+void recordCrashes(RequestLoop &rl, const HeldCrashes &crashes);
+
 /// Whether a lost attempt of \p call isn't retried since its prompt may have
 /// crashed back ends before.
 [[nodiscard]] bool mayCrashAgain(const RequestLoop &rl, const Call &call);
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -1,8 +1,9 @@
 // Connections to back ends: sending requests and reading responses.
 #include "zinniagauge/decide/complete_events.h"
 #include "zinniagauge/decide/silence_timeout.h"
+#include "zinniagauge/front/reachability.h"
+#include "zinniagauge/front/relay.h"
 #include "zinniagauge/front/reported_load.h"
-#include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -36,6 +37,10 @@
 /// A response that isn't streamed is buffered until it is complete.
 constexpr std::uint64_t MaxResponseBodyBytes = std::uint64_t{16} << 20U;
 
+/// Added to the silence timeout of a relayed call: the other front replaces
+/// back ends that are silent.
+constexpr Duration RelaySilenceMargin = std::chrono::seconds(1);
+
 /// Interim responses, and responses to earlier calls, that may precede the
 /// response to a call.
 constexpr std::uint32_t MaxSkippedResponses = 8;
@@ -87,7 +92,8 @@
     call->Connection = nullptr;
     call->Standby = nullptr;
     --conn.Target->Running;
-    recordChange(conn.Target->Reports.Calls, -1, conn.Owner->EventLoop.Now);
+    if (!conn.Target->IsPeer)
+      recordChange(conn.Target->Reports.Calls, -1, conn.Owner->EventLoop.Now);
     scheduleLoadReport(*conn.Owner);
   }
   return call;
@@ -135,8 +141,10 @@
                  LossCause cause) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
+  const bool counts = lossCounts(conn);
   const std::shared_ptr<Call> call = closeConnection(conn);
-  if (cause == LossCause::Connection)
+  // After a response has begun, a peer passes on how its back end ended it.
+  if (cause == LossCause::Connection && counts && !(to.IsPeer && conn.HeadRead))
     recordLostConnection(rl, to);
   else if (cause == LossCause::WrongAnswer)
     recordWrongAnswer(rl, to);
@@ -206,6 +214,32 @@
           findField(head.Fields, "Content-Encoding"));
 }
 
+/// Records what the response of a back end says of it. A peer names the back
+/// end whose response it passes on.
+void recordHead(RequestLoop &rl, BackendState &from, const MessageHead &head,
+                bool echoesid) {
+  if (from.IsPeer) {
+    const auto name = findField(head.Fields, relay::Backend);
+    const auto it =
+        name ? rl.Backends.find(EndpointId::of(*name)) : rl.Backends.end();
+    if (it != rl.Backends.end())
+      recordBackpressure(rl, *it->second, head, echoesid);
+    return;
+  }
+  recordBackpressure(rl, from, head, echoesid);
+  constexpr int Misdirected = 421; // Another process answered.
+  if (head.Status != Misdirected)
+    recordReachable(rl, from);
+  recordReportedLoad(rl, from, head);
+}
+
+/// Whether a response that names no call may be that of the active call.
+bool mayNameNoCall(const BackendConnection &conn, const MessageHead &head) {
+  return conn.Target->IsPeer
+             ? conn.ActiveCall->Id.empty() || relayOutcome(head).has_value()
+             : conn.Uses <= 1;
+}
+
 /// Handles the header of a response, once it is complete. Returns why the
 /// response can't be that of the call, or nothing.
 std::string_view handleHead(BackendConnection &conn) {
@@ -226,13 +260,9 @@
     conn.Owner->Log.write(line);
     return {};
   }
-  if (!id && conn.Uses > 1)
+  if (!id && !mayNameNoCall(conn, head))
     return "answer names no call";
-  recordBackpressure(*conn.Owner, *conn.Target, head, id.has_value());
-  constexpr int Misdirected = 421; // Another process answered.
-  if (head.Status != Misdirected)
-    recordReachable(*conn.Owner, *conn.Target);
-  recordReportedLoad(*conn.Owner, *conn.Target, head);
+  recordHead(*conn.Owner, *conn.Target, head, id.has_value());
   if (lacksProof(head, names))
     return "answer without its proof";
   conn.Streaming = conn.ActiveCall->Facts.Kind == CallKind::Stream &&
@@ -330,7 +360,8 @@
   facts.LatencyTarget = call.Plan.LatencyTarget;
   facts.GapTarget = call.Plan.GapTarget;
   facts.ExpectedFirstEvent = expectedFirstEventTime(*conn.Owner, call);
-  return silenceTimeout(facts);
+  return silenceTimeout(facts) +
+         (conn.Target->IsPeer ? RelaySilenceMargin : Duration::zero());
 }
 
 /// Whether the back end has been silent for longer than it may be.
@@ -362,6 +393,7 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   conn.LastByteAt = conn.Owner->EventLoop.Now;
   conn.Target->LastByteAt = conn.LastByteAt;
+  onBackendBytes(conn);
   if (!conn.ActiveCall) {
     EventLine line = eventLine("unasked_bytes");
     add(line, "backend", conn.Target->Info.Name);
@@ -398,6 +430,7 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   disarm(conn.Owner->EventLoop, conn.ConnectTimer);
   conn.Target->UnconfirmedCrashes.clear();
+  onBackendReached(conn);
   const bool postponed = conn.Target->Asked.RetryAt > conn.Owner->EventLoop.Now;
   if (isUsable(*conn.Target) && !(conn.ActiveCall && postponed)) {
     if (conn.ActiveCall)
@@ -419,17 +452,23 @@
 void onUnreachable(BackendConnection &conn, std::string_view reason) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
+  const bool counts = lossCounts(conn);
   const std::shared_ptr<Call> call = closeConnection(conn);
-  recordLostConnection(rl, to);
+  if (counts)
+    recordLostConnection(rl, to);
   if (call)
     onAttemptEnd(call, AttemptEnd::NotSent, reason);
 }
 
-void onBackendEnd(void *ctx, ConnectionEnd how, int /*err*/) {
+void onBackendEnd(void *ctx, ConnectionEnd how, int err) {
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
-  if (how == ConnectionEnd::Refused) {
-    recordUnreachable(*conn.Owner, *conn.Target);
+  if (how == ConnectionEnd::Refused && !conn.Target->IsPeer) {
+    onConnectFailed(*conn.Owner, *conn.Target, conn.OpenedAt);
+    if (lossCounts(conn))
+      recordUnreachable(*conn.Owner, *conn.Target);
     onBackendDown(*conn.Owner, *conn.Target);
+  } else if (how == ConnectionEnd::Reset) {
+    onBackendReset(conn, err);
   }
   if (!conn.ActiveCall) {
     removeConnection(conn);
@@ -451,7 +490,8 @@
   const LossCause cause = conn.Uses <= 1 || hasBegun(conn.Parser)
                               ? LossCause::Connection
                               : LossCause::IdleConnection;
-  onConnectionLost(*conn.Owner, *conn.Target, *conn.ActiveCall);
+  if (!conn.Target->IsPeer)
+    onConnectionLost(*conn.Owner, *conn.Target, *conn.ActiveCall);
   failAttempt(conn, how == ConnectionEnd::Closed ? "answer cut short" : "reset",
               cause);
 }
@@ -460,6 +500,7 @@
   BackendConnection &conn = *static_cast<BackendConnection *>(ctx);
   // Its machine or the network is silent, which says nothing of a crash.
   conn.Target->UnconfirmedCrashes.clear();
+  onConnectFailed(*conn.Owner, *conn.Target, conn.OpenedAt);
   onUnreachable(conn, "no connection in time");
 }
 
@@ -498,9 +539,15 @@
   conn->ConnectTimer.Ctx = conn.get();
   conn->SilenceTimer.Fn = onSilenceTimer;
   conn->SilenceTimer.Ctx = conn.get();
+  conn->OpenedAt = rl.EventLoop.Now;
   if (!openConnection(conn->Tcp, rl.EventLoop, to.Info.Address, AckTimeout,
-                      BackendHandlers, conn.get()))
+                      BackendHandlers, conn.get())) {
+    const int err = errno;
+    if (err == ECONNREFUSED || err == ENETUNREACH || err == EHOSTUNREACH)
+      onConnectFailed(rl, to, rl.EventLoop.Now);
+    errno = err;
     return nullptr;
+  }
   countConnection(rl.Metrics);
   arm(rl.EventLoop, conn->ConnectTimer, rl.EventLoop.Now + ConnectTimeout);
   rl.BackendConnections.emplace(conn.get(), conn);
@@ -530,6 +577,17 @@
 
 } // namespace
 
+bool hasIdleConnection(const RequestLoop &rl, const BackendState &to,
+                       const Call &call) {
+  const auto &list = to.IdleConnections;
+  const auto it = std::find_if(list.rbegin(), list.rend(), [&](const auto *c) {
+    return rl.EventLoop.Now - c->IdleSince <= c->KeepAliveTime;
+  });
+  return it != list.rend() && (*it)->LastCallId != call.Id &&
+         (isRetrySafe(call.Facts) ||
+          rl.EventLoop.Now - (*it)->IdleSince <= MaxIdleForUnsafe);
+}
+
 void checkBackend(RequestLoop &rl, BackendState &to) {
   if (openBackendConnection(rl, to))
     return;
@@ -567,6 +625,7 @@
     }
     if (isHopByHopField(f.Name, connection) ||
         equalsIgnoreCase(f.Name, "Expect") || isOwnField(names, f.Name) ||
+        isRelayField(f.Name) ||
         (call.Stream.LastEventId &&
          equalsIgnoreCase(f.Name, names.ResumeAfter)))
       continue;
@@ -579,9 +638,13 @@
   writeField(
       out, names.TimeLeft,
       static_cast<std::uint64_t>(std::max<std::int64_t>(left.count(), 1)));
-  writeField(out, names.Endpoint, to.Info.Name);
-  if (call.Plan.HasWorkspace)
-    writeField(out, names.Workspace, call.Plan.WorkspaceName);
+  if (to.IsPeer) {
+    writeRelayFields(out, call, to);
+  } else {
+    writeField(out, names.Endpoint, to.Info.Name);
+    if (call.Plan.HasWorkspace)
+      writeField(out, names.Workspace, call.Plan.WorkspaceName);
+  }
   if (haslength)
     writeField(out, "Content-Length", std::uint64_t{call.Body.size()});
   out.append("\r\n").append(call.Body);
@@ -605,18 +668,21 @@
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
   call->SentAt = rl.EventLoop.Now;
-  recordSent(rl, to);
-  call->TokensAhead = tokensAhead(rl, to);
+  call->TokensAhead = 0;
   conn.ActiveCall = call;
-  conn.PendingTokens = call->Work.PromptTokens;
-  to.PendingTokens += conn.PendingTokens;
+  if (!to.IsPeer) {
+    recordSent(rl, to);
+    call->TokensAhead = tokensAhead(rl, to);
+    conn.PendingTokens = call->Work.PromptTokens;
+    to.PendingTokens += conn.PendingTokens;
+    recordChange(to.Reports.Calls, 1, rl.EventLoop.Now);
+  }
   ++conn.Uses;
   conn.SkippedResponses = 0;
   conn.SkippedBytes = 0;
   conn.LastCallId = call->Id;
   call->Stream.EventsBefore = call->Stream.Events;
   ++to.Running;
-  recordChange(to.Reports.Calls, 1, rl.EventLoop.Now);
   scheduleLoadReport(rl);
   call->Connection = &conn;
   beginResponse(conn);
@@ -641,18 +707,36 @@
   send(conn.Tcp, requestText(*call, to, rl.Names, rl.EventLoop.Now));
 }
 
+void giveUpSilent(BackendConnection &conn) {
+  RequestLoop &rl = *conn.Owner;
+  BackendState &to = *conn.Target;
+  const bool counts = lossCounts(conn);
+  onBackendSilent(conn);
+  closeConnection(conn);
+  // If it is another front, its back end is silent.
+  if (counts && !to.IsPeer)
+    recordLostConnection(rl, to);
+}
+
 void abortTransfer(Call &call) {
   if (call.Connection)
     closeConnection(*call.Connection);
 }
 
+void closeIdleConnections(BackendState &to) {
+  const std::vector<BackendConnection *> idle = to.IdleConnections;
+  for (BackendConnection *conn : idle)
+    closeConnection(*conn);
+}
+
 void closeIdleConnections(RequestLoop &rl, Time now) {
-  for (auto &[id, st] : rl.Backends) {
-    const std::vector<BackendConnection *> idle = st->IdleConnections;
-    for (BackendConnection *conn : idle)
-      if (!st->Listed || now - conn->IdleSince > conn->KeepAliveTime)
-        closeConnection(*conn);
-  }
+  for (const auto *targets : {&rl.Backends, &rl.Peers})
+    for (const auto &[id, st] : *targets) {
+      const std::vector<BackendConnection *> idle = st->IdleConnections;
+      for (BackendConnection *conn : idle)
+        if (!st->Listed || now - conn->IdleSince > conn->KeepAliveTime)
+          closeConnection(*conn);
+    }
 }
 
 } // namespace zinniagauge
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -1,8 +1,9 @@
 // The back ends of each pool: choice, queue, measurements and ejection.
 #include "zinniagauge/decide/share_gate.h"
 #include "zinniagauge/decide/zone_evacuation.h"
+#include "zinniagauge/front/reachability.h"
+#include "zinniagauge/front/relay.h"
 #include "zinniagauge/front/reported_load.h"
-#include "zinniagauge/front/request_loop.h"
 
 #include <algorithm>
 #include <cmath>
@@ -105,6 +106,8 @@
     c.Usable = isUsable(*b) && !tried &&
                maySend(b->Asked, rl.Board.LivingFronts, rl.EventLoop.Now) &&
                nextColdSendAt(rl, pool, *b, boot) <= boot &&
+               (pool.Reach.State != PoolReach::NoNewConnections ||
+                hasIdleConnection(rl, *b, call)) &&
                !(skipejected && isEjected(b->Results, rl.EventLoop.Now));
     c.Contended = isContended(rl, pool, *b, c.Running, processes);
     c.SameZone = b->Info.Zone == zone;
@@ -296,6 +299,15 @@
   return at ? rl.Backends[rl.Candidates[*at].Id].get() : nullptr;
 }
 
+BackendState *pickTarget(RequestLoop &rl, const Call &call) {
+  const PoolReach reach = poolOf(rl, call.Plan.Pool).Reach.State;
+  if (reach == PoolReach::Reached || (rl.Peers.empty() && !call.FromPeer))
+    return pickBackend(rl, call);
+  BackendState *to =
+      reach == PoolReach::NoNewConnections ? pickBackend(rl, call) : nullptr;
+  return to ? to : pickRelayPeer(rl, call);
+}
+
 std::uint64_t tokensAhead(const RequestLoop &rl, const BackendState &to) {
   const ReadGuard guard;
   return to.PendingTokens +
@@ -384,7 +396,7 @@
       ++at;
       continue;
     }
-    if (!pickBackend(rl, call)) {
+    if (!pickTarget(rl, call)) {
       ++skipped;
       ++at;
       continue;
@@ -443,6 +455,8 @@
 }
 
 void recordWrongAnswer(RequestLoop &rl, BackendState &to) {
+  if (to.IsPeer)
+    return;
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
       recordWrongAnswer(to.Results, pool.Results, rl.Outliers,
@@ -451,6 +465,10 @@
 }
 
 void recordLostConnection(RequestLoop &rl, BackendState &to) {
+  if (to.IsPeer) {
+    passOverPeer(rl, to);
+    return;
+  }
   recordUnreachable(rl, to);
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
