Keep the rejections of brittle back ends within their limit

For a time the engines of a service fail if they have to reject more than N calls a second, and say so in the header Server-Brittle. Nothing read it: fronts whose views are some 10 ms old send several calls for one free slot.

Each front now decides for itself: slots of its own calls are used again, beyond that its share of the slots, and beyond that it takes turns with the other fronts, so that all together cause about 0.8 N rejections a second. A rejection pauses the calls to that back end. Calls that can't be placed wait in the front's queue.

--- a/include/zinniagauge/decide/backend_choice.h
+++ b/include/zinniagauge/decide/backend_choice.h
@@ -23,6 +23,7 @@
   bool Usable = true;       // Not leaving, not ejected and not tried yet.
   bool Contended = false;   // Other processes may be taking its free slots.
   bool HasWaiting = false;  // Calls wait inside it, so it is sent no more.
+  bool Paused = false;      // Gets no call now, as it might reject it.
   bool SameZone = false;
 };
 
@@ -60,8 +61,8 @@
 [[nodiscard]] PoolSpeed poolSpeed(std::span<const Candidate> list) noexcept;
 
 /// The cost of running a call at \p c, in ms: the time that it takes, and the
-/// cost for other calls. Infinite if \p c isn't usable, is contended, has
-/// waiting calls or no free slot.
+/// cost for other calls. Infinite if \p c isn't usable, is contended or paused,
+/// has waiting calls or no free slot.
 [[nodiscard]] double placementCost(const Candidate &c, const PoolSpeed &sp,
                                    const CallEstimate &work,
                                    const ChoiceWeights &wt) noexcept;
@@ -71,7 +72,8 @@
 chooseBackend(std::span<const Candidate> list, const CallEstimate &work,
               const ChoiceWeights &wt) noexcept;
 
-/// Whether \p c may be used, has a free slot and no waiting calls.
+/// Whether \p c may be used, isn't paused, has a free slot and no waiting
+/// calls.
 [[nodiscard]] bool hasFreeSlot(const Candidate &c) noexcept;
 
 /// The index of a candidate that runs the fewest calls, with a free slot;
--- a/include/zinniagauge/decide/backpressure.h
+++ b/include/zinniagauge/decide/backpressure.h
@@ -18,6 +18,9 @@
   bool Leaving = false;
   std::optional<double> LimitPerSecond; // Of all fronts together.
   std::optional<Duration> RetryAfter;   // Only in a refusal.
+  /// Of all fronts together; the back end fails above it.
+  std::optional<double> RejectionsPerSecond;
+  bool Rejected = false; // For want of room.
 };
 
 /// How much more than its limit a back end tolerates: in any span of length
--- a/include/zinniagauge/front/header_names.h
+++ b/include/zinniagauge/front/header_names.h
@@ -20,6 +20,8 @@
   std::string_view Leaving;    // In a response: "1" if the back end leaves.
   /// In a response: the calls a second that the back end takes from all fronts.
   std::string_view SendLimit;
+  /// In a response: the back end fails above so many rejections a second.
+  std::string_view RejectionLimit;
   /// In a response: the back end's load, as parseReportedLoad reads it.
   std::string_view ServerLoad;
   std::string_view Tokens;      // "<prompt tokens>,<maximum output tokens>".
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -13,6 +13,7 @@
 #include "zinniagauge/decide/outlier.h"
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/decide/quarantine.h"
+#include "zinniagauge/decide/rejection_limit.h"
 #include "zinniagauge/decide/reported_load.h"
 #include "zinniagauge/decide/response_baseline.h"
 #include "zinniagauge/decide/retry_window.h"
@@ -89,6 +90,8 @@
   Time LastByteAt;                 // Received on any of its connections.
   ResultStats Results;
   Backpressure Asked; // What it asked for in its responses.
+  RejectionLimit Rejections;
+  RejectionGuard Guard; // While it is brittle.
   ColdPhase Cold;
   ColdPermits Permits; // While it is cold; by bootNow.
   Time LostAt;         // The latest loss of a connection, by bootNow.
@@ -125,7 +128,8 @@
   double PromptMs = 0; // Time per prompt token at a back end of mean speed.
   double EventMs = 0;  // Mean time per event over its back ends.
   PoolColdLimit ColdLimit;
-  bool StatesPace = false; // Some back end states its present pace.
+  bool StatesPace = false;   // Some back end states its present pace.
+  RejectionLimit Rejections; // As its back ends said last.
 };
 
 /// The state of the request loop. It belongs to the loop's thread.
@@ -348,6 +352,30 @@
 /// responses say; zero if one does now or all are leaving.
 [[nodiscard]] Duration timeUntilSend(const RequestLoop &rl, PoolId pool);
 
+// Brittle back ends ----------------------------------------------------------
+
+/// Whether \p b of \p pool fails if it rejects too many calls.
+[[nodiscard]] bool isBrittle(const PoolState &pool,
+                             const BackendState &b) noexcept;
+
+/// Records what a response of \p to says of its limit of rejections; nothing:
+/// it isn't brittle.
+void recordRejectionLimit(RequestLoop &rl, BackendState &to,
+                          std::optional<double> persecond);
+
+/// Records that \p to has answered a call, or \p rejected it for want of room.
+void recordOutcome(RequestLoop &rl, BackendState &to, bool rejected);
+
+/// Whether no call may be sent to \p b now as it is brittle and might have to
+/// reject it. \p load: what is known of its load, \p peers of the calls of
+/// other processes there.
+[[nodiscard]] bool isPaused(RequestLoop &rl, const PoolState &pool,
+                            BackendState &b, const LoadEstimate &load,
+                            const BackendLoad &peers);
+
+/// Updates the number of brittle back ends in the metrics.
+void setBrittleGauge(RequestLoop &rl);
+
 // Cold back ends -------------------------------------------------------------
 
 /// Takes over the cold phases that the board's rows, plan and ended evacuations
--- a/src/decide/backend_choice.cpp
+++ b/src/decide/backend_choice.cpp
@@ -27,7 +27,7 @@
                      const CallEstimate &work,
                      const ChoiceWeights &wt) noexcept {
   constexpr double Rounding = 1e-9;
-  if (!c.Usable || c.Contended || c.HasWaiting ||
+  if (!c.Usable || c.Contended || c.Paused || c.HasWaiting ||
       c.Running + 1 > c.Slots * wt.MaxUtilization + Rounding)
     return std::numeric_limits<double>::infinity();
   const double event = c.EventMs > 0 ? c.EventMs : sp.MeanMs;
@@ -78,7 +78,7 @@
 }
 
 bool hasFreeSlot(const Candidate &c) noexcept {
-  return c.Usable && !c.HasWaiting && c.Running + 1 <= c.Slots;
+  return c.Usable && !c.Paused && !c.HasWaiting && c.Running + 1 <= c.Slots;
 }
 
 std::optional<std::size_t>
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -148,6 +148,8 @@
                     !extra && pendingBytes(conn.Tcp) == 0 &&
                     conn.Target->Listed && isOpen(conn.Tcp);
   const std::shared_ptr<Call> call = releaseCall(conn);
+  if (call && !findField(head.Fields, conn.Owner->Names.NotRun))
+    recordFreedSlot(conn.Target->Guard, conn.Owner->EventLoop.Now);
   const MessageParser parser = std::move(conn.Parser);
   const std::string body = std::move(conn.Body);
   conn.Body = std::string();
--- a/src/front/backpressure.cpp
+++ b/src/front/backpressure.cpp
@@ -51,8 +51,10 @@
   BackpressureSignal out;
   out.Leaving = findField(head.Fields, rl.Names.Leaving) == "1";
   out.LimitPerSecond = amountIn(rl, from, head, rl.Names.SendLimit);
+  out.RejectionsPerSecond = amountIn(rl, from, head, rl.Names.RejectionLimit);
   if (head.Status != ServiceUnavailable)
     return out;
+  out.Rejected = findField(head.Fields, rl.Names.NotRun).has_value();
   if (const auto secs = amountIn(rl, from, head, "Retry-After"))
     out.RetryAfter =
         *secs < std::chrono::duration<double>(MaxRetryAfter).count()
@@ -125,6 +127,11 @@
     recordLimit(rl, to, std::max(*signal.LimitPerSecond, MinLimitPerSecond));
   else if (echoesid && !findField(head.Fields, rl.Names.SendLimit))
     recordLimit(rl, to, 0);
+  if (signal.RejectionsPerSecond)
+    recordRejectionLimit(rl, to, signal.RejectionsPerSecond);
+  else if (echoesid && !findField(head.Fields, rl.Names.RejectionLimit))
+    recordRejectionLimit(rl, to, std::nullopt);
+  recordOutcome(rl, to, signal.Rejected);
 }
 
 void updateLimits(RequestLoop &rl) {
@@ -155,7 +162,9 @@
   for (const BackendState *b : it->second.Backends) {
     if (!isUsable(*b))
       continue;
-    const Time asked = nextSendAt(b->Asked, rl.Board.LivingFronts, now);
+    const Time asked =
+        std::max(nextSendAt(b->Asked, rl.Board.LivingFronts, now),
+                 isBrittle(it->second, *b) ? b->Guard.PausedUntil : now);
     const Time cold = nextColdSendAt(rl, it->second, *b, boot);
     if (cold != Time::max())
       first = std::min(first, std::max(asked, now + (cold - boot)));
--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -107,6 +107,7 @@
                nextColdSendAt(rl, pool, *b, boot) <= boot &&
                !(skipejected && isEjected(b->Results, rl.EventLoop.Now));
     c.Contended = isContended(rl, pool, *b, c.Running, processes);
+    c.Paused = isPaused(rl, pool, *b, load, peerload);
     c.SameZone = b->Info.Zone == zone;
     rl.Candidates.push_back(c);
   }
@@ -435,6 +436,7 @@
                 to.Info.Version == move->NewVersion);
   }
   usePermission(to.Asked, rl.Board.LivingFronts, rl.EventLoop.Now);
+  recordRiskedCall(to.Guard, rl.EventLoop.Now);
   recordColdSend(poolOf(rl, to.Info.Pool), to);
   if (rl.EventLoop.Now - to.LastSentAt > ContentionWindow)
     to.RecentSends = 0;
@@ -452,6 +454,7 @@
 
 void recordLostConnection(RequestLoop &rl, BackendState &to) {
   recordUnreachable(rl, to);
+  recordGuardLoss(to.Guard);
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
       recordLostConnection(to.Results, rl.Outliers, rl.EventLoop.Now))
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -101,6 +101,7 @@
   setGauge(rl.Metrics, "links",
            static_cast<double>(rl.BackendConnections.size()));
   setReportGauges(rl);
+  setBrittleGauge(rl);
   setGauge(rl.Metrics, "log_lines_dropped",
            static_cast<double>(rl.Log.dropped()));
   arm(rl.EventLoop, rl.HousekeepingTimer, now + HousekeepingPeriod);
