Use half of the limit of rejections

Half of N is used now instead of 0.8 N, and turns have random phases also if the limit was too high for turns when it was first heard.

--- a/include/zinniagauge/decide/rejection_limit.h
+++ b/include/zinniagauge/decide/rejection_limit.h
@@ -19,9 +19,9 @@
   Time HeardAt;                    // The latest response, with a limit or not.
 };
 
-/// The fraction of a limit that the fronts use together. The rest covers fronts
-/// that don't know yet of each other or of the limit.
-inline constexpr double UsedRejectionFraction = 0.8;
+/// The fraction of a limit that the fronts use together. The rest covers turns
+/// that coincide, and fronts that don't know yet of each other or of the limit.
+inline constexpr double UsedRejectionFraction = 0.5;
 
 /// A lower limit counts as this one for turns, in rejections a second. Without
 /// any turn, a back end with fewer slots than there are fronts would get no
@@ -50,8 +50,8 @@
 
 /// What one front keeps of one brittle back end.
 struct RejectionGuard {
-  bool Started = false;
-  Time TurnFrom;                 // The start of one of this front's turns.
+  Time StartedAt;                // Time(): not guarded.
+  double Phase = 0;              // Of its turns, as a fraction of their period.
   Time PausedUntil;              // After rejections.
   std::uint32_t Repeats = 0;     // Rejections since a call was accepted.
   std::uint32_t Unconfirmed = 0; // Calls neither accepted nor rejected yet.
@@ -87,8 +87,8 @@
 
 /// Starts to guard a back end. \p random is the state of a generator: fronts
 /// that learn of a limit at the same time have different turns.
-void startGuard(RejectionGuard &guard, double persecond, std::uint32_t fronts,
-                Time now, std::uint64_t &random) noexcept;
+void startGuard(RejectionGuard &guard, Time now,
+                std::uint64_t &random) noexcept;
 
 /// Whether this front may send a call at \p now to a back end that fails above
 /// \p persecond rejections a second.
--- a/src/decide/rejection_limit.cpp
+++ b/src/decide/rejection_limit.cpp
@@ -44,8 +44,8 @@
 /// The time since the latest turn began.
 Duration sinceTurn(const RejectionGuard &guard, Duration period,
                    Time now) noexcept {
-  const Duration past = (now - guard.TurnFrom) % period;
-  return past < Duration::zero() ? past + period : past;
+  return (now - guard.StartedAt + durationOf(secondsOf(period) * guard.Phase)) %
+         period;
 }
 
 bool hasTurn(const RejectionGuard &guard, double persecond,
@@ -91,14 +91,12 @@
   return std::min(persecond, MaxRejectionsPerSlot * slots);
 }
 
-void startGuard(RejectionGuard &guard, double persecond, std::uint32_t fronts,
-                Time now, std::uint64_t &random) noexcept {
+void startGuard(RejectionGuard &guard, Time now,
+                std::uint64_t &random) noexcept {
   constexpr std::size_t Parts = 1U << 20U;
-  const double part = static_cast<double>(randomBelow(random, Parts)) / Parts;
   guard = {};
-  guard.Started = true;
-  guard.TurnFrom =
-      now + durationOf(secondsOf(turnPeriod(persecond, fronts)) * part);
+  guard.StartedAt = now;
+  guard.Phase = static_cast<double>(randomBelow(random, Parts)) / Parts;
 }
 
 bool mayRiskRejection(const RejectionGuard &guard, double persecond,
--- a/src/front/brittle_backends.cpp
+++ b/src/front/brittle_backends.cpp
@@ -28,9 +28,8 @@
   auto limit = rejectionLimit(b.Rejections, pool.Rejections);
   if (limit)
     limit = usefulRejections(*limit, std::max(b.Info.Slots, 1U));
-  if (limit && !b.Guard.Started)
-    startGuard(b.Guard, *limit, rl.Board.LivingFronts, rl.EventLoop.Now,
-               rl.RandomState);
+  if (limit && b.Guard.StartedAt == Time())
+    startGuard(b.Guard, rl.EventLoop.Now, rl.RandomState);
   return limit;
 }
 
