--- a/tests/unit/silent_back_end_test.cpp
+++ b/tests/unit/paused_upload_test.cpp
@@ -1,4 +1,4 @@
-// Tests of back ends that fall silent for a moment and go on.
+// Tests of uploads to back ends that read nothing for a moment and go on.
 #include "support/tested_front_loop.h"
 
 #include <catch2/catch.hpp>
