--- a/src/front/pools.cpp
+++ b/src/front/pools.cpp
@@ -110,6 +110,7 @@
                 hasIdleConnection(rl, *b, call)) &&
                !(skipejected && isEjected(b->Results, rl.EventLoop.Now));
     c.Contended = isContended(rl, pool, *b, c.Running, processes);
+    c.Paused = isPaused(rl, pool, *b, load, peerload);
     c.SameZone = b->Info.Zone == zone;
     rl.Candidates.push_back(c);
   }
@@ -447,6 +448,7 @@
                 to.Info.Version == move->NewVersion);
   }
   usePermission(to.Asked, rl.Board.LivingFronts, rl.EventLoop.Now);
+  recordRiskedCall(to.Guard, rl.EventLoop.Now);
   recordColdSend(poolOf(rl, to.Info.Pool), to);
   if (rl.EventLoop.Now - to.LastSentAt > ContentionWindow)
     to.RecentSends = 0;
@@ -470,6 +472,7 @@
     return;
   }
   recordUnreachable(rl, to);
+  recordGuardLoss(to.Guard);
   PoolState &pool = poolOf(rl, to.Info.Pool);
   if (mayEject(pool, rl.Outliers, rl.EventLoop.Now) &&
       recordLostConnection(to.Results, rl.Outliers, rl.EventLoop.Now))
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -104,6 +104,7 @@
   setGauge(rl.Metrics, "relay_peers", static_cast<double>(rl.Peers.size()));
   setGauge(rl.Metrics, "relayed_calls", static_cast<double>(rl.RelayedCalls));
   setReportGauges(rl);
+  setBrittleGauge(rl);
   setGauge(rl.Metrics, "log_lines_dropped",
            static_cast<double>(rl.Log.dropped()));
   arm(rl.EventLoop, rl.HousekeepingTimer, now + HousekeepingPeriod);
