Send no body in answers that end with their header

Cause: only the function that passes on whole answers knew the request's method.

Change: a caller's connection knows whether the request that it reads or answers is HEAD, and all that is written there goes by it. An answer that can't have a body is no stream.

Not tried: answers to CONNECT.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -44,6 +44,7 @@
   MessageParser Parser;
   std::string Body; // Of the request being read.
   bool SentContinue = false;
+  bool IsHead = false; // The request being read or answered is HEAD.
   std::shared_ptr<Call> ActiveCall; // Null between requests.
   LoopTimer Timer; // Timeout of an unfinished request or an idle connection.
   std::size_t UnsentAtTimer = 0; // Bytes to send when Timer expired last.
@@ -179,19 +180,20 @@
 /// Starts to accept connections of callers. Fails with Unavailable.
 [[nodiscard]] Result<void> listenForCallers(RequestLoop &rl);
 
-/// Sends a response with \p status and a body that holds \p reason. A
-/// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
-/// connection closes after the response.
+/// Sends a response with \p status and a body that holds \p reason, which is
+/// left out if the request is HEAD. A \p retryafter above zero adds a
+/// Retry-After header. If \p drop is set, the connection closes after the
+/// response.
 void respondWithStatus(CallerConnection &c, int status, std::string_view reason,
                        Duration retryafter = Duration::zero(),
                        bool drop = false);
 
-/// Sends a back end's complete response to the caller; \p method is that of the
-/// request.
+/// Sends a back end's complete response to the caller.
 void forwardResponse(CallerConnection &c, const MessageHead &head,
-                     std::string_view body, std::string_view method);
+                     std::string_view body);
 
-/// Starts a streamed response and sends its first \p events.
+/// Starts a streamed response, which must be one that may have a body, and
+/// sends its first \p events.
 void startStreamResponse(CallerConnection &c, const MessageHead &head,
                          std::string_view events);
 
--- a/include/zinniagauge/net/http1.h
+++ b/include/zinniagauge/net/http1.h
@@ -109,6 +109,10 @@
 /// The header; complete once the state is past InHead.
 [[nodiscard]] const MessageHead &headOf(const MessageParser &p) noexcept;
 
+/// Whether a response with \p status may have a body. One to a HEAD request has
+/// none, whatever its status.
+[[nodiscard]] bool mayHaveBody(int status) noexcept;
+
 /// Whether any byte of the message has arrived.
 [[nodiscard]] bool hasBegun(const MessageParser &p) noexcept;
 
--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -219,7 +219,9 @@
   if (lacksProof(head, names))
     return "answer without its proof";
   conn.Streaming = conn.ActiveCall->Facts.Kind == CallKind::Stream &&
-                   head.Status / 100 == 2 && findField(head.Fields, names.Seal);
+                   conn.ActiveCall->Head.Method != "HEAD" &&
+                   mayHaveBody(head.Status) && head.Status / 100 == 2 &&
+                   findField(head.Fields, names.Seal);
   return {};
 }
 
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -121,12 +121,14 @@
                    c.Owner->Limits.MaxBodyBytes);
       c.Body.clear();
       c.SentContinue = false;
+      c.IsHead = false;
       arm(c.Owner->EventLoop, c.Timer,
           c.Owner->EventLoop.Now + c.Owner->Limits.HeadTimeout);
     }
     const std::uint64_t before = c.Body.size();
     const std::size_t n = readMessage(c.Parser, part.substr(taken), c.Body);
     taken += n;
+    c.IsHead = headOf(c.Parser).Method == "HEAD";
     const ParseState st = stateOf(c.Parser);
     if (refuseUnreadable(c, st))
       return part.size();
@@ -263,26 +265,32 @@
   writeField(out, "Content-Length", std::uint64_t{body.size()});
   if (drop || isStopping(*c.Owner))
     writeField(out, "Connection", "close");
-  out.append("\r\n").append(body);
+  out.append("\r\n");
+  if (!c.IsHead)
+    out.append(body);
   send(c.Tcp, out);
   if (drop)
     closeCallerAfterSending(c);
 }
 
 void forwardResponse(CallerConnection &c, const MessageHead &head,
-                     std::string_view body, std::string_view method) {
+                     std::string_view body) {
   std::string out;
   constexpr std::size_t HeadReserve = 512;
   out.reserve(body.size() + HeadReserve);
   writeStatusLine(out, head.Status);
   writeResponseFields(out, head);
+  // In an answer to HEAD the length is that of the answer to GET, which only
+  // the back end knows.
   const auto length = findField(head.Fields, "Content-Length");
-  if (method == "HEAD" && length)
-    writeField(out, "Content-Length", *length);
-  else if (head.Status != 204 && head.Status != 304)
+  const bool hasbody = !c.IsHead && mayHaveBody(head.Status);
+  if (hasbody)
     writeField(out, "Content-Length", std::uint64_t{body.size()});
+  else if (c.IsHead && length && mayHaveBody(head.Status))
+    writeField(out, "Content-Length", *length);
   writeHeadEnd(out, *c.Owner);
-  out.append(body);
+  if (hasbody)
+    out.append(body);
   send(c.Tcp, out);
 }
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -242,7 +242,7 @@
   }
   CallerConnection *caller = call->Caller;
   if (caller)
-    forwardResponse(*caller, head, body, call->Head.Method);
+    forwardResponse(*caller, head, body);
   endCall(call, CallEnd::BackendFailed, head.Status, "back end failed");
   if (caller)
     serveNextRequest(*caller);
@@ -460,7 +460,7 @@
     countAttempt(rl.Metrics, "answered");
     CallerConnection *caller = call->Caller;
     if (caller) {
-      forwardResponse(*caller, head, body, call->Head.Method);
+      forwardResponse(*caller, head, body);
       recordFirstByteTime(rl.Metrics, call->Facts.Kind,
                           rl.EventLoop.Now - call->Arrived);
     }
--- a/src/front/status_server.cpp
+++ b/src/front/status_server.cpp
@@ -32,7 +32,9 @@
   writeField(out, "Content-Length", std::uint64_t{response.Body.size()});
   if (!head.KeepAlive)
     writeField(out, "Connection", "close");
-  out.append("\r\n").append(response.Body);
+  out.append("\r\n");
+  if (head.Method != "HEAD")
+    out.append(response.Body);
   const bool keep = head.KeepAlive;
   conn.Parser.State.reset();
   send(conn.Tcp, out);
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -270,6 +270,10 @@
   return p.State->Message.Head;
 }
 
+bool mayHaveBody(int status) noexcept {
+  return status / 100 != 1 && status != 204 && status != 304;
+}
+
 bool hasBegun(const MessageParser &p) noexcept {
   return p.State && p.State->Begun;
 }
