Count an answer without a length as whole only if its connection ended in order

Cause: a peer that closes with bytes unread sends its end and then a reset. If the end is read first, recv() reports that only. It doesn't report either a reset that a send() has met: the system names each error once. Responses with statuses that HTTP doesn't have were read as responses, those below 100 as interim ones.

Change: the end of a connection counts as Closed only if all was sent and acknowledged and the socket has no error, else as Reset. A status outside 100 to 599 is no response.

--- a/include/zinniagauge/net/http1.h
+++ b/include/zinniagauge/net/http1.h
@@ -67,7 +67,9 @@
   BodyTooLarge, ///< The body exceeds its limit.
   /// Chunk sizes, chunk extensions or the trailer exceed the header's limit.
   FramingTooLarge,
-  Malformed, ///< Invalid HTTP, or the body's length is ambiguous.
+  /// Invalid HTTP, a status outside 100 to 599, or the body's length is
+  /// ambiguous.
+  Malformed,
 };
 
 namespace impl {
--- a/include/zinniagauge/net/tcp_connection.h
+++ b/include/zinniagauge/net/tcp_connection.h
@@ -15,8 +15,12 @@
 
 /// How a connection ended.
 enum class ConnectionEnd : std::uint8_t {
-  Closed,  ///< The peer closed it, or closeAfterSending completed.
-  Reset,   ///< It was reset, timed out, or ended while paused.
+  /// The peer closed it after it had received all that was sent, or
+  /// closeAfterSending completed.
+  Closed,
+  /// It was reset, timed out, ended while paused, or the peer closed it before
+  /// it had received all that was sent.
+  Reset,
   Refused, ///< It couldn't be established.
 };
 
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -52,8 +52,12 @@
     Message.Head.Target = toStdView(target);
   }
   void on_response_impl(int status, BeastView /*reason*/, int /*version*/,
-                        BeastError & /*ec*/) override {
+                        BeastError &ec) override {
     Message.Head.Status = status;
+    constexpr int MinStatus = 100;
+    constexpr int MaxStatus = 599;
+    if (status < MinStatus || status > MaxStatus)
+      ec = http::error::bad_status;
   }
   void on_field_impl(http::field /*field*/, BeastView name, BeastView value,
                      BeastError & /*ec*/) override {
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -3,8 +3,10 @@
 
 #include "zinniagauge/net/socket_address.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -131,6 +133,22 @@
   keepUnread(conn, std::move(unread));
 }
 
+/// How a connection has ended whose peer sends nothing more. A peer that closes
+/// with data unread sends a reset after its end, which recv() doesn't report,
+/// nor one that send() has reported.
+ConnectionEnd endOf(const TcpConnection &conn) noexcept {
+  int unacknowledged = 0;
+  int err = 0;
+  socklen_t len = sizeof err;
+  const bool inorder =
+      pendingBytes(conn) == 0 &&
+      ::ioctl(conn.Socket.Fd, SIOCOUTQ, &unacknowledged) == 0 &&
+      unacknowledged == 0 &&
+      ::getsockopt(conn.Socket.Fd, SOL_SOCKET, SO_ERROR, &err, &len) == 0 &&
+      err == 0;
+  return inorder ? ConnectionEnd::Closed : ConnectionEnd::Reset;
+}
+
 void onReadable(TcpConnection &conn) {
   for (;;) {
     const ssize_t n = ::recv(conn.Socket.Fd, conn.EventLoop->ReadBuffer.data(),
@@ -140,8 +158,8 @@
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
       return;
     if (n <= 0) {
-      finish(conn, n == 0 ? ConnectionEnd::Closed : ConnectionEnd::Reset,
-             n == 0 ? 0 : errno);
+      const int err = n == 0 ? 0 : errno;
+      finish(conn, n == 0 ? endOf(conn) : ConnectionEnd::Reset, err);
       return;
     }
     const auto count = static_cast<std::size_t>(n);
