End a planned stop only when no request is being received

A request on a connection that waited to be accepted when the socket was closed got a reset.

Cause: from 3.5 s on the stop ended as soon as no call was in progress; a request that was still being received didn't count, though there were 8 s. In the last 100 ms calls were still passed on.

Change: the stop ends early only when no call is in progress, no request has arrived even in part, and all is sent; before that, what waits to be accepted is accepted. From then on no call is passed on: what is still completed gets a 503, and the process waits for it as long as for unsent responses.

--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -171,6 +171,7 @@
   LoopTimer HousekeepingTimer;
   LoopTimer StopTimer;
   Time StoppingSince;
+  bool Closing = false; // The process ends soon and passes no call on.
   std::function<void()>
       OnLoadsChanged; // Called after new loads were published.
 };
@@ -221,6 +222,10 @@
 /// its response closes the connection.
 void closeIdleCallers(RequestLoop &rl);
 
+/// Whether some caller's request is in progress or has arrived, if only in
+/// part.
+[[nodiscard]] bool hasOpenRequests(const RequestLoop &rl);
+
 /// Whether a body that has grown from \p before to \p now bytes can't be read
 /// on, as all bodies together use too much memory.
 [[nodiscard]] bool exceedsBodyMemory(const RequestLoop &rl,
@@ -464,7 +469,7 @@
 void beginShutdown(RequestLoop &rl);
 
 /// Whether the new call \p call is accepted. Late in a shutdown a call isn't,
-/// if it might not end before the process does.
+/// if it might not end before the process does, and at its end none is.
 [[nodiscard]] bool acceptsCall(const RequestLoop &rl, const Call &call);
 
 /// Updates the allowances with the spending of all front processes, and starts
--- a/include/zinniagauge/net/listener.h
+++ b/include/zinniagauge/net/listener.h
@@ -37,7 +37,11 @@
                                           const ListenerHandlers &handlers,
                                           void *ctx);
 
-/// Closes the listening socket; new connections are refused from now on.
+/// Accepts the connections that wait, as the loop does when it sees them.
+void acceptWaiting(Listener &ls);
+
+/// Closes the listening socket; new connections are refused from now on, and
+/// those that wait to be accepted are reset.
 void stopListening(Listener &ls);
 
 } // namespace zinniagauge
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -351,6 +352,11 @@
     closeCallerAfterSending(*c);
 }
 
+bool hasOpenRequests(const RequestLoop &rl) {
+  return std::any_of(rl.Callers.begin(), rl.Callers.end(),
+                     [](const auto &item) { return !isIdle(*item.second); });
+}
+
 void resetCaller(CallerConnection &c) {
   close(c.Tcp, true);
   removeCaller(c);
--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -39,23 +39,33 @@
 }
 
 /// Called while the last responses leave, after new connections are refused.
+/// Requests that are still being received are refused once they are complete.
 void onFlushTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  if (isSending(rl) &&
+  if ((isSending(rl) || hasOpenRequests(rl)) &&
       now < rl.StoppingSince + rl.Settings.StopTimeout - ExitMargin)
     arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
   else
     rl.EventLoop.StopRequested = true;
 }
 
+/// Whether no call is in progress, no request has begun to arrive, and all
+/// responses are sent.
+bool isDone(const RequestLoop &rl) {
+  return rl.ActiveCalls == 0 && !isSending(rl) && !hasOpenRequests(rl);
+}
+
 void onStopTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
-  const bool idle = rl.ActiveCalls == 0 && !isSending(rl) &&
-                    now - rl.StoppingSince >= MinStopTime;
-  if (!idle && now < closingTime(rl)) {
+  // Closing the socket resets the connections that wait to be accepted.
+  if (now - rl.StoppingSince >= MinStopTime)
+    acceptWaiting(rl.Listening);
+  const bool done = now - rl.StoppingSince >= MinStopTime && isDone(rl);
+  if (!done && now < closingTime(rl)) {
     arm(rl.EventLoop, rl.StopTimer, now + StopCheckPeriod);
     return;
   }
+  rl.Closing = true;
   stopListening(rl.Listening);
   refuseWaitingCalls(rl, "stopping");
   endSentCalls(rl, "stopping");
@@ -82,6 +92,8 @@
 bool acceptsCall(const RequestLoop &rl, const Call &call) {
   if (!rl.Board.Stopping)
     return true;
+  if (rl.Closing)
+    return false;
   return rl.EventLoop.Now - rl.StoppingSince < LongCallAcceptTime ||
          (call.Facts.Kind != CallKind::Stream &&
           call.Deadline <= closingTime(rl));
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -66,6 +66,11 @@
   return {};
 }
 
+void acceptWaiting(Listener &ls) {
+  if (ls.Socket.Fd >= 0 && !ls.ResumeTimer.Hook.is_linked())
+    onReadable(&ls, EPOLLIN);
+}
+
 void stopListening(Listener &ls) {
   if (ls.Socket.Fd < 0)
     return;
