--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -46,6 +46,7 @@
   MessageParser Parser;
   std::string Body; // Of the request being read.
   bool SentContinue = false;
+  bool IsHead = false; // The request being read or answered is HEAD.
   std::shared_ptr<Call> ActiveCall; // Null between requests.
   LoopTimer Timer; // Timeout of an unfinished request or an idle connection.
   std::size_t UnsentAtTimer = 0; // Bytes to send when Timer expired last.
@@ -221,6 +222,7 @@
   LoopTimer ReachTimer;
   LoopTimer StopTimer;
   Time StoppingSince;
+  bool Closing = false; // The process ends soon and passes no call on.
   std::function<void()>
       OnLoadsChanged; // Called after new loads were published.
 };
@@ -239,19 +241,20 @@
 /// one.
 bool closeLongestIdle(RequestLoop &rl, bool onlypeers);
 
-/// Sends a response with \p status and a body that holds \p reason. A
-/// \p retryafter above zero adds a Retry-After header. If \p drop is set, the
-/// connection closes after the response.
+/// Sends a response with \p status and a body that holds \p reason, which is
+/// left out if the request is HEAD. A \p retryafter above zero adds a
+/// Retry-After header. If \p drop is set, the connection closes after the
+/// response.
 void respondWithStatus(CallerConnection &c, int status, std::string_view reason,
                        Duration retryafter = Duration::zero(),
                        bool drop = false);
 
-/// Sends a back end's complete response to the caller; \p method is that of the
-/// request.
+/// Sends a back end's complete response to the caller.
 void forwardResponse(CallerConnection &c, const MessageHead &head,
-                     std::string_view body, std::string_view method);
+                     std::string_view body);
 
-/// Starts a streamed response and sends its first \p events.
+/// Starts a streamed response, which must be one that may have a body, and
+/// sends its first \p events.
 void startStreamResponse(CallerConnection &c, const MessageHead &head,
                          std::string_view events);
 
@@ -281,6 +284,10 @@
 /// run.
 void closeIdleCallers(RequestLoop &rl);
 
+/// Whether some caller's request is in progress or has arrived, if only in
+/// part.
+[[nodiscard]] bool hasOpenRequests(const RequestLoop &rl);
+
 /// Whether a body that has grown from \p before to \p now bytes can't be read
 /// on, as all bodies together use too much memory.
 [[nodiscard]] bool exceedsBodyMemory(const RequestLoop &rl,
@@ -570,7 +577,7 @@
 void beginShutdown(RequestLoop &rl);
 
 /// Whether the new call \p call is accepted. Late in a shutdown a call isn't,
-/// if it might not end before the process does.
+/// if it might not end before the process does, and at its end none is.
 [[nodiscard]] bool acceptsCall(const RequestLoop &rl, const Call &call);
 
 /// Updates the allowances with the spending of all front processes, and starts
--- a/include/zinniagauge/net/http1.h
+++ b/include/zinniagauge/net/http1.h
@@ -67,7 +67,9 @@
   BodyTooLarge, ///< The body exceeds its limit.
   /// Chunk sizes, chunk extensions or the trailer exceed the header's limit.
   FramingTooLarge,
-  Malformed, ///< Invalid HTTP, or the body's length is ambiguous.
+  /// Invalid HTTP, a status outside 100 to 599, or the body's length is
+  /// ambiguous.
+  Malformed,
 };
 
 namespace impl {
@@ -109,6 +111,10 @@
 /// The header; complete once the state is past InHead.
 [[nodiscard]] const MessageHead &headOf(const MessageParser &p) noexcept;
 
+/// Whether a response with \p status may have a body. One to a HEAD request has
+/// none, whatever its status.
+[[nodiscard]] bool mayHaveBody(int status) noexcept;
+
 /// Whether any byte of the message has arrived.
 [[nodiscard]] bool hasBegun(const MessageParser &p) noexcept;
 
