--- a/tests/unit/paused_upload_test.cpp
+++ b/tests/unit/paused_upload_test.cpp
@@ -48,17 +48,13 @@
   return out;
 }
 
-} // namespace
-
-// Guards against an upload being broken off as its receiver, which acknowledges
-// all probes, has no room for more bytes.
-TEST_CASE("an upload waits for a back end that reads nothing for a second",
-          "[front]") {
+/// Checks that an upload is answered whose receiver reads nothing for \p pause.
+void checkUpload(Duration pause) {
   TestedFrontLoop f(1);
   upload(f, "u-1");
   const TestSocket conn = f.accept(0);
   REQUIRE(conn.Fd >= 0);
-  f.wait(milliseconds(1000));
+  f.wait(pause);
   CHECK(readUpload(f, conn) >= UploadBytes);
   const std::string text =
       "HTTP/1.1 200 OK\r\nZinniagauge-Attempt-Id: u-1\r\n"
@@ -67,3 +63,18 @@
   const std::string answer = f.receive(f.Caller, "\r\n\r\n");
   CHECK(answer.find(" 200 ") != std::string::npos);
 }
+
+} // namespace
+
+// Guard against an upload being broken off as its receiver, which acknowledges
+// all probes, has no room for more bytes.
+TEST_CASE("an upload waits for a back end that reads nothing for a second",
+          "[front]") {
+  checkUpload(milliseconds(1000));
+}
+
+TEST_CASE("an upload waits for a back end that reads nothing for longer than "
+          "the acknowledgement timeout",
+          "[front]") {
+  checkUpload(milliseconds(2500));
+}
