Don't eject a back end for a second of silence

A sound back end may fall silent for a second or so and go on. Calls that may run again are moved to another one after their latency target, and each move counted as a lost connection; two in a row eject the back end for 1.5 s, so that the others get its calls.

A moved call counts as a lost connection only once the back end has sent nothing on any connection for two seconds. One that is gone is found as before, by connections that aren't established or acknowledged.

The new test failed before the change (the back end was ejected); unit-tests "[silent_backend]" afterwards: 11 passed.

--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -45,6 +45,10 @@
 /// response to a call.
 constexpr std::uint32_t MaxSkippedResponses = 8;
 
+/// A sound back end may send nothing for a second or so; a longer silence counts
+/// as a lost connection.
+constexpr Duration MaxSoundSilence = std::chrono::seconds(2);
+
 /// How often a silent back end's call is checked for another back end that
 /// takes it over.
 constexpr Duration SuccessorCheckPeriod = std::chrono::milliseconds(200);
@@ -714,7 +718,9 @@
 void giveUpSilent(BackendConnection &conn) {
   RequestLoop &rl = *conn.Owner;
   BackendState &to = *conn.Target;
-  const bool counts = lossCounts(conn);
+  const Duration silence =
+      rl.EventLoop.Now - std::max(to.LastByteAt, conn.LastByteAt);
+  const bool counts = lossCounts(conn) && silence >= MaxSoundSilence;
   onBackendSilent(conn);
   closeConnection(conn);
   // If it is another front, its back end is silent.
--- a/tests/unit/silent_backend_test.cpp
+++ b/tests/unit/silent_backend_test.cpp
@@ -226,3 +226,20 @@
   f.send(next.Connection, streamHead("c-1"));
   CHECK(endsWhole(f, next));
 }
+
+TEST_CASE("a second of silence doesn't eject a back end", "[silent_backend]") {
+  TestedFrontLoop f(2);
+  // Both calls go to the first back end, which then falls silent.
+  f.Rl->Backends.at(f.Backends[1].Info.Id)->Running = 8;
+  f.request("c-1", {}, "/safe/x");
+  const TestSocket first = f.accept(0);
+  f.useNewCaller();
+  f.request("c-2", {}, "/safe/x");
+  const TestSocket second = f.accept(0);
+  REQUIRE_FALSE(f.receive(second, "\r\n\r\n").empty());
+  f.Rl->Backends.at(f.Backends[1].Info.Id)->Running = 0;
+  f.wait(milliseconds(1000));
+  const BackendState &silent = *f.Rl->Backends.at(f.Backends[0].Info.Id);
+  CHECK(silent.Running == 0);
+  CHECK_FALSE(isEjected(silent.Results, f.Rl->EventLoop.Now));
+}
