Count a crash against a stream that has begun

Cause: a call counted as answered from its second event on. That voided what was known of its parts and kept the crash that followed from being recorded.

Change: parts are cleared by an answer that is whole, or by a stream that has run for two seconds in the current attempt. Until then a crash counts against them, unless they were cleared in the last five seconds, as before. A stream's second event still lets others with a suspect part go ahead and lets it be resumed, so that sound streams are treated as before.

A part that crashes back ends later than two seconds after the first event isn't found.

--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -79,6 +79,7 @@
   std::string PartialEvent;       // Bytes of an event that isn't complete yet.
   EventScan PartialScan;          // How far PartialEvent has been searched.
   Time FirstEventAt;
+  Time AttemptEventAt; // Of the first event of the current attempt.
   Time LastEventAt;
   Time PaceStartAt; // Start of the current measurement of the time per event.
   std::uint32_t PaceStartEvents = 0;      // Value of Events at PaceStartAt.
@@ -107,9 +108,10 @@
   CallPhase Phase = CallPhase::Waiting;
   CallRank Rank;
   bool CostReported = false; // Counted as spent, since it was sent once.
-  bool WasAnswered = false;  // A back end answered and didn't crash at once.
-  bool Evaluated = false;    // Counts in the statistics of a version move.
-  bool Queued = false;       // In the queue of its pool.
+  /// A back end has answered it whole, or has streamed for some time.
+  bool WasAnswered = false;
+  bool Evaluated = false; // Counts in the statistics of a version move.
+  bool Queued = false;    // In the queue of its pool.
   Time QueuedSince;
   Duration QueueTime = Duration::zero(); // Total over all attempts.
   /// The latest forecast of the time until it is sent, if there was one.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -324,7 +324,8 @@
 /// suspect part with it.
 [[nodiscard]] bool isHeldBack(const RequestLoop &rl, const Call &call);
 
-/// Records that a back end answered \p call, so its prompt crashes none.
+/// Records that a back end answered \p call whole or for some time, so its
+/// prompt crashes none. Its first events don't show that.
 void recordAnswered(RequestLoop &rl, Call &call);
 
 /// Called when the connection over which \p to ran \p call has ended. Records
--- a/src/front/call_quarantine.cpp
+++ b/src/front/call_quarantine.cpp
@@ -34,6 +34,12 @@
   return std::find(traits.begin(), traits.end(), trait) != traits.end();
 }
 
+/// Whether \p call has got past its first event. A suspect call then no longer
+/// holds back others, and is resumed like them.
+bool hasBegun(const Call &call) {
+  return call.WasAnswered || call.Stream.Events > 1;
+}
+
 void publishCrashes(RequestLoop &rl) {
   rl.Board.OwnCrashes.publish(rl.Crashes);
   scheduleLoadReport(rl);
@@ -78,7 +84,7 @@
   return std::any_of(rl.BackendConnections.begin(), rl.BackendConnections.end(),
                      [&](const auto &it) {
                        const Call *other = it.second->ActiveCall.get();
-                       return other && other != &call && !other->WasAnswered &&
+                       return other && other != &call && !hasBegun(*other) &&
                               sharessuspect(*other);
                      });
 }
@@ -126,7 +132,7 @@
 }
 
 bool mayCrashAgain(const RequestLoop &rl, const Call &call) {
-  return !call.WasAnswered &&
+  return !hasBegun(call) &&
          mayCrashAgain(rl.Crashes, call.Work.Traits, rl.EventLoop.Now);
 }
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -18,6 +18,10 @@
 /// Limit of one event of a stream, far above a page of text.
 constexpr std::size_t MaxEventBytes = std::size_t{64} << 10U;
 
+/// A back end that crashes later than this after a stream's first event hasn't
+/// crashed on that stream: a deadly one ends its back end as it begins.
+constexpr Duration SoundStreamTime = std::chrono::seconds(2);
+
 /// Number of events over which the time per event is measured.
 constexpr std::uint32_t PaceEvents = 8;
 
@@ -506,9 +510,10 @@
     st.PaceStartEvents = complete.Count;
   }
   st.LastEventAt = rl.EventLoop.Now;
+  if (st.Events == st.EventsBefore)
+    st.AttemptEventAt = rl.EventLoop.Now;
   st.Events += complete.Count;
-  // A crash may follow on the first event.
-  if (st.Events > 1)
+  if (st.LastEventAt - st.AttemptEventAt >= SoundStreamTime)
     recordAnswered(rl, *call);
   measurePace(rl, *call, st);
   if (complete.LastId)
