Check newly listed back ends of an unreached pool first

A pool whose back ends had all failed was checked at one of them every half second, in turn. After one of them was replaced, calls waited until its turn came.

Evidence: the new section in tests/unit/reachability_test.cpp failed before the change.

Change: a back end without a recorded failure is checked before the others.

--- a/src/decide/reachability.cpp
+++ b/src/decide/reachability.cpp
@@ -214,7 +214,9 @@
   };
   const Duration sincecheck = now - reach.LastCheckAt;
   if (reach.State != PoolReach::Reached) {
-    if (sincecheck >= UnreachedCheckPeriod)
+    // One that was listed after the others failed most likely accepts.
+    if (sincecheck >= UnreachedCheckPeriod &&
+        !checkNext(reach, usable, now, out, sound))
       checkNext(reach, usable, now, out, any);
   } else if (isSuspected(reach, usable, now)) {
     while (reach.Checks.size() < MaxReachChecks &&
--- a/tests/unit/reachability_test.cpp
+++ b/tests/unit/reachability_test.cpp
@@ -279,6 +279,16 @@
     p.pass(milliseconds(600));
     CHECK(p.Reach.State == PoolReach::Reached);
   }
+  SECTION("new ones first") {
+    p.Ids.push_back(EndpointId::of("new"));
+    std::sort(p.Ids.begin(), p.Ids.end());
+    p.Network = [&](std::size_t n) {
+      return p.Ids[n] == EndpointId::of("new") ? Answer::Accepts
+                                               : Answer::Refuses;
+    };
+    p.pass(milliseconds(600));
+    CHECK(p.Reach.State == PoolReach::Reached);
+  }
   SECTION("but not without any") {
     p.Ids.clear();
     p.pass(seconds(2));
