Try another back end if one doesn't take over a silent one's call

A stream stayed with its silent back end although a third one was sound: each check chose the same back end, which refused connections. Nothing recorded that, as a refused connection without a call isn't a lost one.

Evidence: the new case in tests/unit/silent_backend_test.cpp failed before the change.

Change: a back end to which no connection was established counts as tried by the call.

--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -60,11 +60,20 @@
   return call;
 }
 
+/// Records that \p to didn't take over the call of a silent back end, so that
+/// another one is preferred next.
+void recordNoTakeover(Call &call, const BackendState &to) {
+  auto &tried = call.TriedBackends;
+  if (std::find(tried.begin(), tried.end(), to.Info.Id) == tried.end())
+    tried.push_back(to.Info.Id);
+}
+
 /// Removes the connection from the loop's state. It is deleted after the
 /// current loop iteration.
 void removeConnection(BackendConnection &conn) {
   RequestLoop &rl = *conn.Owner;
-  releaseStandby(conn);
+  if (const std::shared_ptr<Call> call = releaseStandby(conn))
+    recordNoTakeover(*call, *conn.Target);
   disarm(rl.EventLoop, conn.ConnectTimer);
   disarm(rl.EventLoop, conn.SilenceTimer);
   std::erase(conn.Target->IdleConnections, &conn);
@@ -562,8 +571,10 @@
     return;
   }
   BackendConnection *next = openBackendConnection(rl, *to);
-  if (!next)
+  if (!next) {
+    recordNoTakeover(*call, *to);
     return;
+  }
   next->TakesOver = call;
   call->Standby = next;
 }
--- a/tests/unit/silent_backend_test.cpp
+++ b/tests/unit/silent_backend_test.cpp
@@ -226,3 +226,21 @@
   f.send(next.Connection, streamHead("c-1"));
   CHECK(endsWhole(f, next));
 }
+
+TEST_CASE("a silent back end's call moves on although the back end that is "
+          "preferred refuses connections",
+          "[silent_backend]") {
+  TestedFrontLoop f(3);
+  const RunningStream st = startStream(f);
+  const std::size_t gone = (st.At + 1) % 3;
+  const std::size_t sound = (st.At + 2) % 3;
+  f.Backends[gone].Listener.reset();
+  // Busier, so that it is the second choice.
+  f.Rl->Backends.at(f.Backends[sound].Info.Id)->Running = 4;
+  f.wait(Pause);
+  const RunningStream next{sound, f.accept(sound)};
+  REQUIRE(f.receive(next.Connection, "\r\n\r\n").find("Last-Event-Id: 1") !=
+          std::string::npos);
+  f.send(next.Connection, streamHead("c-1"));
+  CHECK(endsWhole(f, next));
+}
