Pass over a relay peer to which no socket can be opened

Calls of a front that is cut off were refused with 503, "no socket left", although another front could have served them: connecting to the first one failed at once, as without a route to it. Having no calls there, the front chose it again each time.

Evidence: the new case in tests/unit/relay_test.cpp failed before the change.

Change: the peer is passed over and the call goes to another one, or waits as it does without peers.

--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -547,6 +547,8 @@
     const int err = errno;
     if (err == ECONNREFUSED || err == ENETUNREACH || err == EHOSTUNREACH)
       onConnectFailed(rl, to, rl.EventLoop.Now);
+    if (to.IsPeer)
+      passOverPeer(rl, to);
     errno = err;
     return nullptr;
   }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -425,6 +425,10 @@
     recordForecastError(rl.Metrics, call->ForecastStart - rl.EventLoop.Now);
   recordChoice(*call, *to);
   if (!sendCall(rl, call, *to)) {
+    if (to->IsPeer) {
+      dispatchCall(call); // It is passed over now.
+      return;
+    }
     refuse(call, "no socket left");
     return;
   }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -770,3 +770,20 @@
     CHECK(conns.back().Fd >= 0);
   }
 }
+
+// Guards against a front without a route to a peer choosing it again for each
+// call, as it has no calls there.
+TEST_CASE("a peer to which no socket can be opened is passed over",
+          "[front][relay]") {
+  PlayedPeers f(2);
+  std::vector<RelayPeer> list = f.Board.RelayPeers.copy().List;
+  list[0].Address = {0xE0000001, 1}; // Multicast: connecting fails at once.
+  list[0].Token = Token + 1;
+  f.Board.RelayPeers.publish({std::move(list)});
+  refreshRelayPeers(*f.Rl);
+  f.request("c-1", {}, "/unsafe/x");
+  const TestSocket conn = f.accept(1);
+  REQUIRE(has(f.receive(conn, "\r\n\r\n"), "c-1"));
+  f.send(conn, plain("c-1"));
+  CHECK(f.receive(f.Caller, "ok").starts_with("HTTP/1.1 200"));
+}
