Count the attempts of a peer that passes on a failure

A call ran at one back end more than its route allows: the front that served it had used the sender's attempt for a silent back end, the next one failed, and the sender, which didn't know, sent the call again.

Evidence: the new case in tests/unit/relay_test.cpp failed before the change.

Change: each response to a relayed call states the attempts so far. The sender counts those beyond what it gave when it gets a failure.

--- a/include/zinniagauge/front/relay.h
+++ b/include/zinniagauge/front/relay.h
@@ -23,7 +23,7 @@
 inline constexpr std::string_view Route = "Zinnia-Relay-Route";
 inline constexpr std::string_view Workspace = "Zinnia-Relay-Workspace";
 inline constexpr std::string_view Outcome = "Zinnia-Relay-Outcome";
-/// In a response with Outcome: the attempts that were used.
+/// The attempts that were used when the response began.
 inline constexpr std::string_view Attempts = "Zinnia-Relay-Attempts";
 /// In such a response: "1" if the front doesn't reach the call's pool either.
 inline constexpr std::string_view Unreached = "Zinnia-Relay-Unreached";
@@ -72,7 +72,7 @@
 [[nodiscard]] std::optional<AttemptEnd>
 relayOutcome(const MessageHead &head) noexcept;
 
-/// The attempts that a response with an outcome says were used.
+/// The attempts that a response says were used.
 [[nodiscard]] std::uint32_t relayAttempts(const MessageHead &head) noexcept;
 
 /// Sends no call to \p peer for a while, as it can't be reached.
@@ -84,6 +84,10 @@
 void recordRelayEnd(RequestLoop &rl, Call &call, const MessageHead &head,
                     AttemptEnd end);
 
+/// Counts the attempts that a peer used beyond those that it was given, as the
+/// back end's response \p head that it passed on says.
+void recordFurtherAttempts(Call &call, const MessageHead &head);
+
 // The front that serves a relayed call ---------------------------------------
 
 /// Starts to accept relayed calls, if the settings have an address for it.
--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -215,6 +215,9 @@
         !equalsIgnoreCase(f.Name, "Content-Length"))
       writeField(out, f.Name, f.Value);
   }
+  if (c.FromPeer && c.ActiveCall)
+    writeField(out, relay::Attempts,
+               std::uint64_t{c.ActiveCall->Facts.SentAttempts});
   const std::string_view idname = c.Owner->Names.CallId;
   if (c.FromPeer && c.ActiveCall && !c.ActiveCall->Id.empty() &&
       !findField(head.Fields, idname))
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -311,6 +311,8 @@
                        const MessageHead &head, std::string_view body) {
   RequestLoop &rl = *call->Owner;
   call->Facts.MayHaveRun = true;
+  if (call->ThroughPeer)
+    recordFurtherAttempts(*call, head);
   const bool retrying = takeRetryIfAllowed(rl, *call, AttemptEnd::Failed);
   logAttemptEnd(rl, *call, AttemptEnd::Failed, std::to_string(head.Status),
                 retrying);
--- a/src/front/relay_client.cpp
+++ b/src/front/relay_client.cpp
@@ -184,4 +184,13 @@
         call.AttemptsCharged;
 }
 
+void recordFurtherAttempts(Call &call, const MessageHead &head) {
+  const std::uint32_t used =
+      std::min(relayAttempts(head), call.Facts.MaxAttempts);
+  if (used <= call.AttemptsCharged)
+    return;
+  call.Facts.SentAttempts += used - call.AttemptsCharged;
+  call.AttemptsCharged = used;
+}
+
 } // namespace zinniagauge
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -787,3 +787,20 @@
   f.send(conn, plain("c-1"));
   CHECK(f.receive(f.Caller, "ok").starts_with("HTTP/1.1 200"));
 }
+
+// Guards against a call running at more back ends than its route allows.
+TEST_CASE("a failure counts with the attempts that the serving front used",
+          "[front][relay]") {
+  TwoFronts f;
+  f.Own.request("c-1", {}, "/safe/x");
+  const TestSocket silent = f.Peer.acceptAny().second;
+  REQUIRE_FALSE(f.Peer.receive(silent, "\r\n\r\n").empty());
+  f.Peer.wait(milliseconds(850));
+  const TestSocket next = f.Peer.acceptAny().second;
+  REQUIRE(has(f.Peer.receive(next, "\r\n\r\n"), "c-1"));
+  f.Peer.send(next, "HTTP/1.1 500 Broken\r\nZinniagauge-Attempt-Id: c-1\r\n"
+                    "Content-Length: 2\r\n\r\n{}");
+  const std::string got = f.Own.receive(f.Own.Caller, "{}");
+  CHECK(got.starts_with("HTTP/1.1 500"));
+  CHECK_FALSE(has(got, "Zinnia-Relay"));
+}
