Don't offer a front that stops as a relay peer

A front that stopped refused relayed calls as not run but was listed until its process ended, so that each call asked it first. After four such answers a call is refused, as may happen in a rolling stop.

Change: a front that stops is in no list of relay peers, and says so at once.

--- a/src/front/shutdown.cpp
+++ b/src/front/shutdown.cpp
@@ -78,6 +78,7 @@
   rl.StopTimer.Ctx = &rl;
   arm(rl.EventLoop, rl.StopTimer, rl.StoppingSince + StopCheckPeriod);
   closeIdleCallers(rl);
+  scheduleLoadReport(rl);
 }
 
 bool acceptsCall(const RequestLoop &rl, const Call &call) {
--- a/src/store/relay_lists.cpp
+++ b/src/store/relay_lists.cpp
@@ -104,7 +104,8 @@
   self.Zone = ZoneId::of(ct.Settings.Zone);
   self.Address = ct.Settings.RelayAddress;
   self.Token = ct.Board.RelayToken;
-  if (self.Address.Port == 0 || self.Token == 0)
+  // While it stops, this front refuses relayed calls.
+  if (self.Address.Port == 0 || self.Token == 0 || ct.Board.Stopping)
     return {};
   self.Unreached = ct.Board.OwnUnreached.copy().Pools;
   // A partial list would say that the other pools are reached.
--- a/tests/unit/relay_peers_test.cpp
+++ b/tests/unit/relay_peers_test.cpp
@@ -263,6 +263,18 @@
   CHECK(fleet.listings(2) == 3);
 }
 
+// Guards against calls that ask one front that stops after the other.
+TEST_CASE("a front that stops is no relay peer any more", "[gossip][relay]") {
+  const int n = GENERATE(0, 2);
+  const Fleet fleet;
+  REQUIRE(fleet.listings(n) == 3);
+  fleet.at(n).Board.Stopping = true;
+  sendChanges(fleet.at(n).Ct->PeerGossip);
+  fleet.advance(SpreadTime);
+  CHECK(fleet.listings(n) == 0);
+  CHECK(fleet.known(n, 3));
+}
+
 TEST_CASE("a front that restarted has its new token everywhere",
           "[gossip][relay]") {
   Fleet fleet;
