Refuse queued relayed calls once their pool isn't reached

A relayed call that waited for a slot when its front was cut off stayed in the queue until its queue time was over, although its sender could have relayed it through another front at once.

Evidence: the new case in tests/unit/relay_test.cpp failed before the change. A second case, a stream that moves to a relay peer and back, passed before it.

--- a/src/front/reachability.cpp
+++ b/src/front/reachability.cpp
@@ -307,6 +307,17 @@
 }
 
 void onPoolReachChanged(RequestLoop &rl, PoolId pool) {
+  const PoolState &st = rl.Pools[pool];
+  std::vector<std::shared_ptr<Call>> relayed;
+  if (st.Reach.State != PoolReach::Reached)
+    for (const auto &[rank, call] : st.Queue)
+      if (call->FromPeer && call->Caller)
+        relayed.push_back(call->Caller->ActiveCall);
+  // Those that no idle connection is left for are refused.
+  for (const std::shared_ptr<Call> &call : relayed) {
+    dequeue(rl, *call);
+    dispatchCall(call);
+  }
   dispatchQueued(rl, pool);
 }
 
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -2,6 +2,7 @@
 #include "support/tested_front_loop.h"
 
 #include "zinniagauge/decide/silence_timeout.h"
+#include "zinniagauge/front/reachability.h"
 #include "zinniagauge/front/relay.h"
 #include "zinniagauge/net/socket_address.h"
 
@@ -804,3 +805,67 @@
   CHECK(got.starts_with("HTTP/1.1 500"));
   CHECK_FALSE(has(got, "Zinnia-Relay"));
 }
+
+// Guards against a relayed call waiting in vain while another front could serve
+// it.
+TEST_CASE("queued relayed calls are refused once their pool isn't reached",
+          "[front][relay]") {
+  ServingFront f(1);
+  f.Rl->Backends.at(f.Backends[0].Info.Id)->Running = 8;
+  const TestSocket peer = connectTo(f.Rl->Settings.RelayAddress);
+  f.send(peer, relayedRequest(
+                   {{"Zinnia-Relay-Plan", "1,0,1,0,5000,4000,300,0,1,1,0,1"}}));
+  f.wait(milliseconds(50));
+  PoolState &pool = f.Rl->Pools[Model];
+  REQUIRE(pool.Queue.size() == 1);
+  pool.Reach.State = PoolReach::Unreached;
+  onPoolReachChanged(*f.Rl, Model);
+  CHECK(pool.Queue.empty());
+  const std::string got = f.receive(peer, "}");
+  CHECK(got.starts_with("HTTP/1.1 503"));
+  CHECK(has(got, "Zinnia-Relay-Outcome: not_run\r\n"));
+  CHECK(has(got, "Zinnia-Relay-Unreached: 1\r\n"));
+}
+
+TEST_CASE("a silent back end's stream moves to a relay peer and back",
+          "[front][relay]") {
+  TestedFrontLoop own(1);
+  ServingFront serving(1);
+  own.Others = {&serving};
+  serving.Others = {&own};
+  own.request("c-1");
+  const TestSocket first = own.accept(0);
+  REQUIRE_FALSE(own.receive(first, "\r\n\r\n").empty());
+  own.send(first, sealed("c-1", "Transfer-Encoding: chunked\r\n\r\n"));
+  std::string chunk;
+  writeChunk(chunk, eventOf(1));
+  own.send(first, chunk);
+  REQUIRE(has(own.receive(own.Caller, eventOf(1)), "200"));
+  own.Rl->Callers.begin()->second->ActiveCall->Facts.MaxAttempts = 4;
+  const PeerAddress reached = own.Backends[0].Info.Address;
+  cutOff(own, {serving.peer()});
+  own.Rl->Pools[Model].Reach.ChangedAt = own.Rl->EventLoop.Now;
+  own.wait(MinGapTimeout + milliseconds(300));
+  const TestSocket second = serving.accept(0);
+  REQUIRE(has(serving.receive(second, "\r\n\r\n"), "Last-Event-Id: 1"));
+  chunk.clear();
+  writeChunk(chunk, eventOf(2));
+  serving.send(second, sealed("c-1", "Transfer-Encoding: chunked\r\n\r\n"));
+  serving.send(second, chunk);
+  REQUIRE(has(own.receive(own.Caller, eventOf(2)), eventOf(2)));
+  own.Backends[0].Info.Id = EndpointId::of("new");
+  own.Backends[0].Info.Address = reached;
+  own.publishBackends();
+  own.Rl->Pools[Model].Reach = {};
+  own.wait(MinGapTimeout + milliseconds(1300));
+  const TestSocket third = own.accept(0);
+  REQUIRE(has(own.receive(third, "\r\n\r\n"), "Last-Event-Id: 2"));
+  own.send(third, sealed("c-1", "Content-Length: " +
+                                    std::to_string(eventOf(3).size()) +
+                                    "\r\n\r\n" + eventOf(3)));
+  CHECK(has(own.receive(own.Caller, "\r\n0\r\n\r\n"), eventOf(3)));
+  own.wait(milliseconds(50));
+  CHECK(serving.Rl->RelayedCalls == 0);
+  CHECK(serving.Rl->ActiveCalls == 0);
+  CHECK(own.Rl->ActiveCalls == 0);
+}
