--- a/src/front/caller_connection.cpp
+++ b/src/front/caller_connection.cpp
@@ -218,10 +218,13 @@
         !equalsIgnoreCase(f.Name, "Content-Length"))
       writeField(out, f.Name, f.Value);
   }
-  if (c.FromPeer && c.ActiveCall)
-    if (const auto it = c.Owner->Backends.find(c.ActiveCall->LastBackend);
-        it != c.Owner->Backends.end())
+  if (c.FromPeer && c.ActiveCall) {
+    const auto it = c.Owner->Backends.find(c.ActiveCall->LastBackend);
+    if (it != c.Owner->Backends.end())
       writeField(out, relay::Backend, it->second->Info.Name);
+    writeField(out, relay::Attempts,
+               std::uint64_t{c.ActiveCall->Facts.SentAttempts});
+  }
   const std::string_view idname = c.Owner->Names.CallId;
   if (c.FromPeer && c.ActiveCall && !c.ActiveCall->Id.empty() &&
       !findField(head.Fields, idname))
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -315,6 +315,8 @@
                        const MessageHead &head, std::string_view body) {
   RequestLoop &rl = *call->Owner;
   call->Facts.MayHaveRun = true;
+  if (call->ThroughPeer)
+    recordFurtherAttempts(*call, head);
   const bool retrying = takeRetryIfAllowed(rl, *call, AttemptEnd::Failed);
   logAttemptEnd(rl, *call, AttemptEnd::Failed, std::to_string(head.Status),
                 retrying);
@@ -429,6 +431,10 @@
     recordForecastError(rl.Metrics, call->ForecastStart - rl.EventLoop.Now);
   recordChoice(*call, *to);
   if (!sendCall(rl, call, *to)) {
+    if (to->IsPeer) {
+      dispatchCall(call); // It is passed over now.
+      return;
+    }
     refuse(call, "no socket left");
     return;
   }
