Check the rest of an unreached pool without delay

A large pool counts as unreached after five failures. If most of its back ends are gone, the sound ones may not be among them; one check every half second then took long to find one, while no call was sent.

Evidence: a new case in tests/unit/reachability_test.cpp failed before the change.

Change: back ends without a recorded failure are checked three at a time, as before the pool counted as unreached; then one every half second.

--- a/src/decide/reachability.cpp
+++ b/src/decide/reachability.cpp
@@ -214,9 +214,12 @@
   };
   const Duration sincecheck = now - reach.LastCheckAt;
   if (reach.State != PoolReach::Reached) {
-    // One that was listed after the others failed most likely accepts.
-    if (sincecheck >= UnreachedCheckPeriod &&
-        !checkNext(reach, usable, now, out, sound))
+    // A few failures make a large pool unreached, and others may be listed
+    // later: those that haven't failed are checked without delay.
+    while (reach.Checks.size() < MaxReachChecks &&
+           checkNext(reach, usable, now, out, sound)) {
+    }
+    if (out.empty() && sincecheck >= UnreachedCheckPeriod)
       checkNext(reach, usable, now, out, any);
   } else if (isSuspected(reach, usable, now)) {
     while (reach.Checks.size() < MaxReachChecks &&
--- a/tests/unit/reachability_test.cpp
+++ b/tests/unit/reachability_test.cpp
@@ -550,3 +550,20 @@
   CHECK(f.Rl->BackendConnections.size() == 1);
   CHECK(f.Rl->Pools[Model].Queue.size() == 2);
 }
+
+// Guards against a front that waits long in a large pool of which a part is
+// gone, since the first that it tried all were.
+TEST_CASE("a large pool is soon reached again by its last sound back end",
+          "[reach]") {
+  SimulatedPool p(40);
+  p.Network = [](std::size_t n) {
+    return n < 39 ? Answer::Drops : Answer::Accepts;
+  };
+  p.connect(0);
+  p.connect(1);
+  p.pass(milliseconds(1500));
+  REQUIRE(p.Reach.State == PoolReach::Unreached);
+  const Time connected = p.Reach.LastConnectedAt;
+  p.pass(seconds(5));
+  CHECK(p.Reach.LastConnectedAt > connected);
+}
