--- a/tests/unit/relay_peers_test.cpp
+++ b/tests/unit/relay_peers_test.cpp
@@ -126,7 +126,7 @@
     rep.Relays->push_back(relay(mix64(n)));
     rep.Relays->back().Token = mix64(n + 100);
   }
-  CHECK(encodeReport(rep).size() - empty <= 16 * 40);
+  CHECK(encodeReport(rep).size() - empty <= std::size_t{16} * 40);
 }
 
 TEST_CASE("relay peers out of range are ignored", "[gossip][relay]") {
