--- a/src/front/backend_connection.cpp
+++ b/src/front/backend_connection.cpp
@@ -45,8 +45,8 @@
 /// response to a call.
 constexpr std::uint32_t MaxSkippedResponses = 8;
 
-/// A sound back end may send nothing for a second or so; a longer silence counts
-/// as a lost connection.
+/// A sound back end may send nothing for a second or so; a longer silence
+/// counts as a lost connection.
 constexpr Duration MaxSoundSilence = std::chrono::seconds(2);
 
 /// How often a silent back end's call is checked for another back end that
