Clear the loop's timers before their owners are destroyed

A front that ended with open connections read and wrote freed memory: the timers of its connections were still linked in the loop.

Evidence: the relay tests built with -fsanitize=address,undefined reported a use after free in ~RequestLoop; with the change 90 cases of [relay], [silent_backend], [reach] and [front] passed there.

--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -142,7 +142,9 @@
       Metrics(metrics), RandomState(std::random_device{}()) {}
 
 RequestLoop::~RequestLoop() {
-  // Calls hold timers of the loop, so they are destroyed before it.
+  // Connections and calls hold timers of the loop, which must not be linked when
+  // they are destroyed.
+  EventLoop.ArmedTimers.clear();
   Callers.clear();
   BackendConnections.clear();
 }
