Bound the rejections that a stream in progress survives

Four rejections are forgiven; further ones count as attempts, as before. The new test failed without the bound (8 sends, the test's own limit); unit-tests "[silent_backend]" with it: 13 passed in 6 of 6 runs beside each other.

--- a/include/zinniagauge/decide/next_step.h
+++ b/include/zinniagauge/decide/next_step.h
@@ -37,12 +37,18 @@
   std::uint32_t SentAttempts = 0; // Attempts of which bytes may have been sent.
   std::uint32_t MaxAttempts = 1;  // The route's limit.
   std::uint32_t UnreachableAttempts = 0; // Attempts that got no connection.
+  /// Rejections of a stream in progress that don't count in SentAttempts.
+  std::uint32_t ForgivenRejections = 0;
   bool HasTimeLeft = true;
 };
 
 /// The number of unreachable back ends after which a call is refused.
 inline constexpr std::uint32_t MaxUnreachableAttempts = 4;
 
+/// The number of rejections that a stream in progress survives beyond its
+/// attempts.
+inline constexpr std::uint32_t MaxForgivenRejections = 4;
+
 /// Whether a call may run more than once.
 [[nodiscard]] bool isRetrySafe(const CallFacts &facts) noexcept;
 
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -498,8 +498,11 @@
   }
   // A stream in progress has lost its back end for this attempt, so that a
   // rejection doesn't use up its attempts.
-  if (end == AttemptEnd::NotRun && facts.ResponseStarted)
+  if (end == AttemptEnd::NotRun && facts.ResponseStarted &&
+      facts.ForgivenRejections < MaxForgivenRejections) {
+    ++facts.ForgivenRejections;
     --facts.SentAttempts;
+  }
   facts.HasTimeLeft = rl.EventLoop.Now < call->Deadline;
   resetAttempt(rl, *call);
   const bool retrying =
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -143,8 +143,8 @@
       Metrics(metrics), RandomState(std::random_device{}()) {}
 
 RequestLoop::~RequestLoop() {
-  // Connections and calls hold timers of the loop, which must not be linked when
-  // they are destroyed.
+  // Connections and calls hold timers of the loop, which must not be linked
+  // when they are destroyed.
   EventLoop.ArmedTimers.clear();
   Callers.clear();
   BackendConnections.clear();
--- a/tests/unit/silent_backend_test.cpp
+++ b/tests/unit/silent_backend_test.cpp
@@ -261,3 +261,21 @@
   f.send(next.Connection, streamHead("c-1"));
   CHECK(endsWhole(f, next));
 }
+
+TEST_CASE("a stream that all back ends reject isn't sent again without end",
+          "[silent_backend]") {
+  TestedFrontLoop f(2);
+  const RunningStream st = startStream(f);
+  f.wait(Pause);
+  std::size_t sends = 0;
+  for (const std::size_t most = MaxForgivenRejections + 4; sends < most;
+       ++sends) {
+    const TestSocket conn = f.acceptAny().second;
+    if (conn.Fd < 0 || f.receive(conn, "\r\n\r\n").empty())
+      break;
+    f.send(conn, "HTTP/1.1 503 Full\r\nZinniagauge-Attempt-Id: c-1\r\n"
+                 "Connection: close\r\nZinniagauge-Not-Run: 1\r\n"
+                 "Content-Length: 0\r\n\r\n");
+  }
+  CHECK(sends <= MaxForgivenRejections + 1);
+}
