Log the age of the plan's proof when a call is routed, and who reported it

The logs couldn't distinguish the hypotheses on outdated plans: call_end had the proof's age at the call's end, plan_confirmed didn't say whose report it rested on, and nothing showed lateness before a rule is broken. call_end now has the age at the decision, plan_confirmed names the reporting front, plan says how long its reading took, and gauges show the plan's version, its proof's age and the greatest age that a call was routed with.

--- a/include/zinniagauge/board/store_era.h
+++ b/include/zinniagauge/board/store_era.h
@@ -33,6 +33,7 @@
 struct ConfirmedVersion {
   TableVersion Version;
   std::int64_t ConfirmedAt = 0; // Nanoseconds of bootNow; zero: never.
+  std::uint64_t Reporter = 0; // nameHash of the front that said so; zero: none.
 };
 
 } // namespace zinniagauge
--- a/include/zinniagauge/front/call.h
+++ b/include/zinniagauge/front/call.h
@@ -45,6 +45,9 @@
 /// The plan's settings for a call, copied when the call is routed.
 struct CallPlan {
   std::uint64_t Version = 0;
+  /// Age of the proof that the plan was the newest, when the call was routed;
+  /// nothing if this front didn't route it.
+  std::optional<Duration> ProofAge;
   std::string Route;
   PoolId Pool;
   Duration Timeout = Duration::zero();
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -215,6 +215,9 @@
   std::size_t RelayedCalls = 0;         // Of these, relayed by other fronts.
   std::size_t PeerConnections = 0;      // Of Callers, those of other fronts.
   Time StartedAt;
+  /// The greatest age of the plan's proof with which a call was routed; nothing
+  /// before the first call.
+  std::optional<Duration> OldestProof;
   LoopTimer DispatchTimer;
   LoopTimer TrackTimer;
   LoopTimer LoadTimer;
@@ -572,6 +575,9 @@
 /// What the age of the plan's last confirmation allows now.
 [[nodiscard]] Freshness freshness(const RequestLoop &rl);
 
+/// The age of the proof that the plan is the newest; nothing if there is none.
+[[nodiscard]] std::optional<Duration> planProofAge(const RequestLoop &rl);
+
 /// Starts a graceful shutdown. The process is not ready from now on, serves
 /// calls until its callers have moved to other processes, and ends before the
 /// platform kills it.
--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace zinniagauge {
@@ -106,6 +107,11 @@
 /// known.
 [[nodiscard]] std::optional<PeerAddress> backendsSource(const Gossip &gossip);
 
+/// The name of the coordinator whose nameHash is \p node; empty if it isn't
+/// known.
+[[nodiscard]] std::string_view frontName(const Gossip &gossip,
+                                         std::uint64_t node);
+
 /// Whether a coordinator's summaries arrive, so that this front needn't act for
 /// itself.
 [[nodiscard]] bool isAttached(const Gossip &gossip);
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -57,6 +57,25 @@
   call.Facts.MaxAttempts = std::max(route.MaxAttempts, 1U);
 }
 
+constexpr Denial OutdatedPlan{503, "plan may be outdated", DefaultRetryAfter};
+
+/// Records that \p call is decided on by the plan, with its proof of now.
+void recordPlanUse(RequestLoop &rl, const Call &call) {
+  if (call.Plan.ProofAge)
+    rl.OldestProof = std::max(rl.OldestProof.value_or(Duration::zero()),
+                              *call.Plan.ProofAge);
+}
+
+/// The denial of a call that the plan doesn't allow, as far as \p fresh lets
+/// this front rely on the plan.
+Denial denyByPlan(RequestLoop &rl, const Call &call, const Freshness &fresh,
+                  int status, std::string_view reason) {
+  if (!fresh.MayReject)
+    return OutdatedPlan;
+  recordPlanUse(rl, call);
+  return {status, reason, {}};
+}
+
 /// The fraction of all living processes whose spending is known here.
 double heardFraction(const FrontBoard &board) {
   const double living = std::max(board.LivingFronts.load(), 1U);
@@ -146,25 +165,23 @@
     return Denial{503, "no plan yet", DefaultRetryAfter};
   call.Plan.Version = plan.Version; // A denial is logged with this version.
   const Freshness fresh = freshness(rl);
+  call.Plan.ProofAge = planProofAge(rl);
   const auto host = findField(call.Head.Fields, "Host").value_or("");
   const PlanRoute *route = findRoute(plan, host, pathOf(call));
   if (!route)
-    return fresh.MayReject
-               ? Denial{404, "no such route", {}}
-               : Denial{503, "plan may be outdated", DefaultRetryAfter};
+    return denyByPlan(rl, call, fresh, 404, "no such route");
   const PlanWorkspace *ws = nullptr;
   if (plan.RequiresKeys) {
     const auto key = findField(call.Head.Fields, rl.Names.Credential);
     ws = key ? findWorkspaceByKey(plan, *key) : nullptr;
     if (!route->AllowsAnonymous && !fresh.MayServe)
-      return Denial{503, "plan may be outdated", DefaultRetryAfter};
+      return OutdatedPlan;
     if (!route->AllowsAnonymous && !ws)
-      return fresh.MayReject
-                 ? Denial{401, "unknown key", {}}
-                 : Denial{503, "plan may be outdated", DefaultRetryAfter};
+      return denyByPlan(rl, call, fresh, 401, "unknown key");
     if (!fresh.MayServe)
       ws = nullptr;
   }
+  recordPlanUse(rl, call);
   fillPlan(call, plan, *route, ws);
   return std::nullopt;
 }
--- a/src/front/calls.cpp
+++ b/src/front/calls.cpp
@@ -680,7 +680,8 @@
     add(line, "forecast_ms", *call->Forecast);
   add(line, "total_ms", rl.EventLoop.Now - call->Arrived);
   add(line, "plan", static_cast<std::int64_t>(call->Plan.Version));
-  add(line, "proof_ms", bootNow() - fromNanos(rl.Board.PlanConfirmedAt));
+  if (call->Plan.ProofAge)
+    add(line, "proof_ms", *call->Plan.ProofAge);
   add(line, "tokens", static_cast<std::int64_t>(call->Work.PromptTokens));
   add(line, "output", static_cast<std::int64_t>(call->Work.OutputTokens));
   if (call->Stream.Events > 0) {
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -94,6 +94,18 @@
     rl.OnLoadsChanged();
 }
 
+/// The version of the plan, the age of its proof, and the greatest age with
+/// which a call was routed by it; -1: there is none.
+void setPlanGauges(const RequestLoop &rl) {
+  const auto seconds = [](std::optional<Duration> age) {
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+  };
+  setGauge(rl.Metrics, "plan_version",
+           static_cast<double>(rl.Board.PlanVersion.load()));
+  setGauge(rl.Metrics, "plan_proof_age_seconds", seconds(planProofAge(rl)));
+  setGauge(rl.Metrics, "plan_proof_age_max_seconds", seconds(rl.OldestProof));
+}
+
 void onHousekeepingTimer(void *ctx, Time now) {
   RequestLoop &rl = *static_cast<RequestLoop *>(ctx);
   closeIdleConnections(rl, now);
@@ -103,6 +115,7 @@
            static_cast<double>(rl.BackendConnections.size()));
   setGauge(rl.Metrics, "relay_peers", static_cast<double>(rl.Peers.size()));
   setGauge(rl.Metrics, "relayed_calls", static_cast<double>(rl.RelayedCalls));
+  setPlanGauges(rl);
   setReportGauges(rl);
   setBrittleGauge(rl);
   setGauge(rl.Metrics, "log_lines_dropped",
@@ -175,6 +188,13 @@
   return freshnessAt(rl.Settings.FreshnessBounds, confirmed, bootNow());
 }
 
+std::optional<Duration> planProofAge(const RequestLoop &rl) {
+  const std::int64_t confirmed = rl.Board.PlanConfirmedAt;
+  if (confirmed == 0)
+    return std::nullopt;
+  return bootNow() - fromNanos(confirmed);
+}
+
 bool isReady(const RequestLoop &rl) {
   return !rl.Board.Stopping && rl.Board.PlanVersion > 0 &&
          freshness(rl).MayServe;
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -421,7 +421,8 @@
       queriedat - std::chrono::milliseconds(rep.BackendsDigestAgeMs);
   if (rep.OperatorRows == rows.Version &&
       toNanos(rowconfirmedat) > rows.ConfirmedAt)
-    board.ReportedOperatorRows.publish({rows.Version, toNanos(rowconfirmedat)});
+    board.ReportedOperatorRows.publish(
+        {rows.Version, toNanos(rowconfirmedat), rep.Node});
   // A list of another era may lack entries, or have some that are gone.
   if (rep.BackendsEra != board.TableEra.copy().Number)
     return;
@@ -687,6 +688,15 @@
   return std::nullopt;
 }
 
+std::string_view frontName(const Gossip &gossip, std::uint64_t node) {
+  for (const auto *list :
+       {&gossip.OtherCoordinators, &gossip.Coordinator.Candidates})
+    for (const CoordinatorRow &row : *list)
+      if (nameHash(row.Node) == node)
+        return row.Node;
+  return {};
+}
+
 bool isAttached(const Gossip &gossip) {
   const Time last = gossip.Coordinator.LastSummaryAt;
   return !gossip.IsCoordinator && last != Time() &&
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -34,14 +34,19 @@
 void requestNext(PlanController &pc);
 
 /// Logs what confirms the plan if that, or the rows that it rests on, changed.
-void logConfirmation(PlanController &pc, std::string_view source) {
+/// \p reporter is zero for a reading of this front.
+void logConfirmation(PlanController &pc, std::uint64_t reporter) {
   const FrontBoard &board = pc.Owner->Board;
+  const std::string_view source =
+      reporter == 0 ? "own reading" : "another front's report";
   if (pc.LoggedSource == source && pc.LoggedRows == pc.NewestRow)
     return;
   pc.LoggedSource = source;
   pc.LoggedRows = pc.NewestRow;
   EventLine line = eventLine("plan_confirmed");
   add(line, "source", source);
+  if (reporter != 0)
+    add(line, "from", frontName(pc.Owner->PeerGossip, reporter));
   add(line, "era", static_cast<std::int64_t>(pc.NewestRow.Era));
   add(line, "row", static_cast<std::int64_t>(pc.NewestRow.Number));
   add(line, "version", static_cast<std::int64_t>(board.PlanVersion.load()));
@@ -50,12 +55,13 @@
 }
 
 /// Records that the operators' rows that were read were the newest ones at
-/// \p at, in nanoseconds of bootNow.
-void confirmRows(PlanController &pc, std::int64_t at, std::string_view source) {
+/// \p at, in nanoseconds of bootNow. \p reporter is the nameHash of the front
+/// that reported this; zero: this one has read them.
+void confirmRows(PlanController &pc, std::int64_t at, std::uint64_t reporter) {
   FrontBoard &board = pc.Owner->Board;
   board.OperatorRows.publish({pc.NewestRow, at});
   board.PlanConfirmedAt = at;
-  logConfirmation(pc, source);
+  logConfirmation(pc, reporter);
 }
 
 /// Confirms the plan by what a reading front reported. Returns true if the plan
@@ -72,7 +78,7 @@
       pc.Row.Version.Era == pc.NewestRow.Era &&
       pc.Row.Plan >= board.PlanVersion &&
       reported.ConfirmedAt > board.PlanConfirmedAt)
-    confirmRows(pc, reported.ConfirmedAt, "another front's report");
+    confirmRows(pc, reported.ConfirmedAt, reported.Reporter);
   const Duration maxage =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).MaxSharedAge;
   return bootNow() - fromNanos(board.PlanConfirmedAt) < maxage;
@@ -115,7 +121,10 @@
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
 
-void activatePlan(PlanController &pc, TrafficPlan plan, TableVersion row) {
+/// Activates \p plan, read from \p row by a request made at \p requestedat, by
+/// bootNow.
+void activatePlan(PlanController &pc, TrafficPlan plan, TableVersion row,
+                  Time requestedat) {
   FrontBoard &board = pc.Owner->Board;
   const std::uint64_t before = board.PlanVersion;
   EventLine line = eventLine("plan");
@@ -125,6 +134,7 @@
   add(line, "row", static_cast<std::int64_t>(row.Number));
   add(line, "routes", static_cast<std::int64_t>(plan.Routes.size()));
   add(line, "workspaces", static_cast<std::int64_t>(plan.Workspaces.size()));
+  add(line, "read_ms", bootNow() - requestedat);
   add(line, "outcome",
       plan.Version > before ? "in force" : "older, passed over");
   pc.Owner->Log.write(line);
@@ -154,15 +164,17 @@
                });
 }
 
-/// Activates the plan in \p row, which was read in \p era, if it holds one.
+/// Activates the plan in \p row, which was read in \p era by a request made at
+/// \p requestedat, if it holds one.
 /// Returns false if the row can't be read: the active plan then isn't known to
 /// be the newest.
-bool applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era) {
+bool applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era,
+                  Time requestedat) {
   return handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
                       [&](TrafficPlan plan) {
                         const TableVersion version{era, row.Version};
                         pc.Row = nextPlanRow(pc.Row, version, plan.Version);
-                        activatePlan(pc, std::move(plan), version);
+                        activatePlan(pc, std::move(plan), version, requestedat);
                         return true;
                       },
                       [&](const Error &err) {
@@ -203,13 +215,13 @@
     pc.NewestRow = std::max(pc.NewestRow, {era.Number, row.Version});
     if (row.Deleted)
       continue;
-    allreadable = applyPlanRow(pc, row, era.Number) && allreadable;
+    allreadable = applyPlanRow(pc, row, era.Number, requestedat) && allreadable;
     applyOrderRow(pc, row, era);
   }
   pc.ReadUpTo = {era.Number, rd.Version};
   pc.FullyRead = true;
   if (allreadable && confirmsPlan(pc.Row, board.PlanVersion, era, requestedat))
-    confirmRows(pc, toNanos(requestedat), "own reading");
+    confirmRows(pc, toNanos(requestedat), 0);
   else if (board.OperatorRows.copy().Version != pc.NewestRow)
     board.OperatorRows.publish({pc.NewestRow, 0});
   if (board.PlanVersion != before)
