--- a/src/store/report_builder.cpp
+++ b/src/store/report_builder.cpp
@@ -17,8 +17,8 @@
   const Duration age = bootNow() - fromNanos(confirmedat);
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1;
-  constexpr std::int64_t MaxAgeMs = 3'600'000;
-  return static_cast<std::uint32_t>(std::min(ms, MaxAgeMs));
+  return static_cast<std::uint32_t>(
+      std::min(ms, std::int64_t{UnconfirmedAgeMs}));
 }
 
 /// Sets the fields on how recently this front confirmed the table service's
--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -90,3 +90,20 @@
   doc["last_free_port"] = metrics.Port;
   CHECK(parsed(doc)->RelayAddress.Port == 0);
 }
+
+// Guards against a front that relies on its plan for longer than operators
+// allow for a change to be in force.
+TEST_CASE("a plan without a newer proof is used no longer than a change may "
+          "take",
+          "[settings][plan]") {
+  for (int apply = 800; apply <= 8000; apply += 400)
+    for (int withdrawal = 2000; withdrawal <= 8000; withdrawal += 1000) {
+      json doc = validSettings();
+      doc["plan_apply_ms"] = apply;
+      doc["key_withdrawal_ms"] = withdrawal;
+      const auto set = parsed(doc);
+      REQUIRE(set);
+      CHECK(set->FreshnessBounds.MaxRejectAge <=
+            std::chrono::milliseconds(apply));
+    }
+}
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -261,3 +261,30 @@
   CHECK(f.Board.ReportedOperatorRows.copy().ConfirmedAt > known.ConfirmedAt);
   CHECK(f.Board.ReportedBackendsDigestAt != 0);
 }
+
+// Guards against a report that takes "never confirmed" for the time since the
+// machine started, which other fronts would rely on as the age of a proof.
+TEST_CASE("rows that a front never confirmed are no proof for others",
+          "[gossip][plan]") {
+  TestedFront f;
+  Coordinators c;
+  f.setCoordinators(c.rows(), false);
+  OtherFront &to = c.Fronts.at(static_cast<std::size_t>(c.reportedTo()));
+  f.Board.OperatorRows.publish({{1, 9}, 0});
+  f.advance(milliseconds(250));
+  const std::vector<GossipReport> reports = to.takeReports();
+  REQUIRE_FALSE(reports.empty());
+  CHECK(reports.back().OperatorRows == TableVersion{1, 9});
+  CHECK(reports.back().OperatorRowAgeMs == UnconfirmedAgeMs);
+  CHECK(reports.back().BackendsDigestAgeMs == UnconfirmedAgeMs);
+  // Nor does one that says so count here, however long this machine runs.
+  GossipReport rep = summaryOf(to, 0);
+  rep.OperatorRows = {1, 9};
+  rep.OperatorRowAgeMs = rep.BackendsDigestAgeMs = UnconfirmedAgeMs;
+  rep.EchoedQuerySentAt = toNanos(bootNow() - milliseconds(1));
+  rep.EchoedIncarnation = f.Ct->PeerGossip.Incarnation;
+  f.receive(to, rep);
+  CHECK(f.Board.ReportedOperatorRows.copy().Version == TableVersion{1, 9});
+  CHECK(f.Board.ReportedOperatorRows.copy().ConfirmedAt == 0);
+  CHECK(f.Board.ReportedBackendsDigestAt == 0);
+}
