Confirm no plan after one that can't be read

Calls were run by an older plan, and keys that a newer one had added were rejected with 401, for as long as the newer plan couldn't be read. Cause: such a row left its reading unconfirmed, but the next reading returned no row and confirmed the plan before it. A row that can't be read is now the one that a plan has to match, with a version below that of any plan in force, so neither a reading nor another front's report confirms the older plan.

--- a/include/zinniagauge/decide/store_era.h
+++ b/include/zinniagauge/decide/store_era.h
@@ -28,10 +28,14 @@
 /// that operators wrote before the restore that began \p era.
 [[nodiscard]] bool mayLackRows(const StoreEra &era, Time requested) noexcept;
 
+/// The version of a plan that can't be read: below that of any plan in force,
+/// so that it confirms none.
+inline constexpr std::uint64_t UnreadablePlan = 0;
+
 /// The operators' plan as one reading returned it.
 struct PlanRow {
-  TableVersion Version; // Of its row.
-  std::uint64_t Plan = 0;
+  TableVersion Version;   // Of its row.
+  std::uint64_t Plan = 0; // Its version.
   /// The operators wrote the row in this era, so it isn't just of the copy.
   bool WrittenInEra = false;
 };
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -165,26 +165,27 @@
 }
 
 /// Activates the plan in \p row, which was read in \p era by a request made at
-/// \p requestedat, if it holds one.
-/// Returns false if the row can't be read: the active plan then isn't known to
-/// be the newest.
-bool applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era,
+/// \p requestedat, if it holds one. If it can't be read, no plan is confirmed
+/// until one that can be read follows.
+void applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era,
                   Time requestedat) {
-  return handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
-                      [&](TrafficPlan plan) {
-                        const TableVersion version{era, row.Version};
-                        pc.Row = nextPlanRow(pc.Row, version, plan.Version);
-                        activatePlan(pc, std::move(plan), version, requestedat);
-                        return true;
-                      },
-                      [&](const Error &err) {
-                        if (err.Code == ErrorCode::NotFound)
-                          return true;
-                        EventLine line = eventLine("plan_unreadable");
-                        add(line, err);
-                        pc.Owner->Log.write(line);
-                        return false;
-                      });
+  const TableVersion version{era, row.Version};
+  handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
+               [&](TrafficPlan plan) {
+                 pc.Row = nextPlanRow(pc.Row, version, plan.Version);
+                 activatePlan(pc, std::move(plan), version, requestedat);
+                 return 0;
+               },
+               [&](const Error &err) {
+                 if (err.Code == ErrorCode::NotFound)
+                   return 0;
+                 pc.Row = nextPlanRow(pc.Row, version, UnreadablePlan);
+                 EventLine line = eventLine("plan_unreadable");
+                 add(line, "row", static_cast<std::int64_t>(row.Version));
+                 add(line, err);
+                 pc.Owner->Log.write(line);
+                 return 0;
+               });
 }
 
 /// Discards what was read so far and reads all rows.
@@ -210,17 +211,16 @@
     pc.NewestRow = {era.Number, 0};
   // Before the plan: calls are served once there is one.
   applyEvacuationRows(pc, rd, requestedat);
-  bool allreadable = true;
   for (const TableRow &row : rd.Rows) {
     pc.NewestRow = std::max(pc.NewestRow, {era.Number, row.Version});
     if (row.Deleted)
       continue;
-    allreadable = applyPlanRow(pc, row, era.Number, requestedat) && allreadable;
+    applyPlanRow(pc, row, era.Number, requestedat);
     applyOrderRow(pc, row, era);
   }
   pc.ReadUpTo = {era.Number, rd.Version};
   pc.FullyRead = true;
-  if (allreadable && confirmsPlan(pc.Row, board.PlanVersion, era, requestedat))
+  if (confirmsPlan(pc.Row, board.PlanVersion, era, requestedat))
     confirmRows(pc, toNanos(requestedat), 0);
   else if (board.OperatorRows.copy().Version != pc.NewestRow)
     board.OperatorRows.publish({pc.NewestRow, 0});
--- a/tests/unit/store_era_test.cpp
+++ b/tests/unit/store_era_test.cpp
@@ -69,3 +69,12 @@
   }
   CHECK_FALSE(confirmsPlan({}, 0, {1, Restored}, Restored + seconds(9)));
 }
+
+TEST_CASE("a plan that can't be read confirms none until another one follows",
+          "[restore]") {
+  const StoreEra era{1, Restored};
+  const PlanRow before = nextPlanRow({}, {1, 5}, 4);
+  const PlanRow unreadable = nextPlanRow(before, {1, 7}, UnreadablePlan);
+  CHECK_FALSE(confirmsPlan(unreadable, 4, era, Restored + seconds(60)));
+  CHECK(confirmsPlan(nextPlanRow(unreadable, {1, 8}, 6), 6, era, Restored));
+}
