Bind the proof of a plan to its version

A call could be routed by a plan minutes old, with a key that had been withdrawn or on a route that had moved, at the moment when its front read a new plan after a cut or a pause. Cause: the plan and the time of its proof were two sections of the board, and a call read the plan first, so that it could meet the old plan and the proof of the new one. A proof now names the plan's version, one of a later plan counts for none before it, and a call reads the proof first, so that the plan it meets is at least as new.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -44,9 +44,9 @@
 
   Cell<StoreEra> TableEra; // Written by the controllers' thread.
 
-  /// When the newest read that confirmed the plan to be the latest was
-  /// requested, in nanoseconds of bootNow; zero before the first.
-  std::atomic<std::int64_t> PlanConfirmedAt{0};
+  /// Of the plan that was confirmed last, by the reading that was requested
+  /// last. Written by the plan controller, after the plan itself.
+  Cell<PlanProof> Proof;
   std::atomic<std::uint64_t> PlanVersion{0};
 
   /// The fronts that are alive as far as is known, and those of them whose
--- a/include/zinniagauge/board/store_era.h
+++ b/include/zinniagauge/board/store_era.h
@@ -36,6 +36,12 @@
   std::uint64_t Reporter = 0; // nameHash of the front that said so; zero: none.
 };
 
+/// What proves that a plan is the newest.
+struct PlanProof {
+  std::uint64_t Version = 0;    // Of the plan.
+  std::int64_t ConfirmedAt = 0; // Nanoseconds of bootNow; zero: never.
+};
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_BOARD_STORE_ERA_H
--- a/include/zinniagauge/decide/freshness.h
+++ b/include/zinniagauge/decide/freshness.h
@@ -2,9 +2,12 @@
 #ifndef ZINNIAGAUGE_DECIDE_FRESHNESS_H
 #define ZINNIAGAUGE_DECIDE_FRESHNESS_H
 
+#include "zinniagauge/board/store_era.h"
 #include "zinniagauge/time/clock.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
 
 namespace zinniagauge {
 
@@ -23,15 +26,23 @@
   bool MayReject = false; // To reject a key or path as unknown.
 };
 
-/// What the current proof allows at \p now. \p proven is the time when the
-/// reading that gave the proof was requested, or zero if there is no proof yet.
-/// Both times are of the clock that counts suspended time.
-[[nodiscard]] constexpr Freshness freshnessAt(const FreshnessLimits &lim,
-                                              Time proven, Time now) noexcept {
-  if (proven == Time())
+/// The age at \p now of \p proof as one of the plan \p version; nothing if it
+/// is none. The proof of a later plan says that this one is outdated; that of
+/// an earlier one is from before this plan, which is newer. Times are of the
+/// clock that counts suspended time.
+[[nodiscard]] constexpr std::optional<Duration>
+proofAge(const PlanProof &proof, std::uint64_t version, Time now) noexcept {
+  if (proof.ConfirmedAt == 0 || proof.Version > version)
+    return std::nullopt;
+  return now - Time(Duration(proof.ConfirmedAt));
+}
+
+/// What a proof of age \p age allows; nothing: there is none.
+[[nodiscard]] constexpr Freshness
+freshnessOf(const FreshnessLimits &lim, std::optional<Duration> age) noexcept {
+  if (!age)
     return {};
-  const Duration age = now - proven;
-  return {!lim.FailClosed || age <= lim.MaxServeAge, age <= lim.MaxRejectAge};
+  return {!lim.FailClosed || *age <= lim.MaxServeAge, *age <= lim.MaxRejectAge};
 }
 
 /// The timing by which proofs are renewed.
--- a/include/zinniagauge/front/request_loop.h
+++ b/include/zinniagauge/front/request_loop.h
@@ -572,10 +572,7 @@
 /// Schedules publishing this process's loads on the board after they changed.
 void scheduleLoadReport(RequestLoop &rl);
 
-/// What the age of the plan's last confirmation allows now.
-[[nodiscard]] Freshness freshness(const RequestLoop &rl);
-
-/// The age of the proof that the plan is the newest; nothing if there is none.
+/// The age of the plan's last proof; nothing if there is none.
 [[nodiscard]] std::optional<Duration> planProofAge(const RequestLoop &rl);
 
 /// Starts a graceful shutdown. The process is not ready from now on, serves
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -160,12 +160,15 @@
 
 std::optional<Denial> routeCall(RequestLoop &rl, Call &call) {
   const ReadGuard guard;
+  // The proof first: a plan that is published afterwards is newer than it.
+  const PlanProof &proof = rl.Board.Proof.read(guard);
   const TrafficPlan &plan = rl.Board.Plan.read(guard);
   if (plan.Version == 0)
     return Denial{503, "no plan yet", DefaultRetryAfter};
   call.Plan.Version = plan.Version; // A denial is logged with this version.
-  const Freshness fresh = freshness(rl);
-  call.Plan.ProofAge = planProofAge(rl);
+  call.Plan.ProofAge = proofAge(proof, plan.Version, bootNow());
+  const Freshness fresh =
+      freshnessOf(rl.Settings.FreshnessBounds, call.Plan.ProofAge);
   const auto host = findField(call.Head.Fields, "Host").value_or("");
   const PlanRoute *route = findRoute(plan, host, pathOf(call));
   if (!route)
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -183,21 +183,14 @@
     arm(rl.EventLoop, rl.LoadTimer, rl.EventLoop.Now + LoadReportDelay);
 }
 
-Freshness freshness(const RequestLoop &rl) {
-  const Time confirmed = fromNanos(rl.Board.PlanConfirmedAt.load());
-  return freshnessAt(rl.Settings.FreshnessBounds, confirmed, bootNow());
-}
-
 std::optional<Duration> planProofAge(const RequestLoop &rl) {
-  const std::int64_t confirmed = rl.Board.PlanConfirmedAt;
-  if (confirmed == 0)
-    return std::nullopt;
-  return bootNow() - fromNanos(confirmed);
+  const PlanProof proof = rl.Board.Proof.copy();
+  return proofAge(proof, proof.Version, bootNow());
 }
 
 bool isReady(const RequestLoop &rl) {
   return !rl.Board.Stopping && rl.Board.PlanVersion > 0 &&
-         freshness(rl).MayServe;
+         freshnessOf(rl.Settings.FreshnessBounds, planProofAge(rl)).MayServe;
 }
 
 } // namespace zinniagauge
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -50,7 +50,7 @@
   add(line, "era", static_cast<std::int64_t>(pc.NewestRow.Era));
   add(line, "row", static_cast<std::int64_t>(pc.NewestRow.Number));
   add(line, "version", static_cast<std::int64_t>(board.PlanVersion.load()));
-  add(line, "age_ms", bootNow() - fromNanos(board.PlanConfirmedAt));
+  add(line, "age_ms", bootNow() - fromNanos(board.Proof.copy().ConfirmedAt));
   pc.Owner->Log.write(line);
 }
 
@@ -60,7 +60,7 @@
 void confirmRows(PlanController &pc, std::int64_t at, std::uint64_t reporter) {
   FrontBoard &board = pc.Owner->Board;
   board.OperatorRows.publish({pc.NewestRow, at});
-  board.PlanConfirmedAt = at;
+  board.Proof.publish({board.PlanVersion, at});
   logConfirmation(pc, reporter);
 }
 
@@ -77,11 +77,11 @@
   if (reported.Version == pc.NewestRow &&
       pc.Row.Version.Era == pc.NewestRow.Era &&
       pc.Row.Plan >= board.PlanVersion &&
-      reported.ConfirmedAt > board.PlanConfirmedAt)
+      reported.ConfirmedAt > board.Proof.copy().ConfirmedAt)
     confirmRows(pc, reported.ConfirmedAt, reported.Reporter);
   const Duration maxage =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).MaxSharedAge;
-  return bootNow() - fromNanos(board.PlanConfirmedAt) < maxage;
+  return bootNow() - fromNanos(board.Proof.copy().ConfirmedAt) < maxage;
 }
 
 /// Whether another front has reported a later row than this one has read.
--- a/tests/support/tested_front_loop.cpp
+++ b/tests/support/tested_front_loop.cpp
@@ -116,7 +116,7 @@
                                      Log, Metrics);
   Board.Plan.publish(makePlan());
   Board.PlanVersion = 1;
-  Board.PlanConfirmedAt = toNanos(bootNow());
+  Board.Proof.publish({1, toNanos(bootNow())});
   Board.LivingFronts = 1;
   for (std::size_t n = 0; n < backends; ++n) {
     TestBackend b;
--- a/tests/unit/freshness_test.cpp
+++ b/tests/unit/freshness_test.cpp
@@ -32,3 +32,15 @@
   open.MaxServeAge = milliseconds(1);
   CHECK(proofRenewal(open).LongPollWait == proofRenewal(usual).LongPollWait);
 }
+
+TEST_CASE("a proof counts for its own plan and for later ones only",
+          "[freshness][plan]") {
+  const Time now(std::chrono::seconds(50));
+  const PlanProof proof{7, toNanos(now - milliseconds(300))};
+  CHECK(proofAge(proof, 7, now) == milliseconds(300));
+  CHECK(proofAge(proof, 8, now) == milliseconds(300));
+  CHECK_FALSE(proofAge(proof, 6, now));
+  CHECK_FALSE(proofAge({7, 0}, 7, now));
+  CHECK_FALSE(freshnessOf({}, std::nullopt).MayServe);
+  CHECK_FALSE(freshnessOf({}, std::nullopt).MayReject);
+}
--- a/tests/unit/own_answers_test.cpp
+++ b/tests/unit/own_answers_test.cpp
@@ -33,7 +33,7 @@
 
 /// Lets the plan count as confirmed however long the test takes.
 void keepPlanFresh(TestedFrontLoop &f) {
-  f.Board.PlanConfirmedAt = toNanos(bootNow() + std::chrono::hours(1));
+  f.Board.Proof.publish({1, toNanos(bootNow() + std::chrono::hours(1))});
 }
 
 /// Makes the routes other than "/safe/" anonymous and adds a workspace with the
@@ -149,7 +149,7 @@
 TEST_CASE("a request refused under an unconfirmed plan is answered once",
           "[front][own]") {
   TestedFrontLoop f(1);
-  f.Board.PlanConfirmedAt = toNanos(bootNow() - std::chrono::minutes(1));
+  f.Board.Proof.publish({1, toNanos(bootNow() - std::chrono::minutes(1))});
   checkEachCut(f,
                {"503", requestText("POST /none/x", "r-own", {}, "b"), false});
 }
--- a/tests/unit/plan_proof_test.cpp
+++ b/tests/unit/plan_proof_test.cpp
@@ -43,10 +43,10 @@
   std::thread controller([&] {
     constexpr int Changes = 200'000;
     for (int n = 0; n < Changes; ++n) {
-      f.Board.PlanConfirmedAt = longago;
+      f.Board.Proof.publish({1, longago});
       f.Board.Plan.publish(before);
       f.Board.Plan.publish(after);
-      f.Board.PlanConfirmedAt = toNanos(bootNow());
+      f.Board.Proof.publish({2, toNanos(bootNow())});
     }
     done = true;
   });
