Report what was never confirmed as unconfirmed

A front that had read rows without confirming them, such as a copy's or a plan that it couldn't read, reported the time since its machine's start as the age of their confirmation; on a machine that had just started, that passed for a recent proof, by which other fronts would serve. Cause: zero stands for 'never' in the board's times and was taken for a time. Ages of what was never confirmed are now UnconfirmedAgeMs, which no receiver takes for a proof. The same mistake made a front whose machine had just started count all others as heard, and wait with its first readings; both check for zero now.

Evidence: "rows that a front never confirmed are no proof for others" failed before (1,400,048 instead of 3,600,000) and passes now.

--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -28,8 +28,8 @@
 /// last report.
 inline constexpr Duration FrontTimeout = std::chrono::milliseconds(1500);
 
-/// The age in a report of what its sender never confirmed. Other ages are
-/// smaller.
+/// The age in a report of what its sender never confirmed, or not for that
+/// long.
 inline constexpr std::uint32_t UnconfirmedAgeMs = 3'600'000;
 
 /// A list of relay peers and its lists of pools are read up to these sizes; a
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -79,8 +79,9 @@
 /// The fraction of all living processes whose spending is known here.
 double heardFraction(const FrontBoard &board) {
   const double living = std::max(board.LivingFronts.load(), 1U);
-  const Duration age = bootNow() - fromNanos(board.HeardAt);
-  const double heard = age < PeerReportTimeout ? board.HeardFronts.load() : 1;
+  const std::int64_t at = board.HeardAt;
+  const bool recent = at != 0 && bootNow() - fromNanos(at) < PeerReportTimeout;
+  const double heard = recent ? board.HeardFronts.load() : 1;
   return std::min(heard / living, 1.0);
 }
 
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -420,13 +420,15 @@
   const Time backendsconfirmedat =
       queriedat - std::chrono::milliseconds(rep.BackendsDigestAgeMs);
   if (rep.OperatorRows == rows.Version &&
+      rep.OperatorRowAgeMs < UnconfirmedAgeMs &&
       toNanos(rowconfirmedat) > rows.ConfirmedAt)
     board.ReportedOperatorRows.publish(
         {rows.Version, toNanos(rowconfirmedat), rep.Node});
   // A list of another era may lack entries, or have some that are gone.
   if (rep.BackendsEra != board.TableEra.copy().Number)
     return;
-  if (toNanos(backendsconfirmedat) > board.ReportedBackendsDigestAt) {
+  if (rep.BackendsDigestAgeMs < UnconfirmedAgeMs &&
+      toNanos(backendsconfirmedat) > board.ReportedBackendsDigestAt) {
     board.ReportedBackendsDigest = rep.BackendsDigest;
     board.ReportedBackendsDigestAt = toNanos(backendsconfirmedat);
   }
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -81,7 +81,9 @@
     confirmRows(pc, reported.ConfirmedAt, reported.Reporter);
   const Duration maxage =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).MaxSharedAge;
-  return bootNow() - fromNanos(board.Proof.copy().ConfirmedAt) < maxage;
+  const PlanProof proof = board.Proof.copy();
+  const auto age = proofAge(proof, proof.Version, bootNow());
+  return age && *age < maxage;
 }
 
 /// Whether another front has reported a later row than this one has read.
--- a/src/store/report_builder.cpp
+++ b/src/store/report_builder.cpp
@@ -11,9 +11,11 @@
 
 namespace {
 
-/// Milliseconds since \p confirmedat (by bootNow), rounded up and at most an
-/// hour.
+/// Milliseconds since \p confirmedat (by bootNow; zero: never), rounded up and
+/// at most UnconfirmedAgeMs.
 std::uint32_t ageMs(std::int64_t confirmedat) {
+  if (confirmedat == 0)
+    return UnconfirmedAgeMs;
   const Duration age = bootNow() - fromNanos(confirmedat);
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1;
