--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -16,11 +16,6 @@
 /// second late, and the check runs some milliseconds before the call is sent.
 constexpr Duration ServeAgeMargin = std::chrono::milliseconds(1200);
 
-/// Added to plan_apply, the time within which a change must be active, to get
-/// the maximum age of the plan's confirmation for rejecting a key or path as
-/// unknown: a read of the table service waits up to a second for changes.
-constexpr Duration DenyAgeMargin = std::chrono::milliseconds(200);
-
 PeerAddress readAddress(JsonReader &rd, const char *key,
                         bool optional = false) {
   const std::string text = optional ? rd.optionalText(key) : rd.text(key);
@@ -71,10 +66,11 @@
 }
 
 void readLimits(JsonReader &rd, FrontSettings &set) {
-  const Duration apply = rd.duration("plan_apply");
   set.FreshnessBounds.MaxServeAge =
       rd.duration("key_withdrawal") - ServeAgeMargin;
-  set.FreshnessBounds.MaxRejectAge = apply + DenyAgeMargin;
+  // A proof's age counts from the request of its reading, so that by a younger
+  // one all changes are known that must be in force.
+  set.FreshnessBounds.MaxRejectAge = rd.duration("plan_apply");
   set.FreshnessBounds.FailClosed = rd.flag("fail_closed", true);
   set.Retries.Ratio = rd.realNumber("retry_ratio", -1e-9, 1);
   set.Retries.Slack = rd.realNumber("retry_slack", -1e-9, 1e6);
