Check changes of the configuration in the fault soak, also beside another build

The configuration now changes every 0.3 to 3.8 s, each version with a route that the second next one drops; probes call routes of the last four versions, and 2 s after a change none is rejected that was added and none runs that was removed. At the end no front may have routed a call with a proof older than that, as its metrics say.

--- a/tests/soak/fault-soak.cpp
+++ b/tests/soak/fault-soak.cpp
@@ -31,7 +31,10 @@
        OptionTarget(&opt.Callers)},
       {"logs", "FOLDER",
        "Folder for the fronts' logs if a guarantee is violated",
-       OptionTarget(&opt.Logs)}};
+       OptionTarget(&opt.Logs)},
+      {"other-front", "FILE",
+       "The zinnia-front of another build that half of the starts use",
+       OptionTarget(&opt.OtherFront)}};
   line.ExitCodes = {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage};
   const ParsedCommand cmd = parseCommandLine(line, argc, argv);
   if (cmd.Exit)
--- a/tests/support/soak_callers.cpp
+++ b/tests/support/soak_callers.cpp
@@ -14,19 +14,16 @@
 constexpr std::size_t MaxHeadBytes = 16384;
 constexpr std::uint64_t MaxBodyBytes = std::uint64_t{1} << 20U;
 
-/// Bounds of the random time between two calls of a caller.
-constexpr int MinIntervalMs = 5;
-constexpr int MaxIntervalMs = 60;
-
 /// Request paths, indexed by SoakKind.
 constexpr std::array<std::string_view, 3> Paths = {"/safe/s", "/unsafe/s",
                                                    "/stream/s"};
 
 void scheduleNextCall(SoakCaller &c) {
   SoakCallers &cs = *c.Owner;
-  const auto ms =
-      MinIntervalMs +
-      static_cast<int>(randomBelow(cs.Random, MaxIntervalMs - MinIntervalMs));
+  const auto ms = cs.MinIntervalMs +
+                  static_cast<int>(randomBelow(
+                      cs.Random, static_cast<std::size_t>(cs.MaxIntervalMs -
+                                                          cs.MinIntervalMs)));
   arm(*cs.Lp, c.Timer, cs.Lp->Now + std::chrono::milliseconds(ms));
 }
 
@@ -124,9 +121,14 @@
     scheduleNextCall(c);
     return;
   }
-  c.CurrentCall = "s-" + std::to_string(++cs.LastId);
+  c.CurrentCall = cs.IdPrefix + std::to_string(++cs.LastId);
   SoakCall &call = cs.Calls[c.CurrentCall];
-  call.Kind = static_cast<SoakKind>(randomBelow(cs.Random, Paths.size()));
+  if (cs.NextPath) {
+    call.Path = cs.NextPath();
+  } else {
+    call.Kind = static_cast<SoakKind>(randomBelow(cs.Random, Paths.size()));
+    call.Path = Paths[static_cast<std::size_t>(call.Kind)];
+  }
   call.Key = cs.Keys[randomBelow(cs.Random, cs.Keys.size())];
   call.Front = c.Front;
   call.SentAt = cs.Lp->Now;
@@ -134,8 +136,7 @@
   beginMessage(c.Parser, MessageKind::Response, MaxHeadBytes, MaxBodyBytes);
   const std::string body = "call " + c.CurrentCall;
   std::string out = "POST ";
-  out.append(Paths[static_cast<std::size_t>(call.Kind)])
-      .append(" HTTP/1.1\r\n");
+  out.append(call.Path).append(" HTTP/1.1\r\n");
   writeField(out, "Host", "h.example");
   writeField(out, "Zinniagauge-Attempt-Id", c.CurrentCall);
   writeField(out, "Zinniagauge-Credential", call.Key);
--- a/tests/support/soak_callers.h
+++ b/tests/support/soak_callers.h
@@ -7,6 +7,7 @@
 #include "zinniagauge/net/tcp_connection.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
 /// One call, as its caller and the engines recorded it.
 struct SoakCall {
   SoakKind Kind = SoakKind::Safe;
+  std::string Path;
   std::string Key;
   std::size_t Front = 0;
   Time SentAt;
@@ -54,6 +56,12 @@
   std::uint64_t Random = 0;
   std::vector<PeerAddress> Fronts;
   std::vector<std::string> Keys;
+  std::string IdPrefix = "s-";
+  /// Bounds of the random time between two calls of a caller.
+  int MinIntervalMs = 5;
+  int MaxIntervalMs = 60;
+  /// The path of the next call; empty: one path for each kind, at random.
+  std::function<std::string()> NextPath;
   std::vector<std::unique_ptr<SoakCaller>> List;
   std::map<std::string, SoakCall> Calls;
   std::uint64_t LastId = 0;
--- a/tests/support/soak_checks.cpp
+++ b/tests/support/soak_checks.cpp
@@ -116,6 +116,60 @@
     report(ck, id, call, "was rejected with " + call.Key + ", a valid key");
 }
 
+/// Whether \p call was sent to a front of the other build.
+const char *buildOf(const Check &ck, const SoakCall &call) {
+  return overlaps(ck.World.Fronts[call.Front]->OtherBuild, call.SentAt,
+                  call.SentAt)
+             ? " (other build)"
+             : "";
+}
+
+/// A change of the configuration is in force after PlanApplyTimeout, whatever
+/// its front knows: one that isn't sure of its plan refuses the call with 503.
+/// A call of a route that was added isn't rejected, and one of a route that was
+/// removed isn't run.
+void checkPlan(Check &ck, const std::string &id, const SoakCall &call) {
+  for (const auto &[version, added] : ck.World.WrittenAt) {
+    if (call.Path != probePath(version) + "s")
+      continue;
+    const auto next = ck.World.WrittenAt.find(version + 2);
+    const Time removed =
+        next == ck.World.WrittenAt.end() ? Time::max() : next->second;
+    if (call.Status == 404 && call.SentAt > added + PlanApplyTimeout &&
+        call.EndedAt < removed)
+      report(ck, id, call,
+             "was rejected on a route that was added at " +
+                 secondsAt(ck, added) + buildOf(ck, call));
+    if (!call.Runs.empty() && removed != Time::max() &&
+        call.SentAt > removed + PlanApplyTimeout)
+      report(ck, id, call,
+             "ran on a route that was removed at " + secondsAt(ck, removed) +
+                 buildOf(ck, call));
+  }
+}
+
+/// No front has routed a call by a plan whose proof was older than a change of
+/// the configuration may take, as its metrics say.
+void checkProofAges(Check &ck) {
+  const std::string name = "plan_proof_age_max_seconds\"} ";
+  for (const auto &f : ck.World.Fronts) {
+    if (!f->Proc ||
+        (!f->OtherBuild.empty() && f->OtherBuild.back().End == Time::max()))
+      continue;
+    const std::string text =
+        callHttp("GET",
+                 "http://" + loopbackAddress(f->Ports.Metrics) + "/metrics")
+            .Body;
+    const std::size_t at = text.find(name);
+    if (at == std::string::npos)
+      ck.Violations.push_back(f->Name + " has no metric of its proof's age");
+    else if (const double age = std::stod(text.substr(at + name.size()));
+             age > std::chrono::duration<double>(PlanApplyTimeout).count())
+      ck.Violations.push_back(f->Name + " routed a call with a proof of " +
+                              std::to_string(age) + " s");
+  }
+}
+
 /// An engine that is draining receives no new calls after DrainTimeout, unless
 /// the front or its path to the store was disturbed.
 void checkDrain(Check &ck, const std::string &id, const SoakCall &call) {
@@ -326,8 +380,13 @@
     checkEvacuation(ck, id, call);
     checkRecovery(ck, id, call);
   }
+  for (const auto &[id, call] : w.Probes.Calls) {
+    checkResponse(ck, id, call);
+    checkPlan(ck, id, call);
+  }
   checkRetryBudget(ck);
   checkAsked(ck);
+  checkProofAges(ck);
   const bool any =
       std::any_of(w.Callers.Calls.begin(), w.Callers.Calls.end(),
                   [](const auto &it) { return it.second.Status == 200; });
--- a/tests/support/soak_world.cpp
+++ b/tests/support/soak_world.cpp
@@ -80,8 +80,15 @@
 }
 
 void startFront(SoakWorld &w, SoakFront &f) {
+  const bool other =
+      !w.Options.OtherFront.empty() && randomBelow(w.BuildRandom, 2) == 0;
+  endRange(w, f.OtherBuild);
+  if (other)
+    beginRange(w, f.OtherBuild);
   f.Proc.emplace(
-      std::vector<std::string>{ZINNIA_BINARY_DIR "/zinnia-front", f.Settings});
+      other ? std::vector<std::string>{w.Options.OtherFront, f.CommonSettings}
+            : std::vector<std::string>{ZINNIA_BINARY_DIR "/zinnia-front",
+                                       f.Settings});
   f.Paused = false;
   f.StopSentAt = Time();
   f.StartedAt = now(w);
@@ -200,7 +207,32 @@
   nlohmann::json keys = nlohmann::json::array();
   for (const std::string &k : w.ActiveKeys)
     keys.push_back(k);
-  writeRow(w, tableRow("op", "config", configOf(++w.Version, keys)));
+  nlohmann::json config = configOf(++w.Version, keys);
+  nlohmann::json &routes = config.at("routes");
+  for (const int version : {w.Version - 1, w.Version}) {
+    nlohmann::json route = routes.front();
+    route["name"] = route["prefix"] = probePath(version);
+    routes.push_back(std::move(route));
+  }
+  writeRow(w, tableRow("op", "config", config));
+  w.WrittenAt[w.Version] = now(w);
+}
+
+/// Writes a new version of the configuration, and schedules the next one.
+void changeConfig(SoakWorld &w) {
+  ++w.Faults["configuration changed"];
+  writeConfig(w);
+  runAfter(w, milliseconds(300 + randomBelow(w.PlanRandom, 3500)), [&w] {
+    if (now(w) < w.FaultsEnd)
+      changeConfig(w);
+  });
+}
+
+/// The path of a route that was added, is about to go, or went recently.
+std::string nextProbe(SoakWorld &w) {
+  constexpr int Versions = 4;
+  const auto back = static_cast<int>(randomBelow(w.Probes.Random, Versions));
+  return probePath(std::max(w.Version - back, 1)) + "s";
 }
 
 /// Withdraws a random key other than the first, or makes it valid again.
@@ -473,8 +505,10 @@
 }
 
 void recordCall(SoakWorld &w, const EngineCall &call) {
-  const auto it = w.Callers.Calls.find(call.Id);
-  if (it == w.Callers.Calls.end() || call.Body != "call " + call.Id) {
+  const bool probe = call.Id.starts_with(w.Probes.IdPrefix);
+  auto &calls = probe ? w.Probes.Calls : w.Callers.Calls;
+  const auto it = calls.find(call.Id);
+  if (it == calls.end() || call.Body != "call " + call.Id) {
     w.Violations.push_back("an engine received the call " + call.Id + " as \"" +
                            call.Body + "\"");
     return;
@@ -498,9 +532,14 @@
   return n % 2 == 0 ? "z" : "y";
 }
 
+std::string probePath(int version) {
+  return "/version-" + std::to_string(version) + "/";
+}
+
 SoakWorld::SoakWorld(const SoakOptions &opt)
     : Options(opt), Random(mix64(opt.Seed)), AskRandom(mix64(opt.Seed + 2)),
       RestoreRandom(mix64(opt.Seed + 3)), EvacuationRandom(mix64(opt.Seed + 4)),
+      PlanRandom(mix64(opt.Seed + 5)), BuildRandom(mix64(opt.Seed + 6)),
       ActiveKeys(AllKeys.begin(), AllKeys.end()) {}
 
 Result<void> startWorld(SoakWorld &w) {
@@ -537,6 +576,10 @@
     BOOST_LEAF_CHECK(startRelay(f.StoreRelay, lp, peer(p[4]), peer(ports[0])));
     f.Settings =
         w.Folder.write(f.Name + ".json", frontSettings(f.Name, f.Ports).dump());
+    FrontPorts common = f.Ports;
+    common.Relay = 0;
+    f.CommonSettings = w.Folder.write(f.Name + "-common.json",
+                                      frontSettings(f.Name, common).dump());
     w.Callers.Fronts.push_back(peer(p[0]));
     beginRange(w, f.Disturbed);
     startFront(w, f);
@@ -544,19 +587,31 @@
   w.Callers.Lp = &lp;
   w.Callers.Random = mix64(w.Options.Seed + 1);
   w.Callers.Keys.assign(AllKeys.begin(), AllKeys.end());
+  w.Probes.Lp = &lp;
+  w.Probes.Random = mix64(w.Options.Seed + 7);
+  w.Probes.Keys = {AllKeys.front()};
+  w.Probes.IdPrefix = "p-";
+  w.Probes.MinIntervalMs = 50;
+  w.Probes.MaxIntervalMs = 250;
+  w.Probes.Fronts = w.Callers.Fronts;
+  w.Probes.NextPath = [&w] { return nextProbe(w); };
   w.FaultsEnd = lp.Now + WarmUpPeriod + std::chrono::seconds(w.Options.Seconds);
   w.QuietEnd = w.FaultsEnd + RecoveryTimeout + HealthyPeriod;
   runAfter(w, milliseconds(1200),
            [&w] { startCallers(w.Callers, w.Options.Callers); });
+  runAfter(w, milliseconds(1200),
+           [&w] { startCallers(w.Probes, 2 * w.Options.Fronts); });
   runAfter(w, WarmUpPeriod, [&w] { injectFault(w); });
   runAfter(w, WarmUpPeriod, [&w] { askForLess(w); });
+  runAfter(w, WarmUpPeriod, [&w] { changeConfig(w); });
   runAfter(w, WarmUpPeriod, [&w] { evacuateZone(w); });
   keepCopies(w);
   runAfter(w, WarmUpPeriod + std::chrono::seconds(2),
            [&w] { restoreFromCopy(w); });
   w.PendingEvents.emplace(w.FaultsEnd, [&w] { restoreKeys(w); });
-  w.PendingEvents.emplace(w.QuietEnd - milliseconds(1000),
-                          [&w] { w.Callers.Stopped = true; });
+  w.PendingEvents.emplace(w.QuietEnd - milliseconds(1000), [&w] {
+    w.Callers.Stopped = w.Probes.Stopped = true;
+  });
   w.Tick.Fn = onTick;
   w.Tick.Ctx = &w;
   arm(lp, w.Tick, lp.Now);
--- a/tests/support/soak_world.h
+++ b/tests/support/soak_world.h
@@ -27,6 +27,9 @@
   std::uint64_t Engines = 4;
   std::uint64_t Callers = 24;
   std::string Logs;
+  /// The zinnia-front of another build, which each start of a front uses in one
+  /// of two cases; empty: none.
+  std::string OtherFront;
 };
 
 /// A range of time; End is Time::max() while it lasts.
@@ -44,6 +47,8 @@
   std::string Name;
   FrontPorts Ports;
   std::string Settings; // Path of the settings file.
+  /// Likewise, with what any build knows.
+  std::string CommonSettings;
   std::optional<Process> Proc;
   bool Paused = false;
   int Disturbances = 0; // Incremented at each disturbance.
@@ -52,6 +57,7 @@
   Time StopSentAt;                    // Time(): no SIGTERM was sent.
   std::vector<TimeRange> Disturbed;   // Paused, killed or not started.
   std::vector<TimeRange> StoreFaults; // Faults of StoreRelay.
+  std::vector<TimeRange> OtherBuild;  // It ran Options.OtherFront.
   std::string Output;                 // Of the processes that have ended.
   Relay StoreRelay;
 };
@@ -77,8 +83,11 @@
   std::uint64_t AskRandom = 0;
   std::uint64_t RestoreRandom = 0;    // Likewise, for restores of the store.
   std::uint64_t EvacuationRandom = 0; // Likewise, for evacuations.
+  std::uint64_t PlanRandom = 0;  // Likewise, for changes of the configuration.
+  std::uint64_t BuildRandom = 0; // Likewise, for the builds of the fronts.
   Consortium Platform;
   SoakCallers Callers;
+  SoakCallers Probes; // Call routes that come and go with the configuration.
   std::vector<std::unique_ptr<SoakFront>> Fronts;
   std::vector<std::unique_ptr<SoakEngine>> Engines;
   std::vector<TimeRange> StoreOutages; // Faults of the store itself.
@@ -91,7 +100,8 @@
   std::map<std::string, std::vector<TimeRange>> WithdrawnKeys; // By key.
   std::map<std::string, std::vector<TimeRange>> Evacuations;   // By zone.
   std::set<std::string> ActiveKeys;                            // Valid keys.
-  int Version = 1; // Version of the configuration.
+  int Version = 1;               // Version of the configuration.
+  std::map<int, Time> WrittenAt; // When each version was written.
   std::multimap<Time, std::function<void()>> PendingEvents;
   LoopTimer Tick;
   Time FaultsEnd;
@@ -104,6 +114,14 @@
 /// The time after which a withdrawn key must be rejected.
 inline constexpr Duration KeyWithdrawalTimeout = std::chrono::seconds(5);
 
+/// The time after which a change of the configuration must be in force, as the
+/// fronts' settings say.
+inline constexpr Duration PlanApplyTimeout = std::chrono::seconds(2);
+
+/// The path of a route that the configurations of \p version and of the one
+/// after it have.
+[[nodiscard]] std::string probePath(int version);
+
 /// The time after which an evacuated zone must get no calls.
 inline constexpr Duration EvacuationTimeout = std::chrono::seconds(5);
 
