--- a/include/zinniagauge/adapt/json_reader.h
+++ b/include/zinniagauge/adapt/json_reader.h
@@ -72,7 +72,10 @@
   /// Adds the fault \p message at the path of member \p key.
   void addFault(const std::string &key, std::string message);
 
-  /// Adds a fault for every member that no call has read; call it last.
+  /// The members that no call has read so far.
+  [[nodiscard]] std::vector<std::string> unknownKeys() const;
+
+  /// Adds a fault for each of unknownKeys(); call it last.
   void reportUnknownKeys();
 
 private:
--- a/include/zinniagauge/front/front_settings.h
+++ b/include/zinniagauge/front/front_settings.h
@@ -13,6 +13,8 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace zinniagauge {
 
@@ -40,6 +42,9 @@
   double MemoryMb = 128; // Above this the platform kills the process.
   double CpuShare = 1;   // Processor time of the machine, in cores.
   EventLevel LogLevel = EventLevel::Calls;
+  /// Settings in the file that this build doesn't know, such as those that a
+  /// later build has and that stay in the file when it is rolled back.
+  std::vector<std::string> UnknownKeys;
 };
 
 /// Parses settings from the JSON text \p text. Fails with Invalid; the error
--- a/programs/zinnia-front.cpp
+++ b/programs/zinnia-front.cpp
@@ -100,6 +100,15 @@
       static_cast<void>(::open("/dev/null", O_RDWR)); // Gets the lowest, fd.
 }
 
+/// Logs the settings that this build doesn't know.
+void logUnknownSettings(Front &f, const FrontSettings &set) {
+  for (const std::string &key : set.UnknownKeys) {
+    EventLine line = eventLine("setting_unknown");
+    add(line, "key", key);
+    f.Log.write(line);
+  }
+}
+
 /// Applies the settings that may change while the process runs. Keeps the
 /// current ones if the file can't be read or is invalid.
 void reload(Front &f, const std::string &path) {
@@ -113,6 +122,7 @@
                  current.LogLevel = set.LogLevel;
                  f.Log.setLevel(set.LogLevel);
                  f.Log.write(eventLine("settings_reloaded"));
+                 logUnknownSettings(f, set);
                  return 0;
                },
                [&](const Error &err) {
@@ -172,6 +182,15 @@
   add(line, "callers", toString(f.Requests.Settings.Callers));
   add(line, "table", toString(f.Requests.Settings.TableServiceAddress));
   f.Log.write(line);
+  logUnknownSettings(f, f.Requests.Settings);
+}
+
+/// Prints the settings that this build doesn't know. A front starts with them,
+/// but a check finds mistyped ones.
+ExitCode checkUnknownSettings(const FrontSettings &set) {
+  for (const std::string &key : set.UnknownKeys)
+    std::fprintf(stderr, "zinnia-front: unknown setting %s\n", key.c_str());
+  return set.UnknownKeys.empty() ? ExitCode::Ok : ExitCode::Usage;
 }
 
 /// Runs the process until it is stopped by a signal.
@@ -229,7 +248,7 @@
   const ExitCode end = handleResult(
       [&] { return loadFrontSettings(path); },
       [&](const FrontSettings &set) {
-        return checkonly ? ExitCode::Ok : serve(set, path);
+        return checkonly ? checkUnknownSettings(set) : serve(set, path);
       },
       [&](const Error &err) {
         std::fprintf(stderr, "zinnia-front: %s\n", describe(err).c_str());
--- a/src/adapt/json_reader.cpp
+++ b/src/adapt/json_reader.cpp
@@ -198,12 +198,19 @@
   return nullptr;
 }
 
-void JsonReader::reportUnknownKeys() {
+std::vector<std::string> JsonReader::unknownKeys() const {
+  std::vector<std::string> out;
   if (!Val.is_object())
-    return;
+    return out;
   for (const auto &it : Val.items())
     if (!RequestedKeys.contains(it.key()))
-      addFault(it.key(), "unknown key");
+      out.push_back(it.key());
+  return out;
+}
+
+void JsonReader::reportUnknownKeys() {
+  for (const std::string &key : unknownKeys())
+    addFault(key, "unknown key");
 }
 
 } // namespace zinniagauge
--- a/src/front/front_settings.cpp
+++ b/src/front/front_settings.cpp
@@ -113,7 +113,7 @@
     set.TableServiceAddress = readAddress(rd, "table");
     readLimits(rd, set);
     set.LogLevel = readLogLevel(rd);
-    rd.reportUnknownKeys();
+    set.UnknownKeys = rd.unknownKeys();
   }
   if (!faults.empty())
     return fail({ErrorCode::Invalid, Step::Settings, {}, joinFaults(faults)});
--- a/tests/process/front_test.cpp
+++ b/tests/process/front_test.cpp
@@ -119,6 +119,26 @@
   CHECK(waitUntil([&] { return hasStatus(d.call("/safe/a", "k2"), 200); }));
 }
 
+// Guards against a build that doesn't start, or keeps old settings, with the
+// file of a later one, as after a roll-back.
+TEST_CASE("a setting that only another build knows doesn't stop a front",
+          "[process][front]") {
+  const FrontDeployment d;
+  json settings = d.settings();
+  settings["of_another_build"] = 1;
+  const std::string path = d.Folder.write("settings.json", settings.dump());
+  d.Front->signal(SIGHUP);
+  CHECK(d.Front->waitForOutput(R"("event":"settings_reloaded")"));
+  CHECK(d.Front->waitForOutput(R"("key":"of_another_build")"));
+  CHECK(hasStatus(d.call("/safe/a"), 200));
+  // A check of the file still finds it.
+  const ProgramResult check =
+      runProgram({ZINNIA_BINARY_DIR "/zinnia-front", "--check-settings", path});
+  CHECK(check.Exit == 2);
+  CHECK(check.Output.find("unknown setting of_another_build") !=
+        std::string::npos);
+}
+
 TEST_CASE("a draining engine gets no more calls", "[process][front]") {
   const FrontDeployment d;
   d.putRow("servers", "i-0", d.engineEntryOf(0, "draining"));
--- a/tests/unit/front_settings_test.cpp
+++ b/tests/unit/front_settings_test.cpp
@@ -41,6 +41,18 @@
   CHECK(parsed(doc)->Retries.Slack == Approx(33.16));
 }
 
+TEST_CASE("settings of another build are listed, not refused", "[settings]") {
+  json doc = validSettings();
+  REQUIRE(parsed(doc));
+  CHECK(parsed(doc)->UnknownKeys.empty());
+  doc["of_another_build"] = 1;
+  REQUIRE(parsed(doc));
+  CHECK(parsed(doc)->UnknownKeys ==
+        std::vector<std::string>{"of_another_build"});
+  doc["descriptors"] = -1;
+  CHECK_FALSE(parsed(doc));
+}
+
 TEST_CASE("numbers out of range are refused", "[settings]") {
   for (const char *key :
        {"retry_slack", "allowance_slack", "retry_ratio", "allowance_overage",
