Renew proofs early enough for one lost reading

A front in touch whose reading was lost, while it had relied on another front's proof until then, had a proof of up to 2.38 s (1.5 s, the check, the timeout, the backoff) where a change has to be in force within 2 s: it refused callers with keys, or served anonymous ones by a plan older than allowed. Cause: the age at which a front reads for itself was three quarters of the limit, whatever a lost reading costs. It now leaves room for one, and the timeout of a reading is part of the same timing. Where changes may take 2.7 s and more nothing is different.

Evidence: "one lost reading doesn't make a proof too old" fails with the former timing for limits of 2.0 to 2.6 s.

--- a/include/zinniagauge/decide/freshness.h
+++ b/include/zinniagauge/decide/freshness.h
@@ -54,18 +54,39 @@
   /// The age at which a process replaces a proof received from another by a
   /// reading of its own.
   Duration MaxSharedAge;
+  /// How long a response may take, on top of LongPollWait.
+  Duration ResponseTimeout;
 };
 
-/// The timing with which no proof reaches the smaller age in \p lim, with time
-/// left for the responses to arrive.
+/// How often a process checks whether a proof received from another is still
+/// recent enough.
+inline constexpr Duration ProofCheckPeriod = std::chrono::milliseconds(100);
+
+/// The backoff after the first failed reading.
+inline constexpr Duration MinReadBackoff = std::chrono::milliseconds(80);
+
+/// The timing with which no proof reaches the smaller age in \p lim, even if
+/// the response to one reading is lost. Limits under two seconds leave no room
+/// for that.
 [[nodiscard]] constexpr ProofRenewal
 proofRenewal(const FreshnessLimits &lim) noexcept {
   constexpr Duration MaxWait = std::chrono::milliseconds(250);
   constexpr Duration MaxAge = std::chrono::milliseconds(1700);
+  // The service responds within some milliseconds, and within 250 ms when it is
+  // slow, for which a connection and a request need two responses.
+  constexpr Duration MaxResponseTime = std::chrono::milliseconds(700);
+  // Of the reading that follows on a lost one, over a new connection.
+  constexpr Duration ReadingTime = std::chrono::milliseconds(100);
   const Duration limit = lim.FailClosed
                              ? std::min(lim.MaxServeAge, lim.MaxRejectAge)
                              : lim.MaxRejectAge;
-  return {std::min(MaxWait, limit / 4), std::min(MaxAge, limit * 3 / 4)};
+  const Duration timeout = std::min(MaxResponseTime, limit / 3);
+  const Duration withoneloss =
+      limit - ProofCheckPeriod - timeout - MinReadBackoff - ReadingTime;
+  return {std::min(MaxWait, limit / 4),
+          std::min(MaxAge, limit >= std::chrono::seconds(2) ? withoneloss
+                                                            : limit * 3 / 4),
+          timeout};
 }
 
 } // namespace zinniagauge
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -7,19 +7,10 @@
 
 namespace {
 
-/// How long a response may take, on top of the long-poll wait. The service
-/// responds within some milliseconds, and within 200 ms when it is slow.
-constexpr Duration ResponseTimeout = std::chrono::milliseconds(700);
-
-/// The backoff after failures. It is short because API keys may be accepted
-/// only while the plan has been confirmed recently.
-constexpr Duration MinBackoff = std::chrono::milliseconds(80);
+/// The longest backoff after failures. It is short because API keys may be
+/// accepted only while the plan has been confirmed recently.
 constexpr Duration MaxBackoff = std::chrono::milliseconds(400);
 
-/// How often a front that doesn't read for others checks the reports of those
-/// that do.
-constexpr Duration CheckPeriod = std::chrono::milliseconds(100);
-
 /// How long the service should wait for a change before it responds. An empty
 /// response confirms the plan only up to the time of the request, so the wait
 /// adds to the age of the confirmation. A front that reads for itself only
@@ -106,7 +97,7 @@
       (applyReaderReport(pc) ||
        (!isreader && pc.FullyRead && !hasNews(pc) && now < pc.NextReadAt));
   if (waits)
-    arm(pc.Owner->EventLoop, pc.Timer, now + CheckPeriod);
+    arm(pc.Owner->EventLoop, pc.Timer, now + ProofCheckPeriod);
   else
     requestNext(pc);
 }
@@ -118,7 +109,7 @@
 void handleFailure(PlanController &pc, const Error &err) {
   recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan", &err);
   pc.Backoff = pc.Backoff == Duration::zero()
-                   ? MinBackoff
+                   ? MinReadBackoff
                    : std::min(pc.Backoff * 2, MaxBackoff);
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
@@ -236,7 +227,7 @@
     scheduleNext(pc);
   else
     arm(pc.Owner->EventLoop, pc.Timer,
-        now + (board.PlanVersion > 0 ? CheckPeriod : MaxBackoff));
+        now + (board.PlanVersion > 0 ? ProofCheckPeriod : MaxBackoff));
 }
 
 void onResponse(void *ctx, const StoreResponse &response) {
@@ -264,15 +255,17 @@
 
 void requestNext(PlanController &pc) {
   const StoreProtocol &protocol = pc.Owner->Protocol;
+  const Duration timeout =
+      proofRenewal(pc.Owner->Settings.FreshnessBounds).ResponseTimeout;
   pc.ReadsAll = !pc.FullyRead || pc.Owner->Board.PlanVersion == 0;
   if (pc.ReadsAll)
     sendRequest(pc.Connection, protocol.ReadRequest(StoreTable::Operators, {}),
-                ResponseTimeout, onResponse, &pc);
+                timeout, onResponse, &pc);
   else
     sendRequest(pc.Connection,
                 protocol.ChangesRequest(StoreTable::Operators,
                                         pc.ReadUpTo.Number, longPollWait(pc)),
-                longPollWait(pc) + ResponseTimeout, onResponse, &pc);
+                longPollWait(pc) + timeout, onResponse, &pc);
 }
 
 } // namespace
--- a/tests/unit/freshness_test.cpp
+++ b/tests/unit/freshness_test.cpp
@@ -33,6 +33,20 @@
   CHECK(proofRenewal(open).LongPollWait == proofRenewal(usual).LongPollWait);
 }
 
+// Guards against a front in touch that serves by an outdated plan, or refuses
+// its callers, because the response to one reading was lost.
+TEST_CASE("one lost reading doesn't make a proof too old",
+          "[freshness][plan]") {
+  for (int apply = 2000; apply <= 8000; apply += 100) {
+    const FreshnessLimits lim{milliseconds(3800), milliseconds(apply), true};
+    const ProofRenewal timing = proofRenewal(lim);
+    const Duration oldest = timing.MaxSharedAge + ProofCheckPeriod +
+                            timing.ResponseTimeout + MinReadBackoff;
+    CHECK(oldest + milliseconds(50) <
+          std::min(lim.MaxServeAge, lim.MaxRejectAge));
+  }
+}
+
 TEST_CASE("a proof counts for its own plan and for later ones only",
           "[freshness][plan]") {
   const Time now(std::chrono::seconds(50));
