--- a/include/zinniagauge/store/controllers.h
+++ b/include/zinniagauge/store/controllers.h
@@ -120,7 +120,7 @@
 /// unreachable or reachable again for \p use. \p err is null on success; \p
 /// unreachable is the state of that use and is updated.
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
-                       const Error *err);
+                       const StoreResponse &response, const Error *err);
 
 /// Compares the era that \p response names with the known one. A new one is
 /// published and logged with \p use, and the controllers are told that what
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -104,6 +104,9 @@
            static_cast<double>(rl.Board.PlanVersion.load()));
   setGauge(rl.Metrics, "plan_proof_age_seconds", seconds(planProofAge(rl)));
   setGauge(rl.Metrics, "plan_proof_age_max_seconds", seconds(rl.OldestProof));
+  const bool outdated = rl.Board.ReportedOperatorRows.copy().Version >
+                        rl.Board.OperatorRows.copy().Version;
+  setGauge(rl.Metrics, "newer_rows_reported", outdated ? 1 : 0);
 }
 
 void onHousekeepingTimer(void *ctx, Time now) {
--- a/src/store/controllers.cpp
+++ b/src/store/controllers.cpp
@@ -51,15 +51,19 @@
 }
 
 void recordStoreResult(Controllers &ct, bool &unreachable, std::string_view use,
-                       const Error *err) {
+                       const StoreResponse &response, const Error *err) {
   countTableCall(ct.Metrics, use, err ? toString(err->Code) : "ok");
   if (unreachable == (err != nullptr))
     return;
   unreachable = err != nullptr;
   EventLine line = eventLine(unreachable ? "store_lost" : "store_back");
   add(line, "use", use);
-  if (err)
+  if (err) {
     add(line, *err);
+    add(line, "waited_ms", bootNow() - response.RequestedAtBoot);
+    add(line, "received_bytes",
+        static_cast<std::int64_t>(response.Body.size()));
+  }
   ct.Log.write(line);
 }
 
--- a/src/store/coordinator_controller.cpp
+++ b/src/store/coordinator_controller.cpp
@@ -114,7 +114,7 @@
   handleResult([&] { return cc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*cc.Owner, cc.StoreUnreachable,
-                                   "coordinators", nullptr);
+                                   "coordinators", response, nullptr);
                  if (order == EraOrder::Outdated)
                    requestRead(cc);
                  else
@@ -123,7 +123,7 @@
                },
                [&](const Error &err) {
                  recordStoreResult(*cc.Owner, cc.StoreUnreachable,
-                                   "coordinators", &err);
+                                   "coordinators", response, &err);
                  return 0;
                });
 }
@@ -139,7 +139,7 @@
                },
                [&](const Error &err) {
                  recordStoreResult(*cc.Owner, cc.StoreUnreachable,
-                                   "coordinators", &err);
+                                   "coordinators", response, &err);
                  return 0;
                });
 }
--- a/src/store/discovery_controller.cpp
+++ b/src/store/discovery_controller.cpp
@@ -251,7 +251,7 @@
                [&](const TableReadResult &rd) {
                  if (!dc.FromPeer)
                    recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
-                                     nullptr);
+                                     response, nullptr);
                  if (dc.ReadOutdated) {
                    onTimer(&dc, lp.Now);
                    return 0;
@@ -276,7 +276,7 @@
                    return 0;
                  }
                  recordStoreResult(*dc.Owner, dc.StoreUnreachable, "backends",
-                                   &err);
+                                   response, &err);
                  arm(lp, dc.Timer, lp.Now + RetryInterval);
                  return 0;
                });
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -400,6 +400,20 @@
   applyReportedReadableTime(gossip.Owner->Discovery);
 }
 
+/// Logs that the sender of \p rep knows of operators' rows that this front
+/// hasn't read.
+void logNewerRows(Gossip &gossip, const GossipReport &rep) {
+  const TableVersion own = gossip.Owner->Board.OperatorRows.copy().Version;
+  if (own.Number == 0 || rep.OperatorRows <= own)
+    return;
+  EventLine line = eventLine("newer_rows_reported");
+  add(line, "from", frontName(gossip, rep.Node));
+  add(line, "era", static_cast<std::int64_t>(rep.OperatorRows.Era));
+  add(line, "row", static_cast<std::int64_t>(rep.OperatorRows.Number));
+  add(line, "own_row", static_cast<std::int64_t>(own.Number));
+  gossip.Owner->Log.write(line);
+}
+
 /// Applies what the sender knows of the table service's data.
 void applyFreshness(Gossip &gossip, const GossipReport &rep) {
   FrontBoard &board = gossip.Owner->Board;
@@ -409,6 +423,7 @@
   if (rep.OperatorRows > rows.Version) {
     rows = {rep.OperatorRows, 0};
     board.ReportedOperatorRows.publish(rows);
+    logNewerRows(gossip, rep);
   }
   if (!isResponse(gossip, rep))
     return;
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -106,28 +106,39 @@
   scheduleNext(*static_cast<PlanController *>(ctx));
 }
 
-void handleFailure(PlanController &pc, const Error &err) {
-  recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan", &err);
+void handleFailure(PlanController &pc, const StoreResponse &response,
+                   const Error &err) {
+  recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan", response, &err);
   pc.Backoff = pc.Backoff == Duration::zero()
                    ? MinReadBackoff
                    : std::min(pc.Backoff * 2, MaxBackoff);
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
 
-/// Activates \p plan, read from \p row by a request made at \p requestedat, by
-/// bootNow.
-void activatePlan(PlanController &pc, TrafficPlan plan, TableVersion row,
-                  Time requestedat) {
+/// How a plan was read; times are by bootNow.
+struct PlanReading {
+  TableVersion Row;
+  std::size_t Bytes = 0;
+  Time RequestedAt;
+  Time ReceivedAt; // When parsing began.
+};
+
+/// Activates \p plan, unless it is older than the one in force.
+void activatePlan(PlanController &pc, TrafficPlan plan,
+                  const PlanReading &reading) {
   FrontBoard &board = pc.Owner->Board;
   const std::uint64_t before = board.PlanVersion;
   EventLine line = eventLine("plan");
   add(line, "version", static_cast<std::int64_t>(plan.Version));
   add(line, "before", static_cast<std::int64_t>(before));
-  add(line, "era", static_cast<std::int64_t>(row.Era));
-  add(line, "row", static_cast<std::int64_t>(row.Number));
+  add(line, "era", static_cast<std::int64_t>(reading.Row.Era));
+  add(line, "row", static_cast<std::int64_t>(reading.Row.Number));
+  add(line, "bytes", static_cast<std::int64_t>(reading.Bytes));
   add(line, "routes", static_cast<std::int64_t>(plan.Routes.size()));
   add(line, "workspaces", static_cast<std::int64_t>(plan.Workspaces.size()));
-  add(line, "read_ms", bootNow() - requestedat);
+  const Time now = bootNow();
+  add(line, "read_ms", now - reading.RequestedAt);
+  add(line, "parse_ms", now - reading.ReceivedAt);
   add(line, "outcome",
       plan.Version > before ? "in force" : "older, passed over");
   pc.Owner->Log.write(line);
@@ -163,10 +174,11 @@
 void applyPlanRow(PlanController &pc, const TableRow &row, std::uint64_t era,
                   Time requestedat) {
   const TableVersion version{era, row.Version};
+  const PlanReading reading{version, row.Value.size(), requestedat, bootNow()};
   handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
                [&](TrafficPlan plan) {
                  pc.Row = nextPlanRow(pc.Row, version, plan.Version);
-                 activatePlan(pc, std::move(plan), version, requestedat);
+                 activatePlan(pc, std::move(plan), reading);
                  return 0;
                },
                [&](const Error &err) {
@@ -236,7 +248,7 @@
   handleResult([&] { return pc.Owner->Protocol.ParseRows(response); },
                [&](const TableReadResult &rd) {
                  recordStoreResult(*pc.Owner, pc.StoreUnreachable, "plan",
-                                   nullptr);
+                                   response, nullptr);
                  pc.Backoff = Duration::zero();
                  // Changes since a version of another era may lack some.
                  const bool sameera =
@@ -248,7 +260,7 @@
                  return 0;
                },
                [&](const Error &err) {
-                 handleFailure(pc, err);
+                 handleFailure(pc, response, err);
                  return 0;
                });
 }
--- a/src/store/pool_move_controller.cpp
+++ b/src/store/pool_move_controller.cpp
@@ -235,16 +235,17 @@
 void onWriteResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
   static_cast<void>(applyStoreEra(*mc.Owner, response, "moves"));
-  handleResult(
-      [&] { return mc.Owner->Protocol.ParseWriteResult(response); },
-      [&](const TableResult & /*res*/) {
-        recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves", nullptr);
-        return 0;
-      },
-      [&](const Error &err) {
-        recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves", &err);
-        return 0;
-      });
+  handleResult([&] { return mc.Owner->Protocol.ParseWriteResult(response); },
+               [&](const TableResult & /*res*/) {
+                 recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves",
+                                   response, nullptr);
+                 return 0;
+               },
+               [&](const Error &err) {
+                 recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves",
+                                   response, &err);
+                 return 0;
+               });
   // The record is read again after a failed or lost write too: only the record
   // says which stage the move is in.
   requestRecords(mc);
@@ -326,24 +327,25 @@
 void onReadResponse(void *ctx, const StoreResponse &response) {
   PoolMoveController &mc = *static_cast<PoolMoveController *>(ctx);
   const EraOrder era = applyStoreEra(*mc.Owner, response, "moves");
-  handleResult(
-      [&] { return mc.Owner->Protocol.ParseRows(response); },
-      [&](const TableReadResult &rd) {
-        recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves", nullptr);
-        if (era == EraOrder::Outdated) {
-          requestRecords(mc);
-          return 0;
-        }
-        applyRecords(mc, rd);
-        publish(mc);
-        writeNextRecord(mc);
-        return 0;
-      },
-      [&](const Error &err) {
-        recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves", &err);
-        mc.NextReadAt = mc.Owner->EventLoop.Now + ReadPeriod;
-        return 0;
-      });
+  handleResult([&] { return mc.Owner->Protocol.ParseRows(response); },
+               [&](const TableReadResult &rd) {
+                 recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves",
+                                   response, nullptr);
+                 if (era == EraOrder::Outdated) {
+                   requestRecords(mc);
+                   return 0;
+                 }
+                 applyRecords(mc, rd);
+                 publish(mc);
+                 writeNextRecord(mc);
+                 return 0;
+               },
+               [&](const Error &err) {
+                 recordStoreResult(*mc.Owner, mc.StoreUnreachable, "moves",
+                                   response, &err);
+                 mc.NextReadAt = mc.Owner->EventLoop.Now + ReadPeriod;
+                 return 0;
+               });
 }
 
 void requestRecords(PoolMoveController &mc) {
