--- a/tests/process/outdated_plan_test.cpp
+++ b/tests/process/outdated_plan_test.cpp
@@ -1,5 +1,6 @@
 // Tests that a front doesn't rely on a plan that may not be the newest.
 #include "support/front_deployment.h"
+#include "support/front_fleet.h"
 
 #include <catch2/catch.hpp>
 
@@ -21,3 +22,25 @@
   CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a", "k2"), 200); }));
   CHECK(hasStatus(d.call("/unsafe/a"), 401));
 }
+
+// Guards against changes that aren't in force in time, or never, at fronts
+// whose links carry a large configuration slowly.
+TEST_CASE("a change of a large configuration is in force in time over narrow "
+          "links",
+          "[process][front][plan]") {
+  const FrontFleet fleet(FleetLinks::Narrow);
+  REQUIRE(waitUntil([&] { return fleet.holders() == 3; }));
+  const auto lagof = [&](int version, int routes) {
+    fleet.D.putRow("op", "config", bigConfigOf(version, {"k1"}, routes));
+    const Time acked = monotonicNow();
+    const std::string path = "/" + std::to_string(routes - 1) + "/a";
+    CHECK(waitUntil([&] { return fleet.allRespond("", 200, path.c_str()); },
+                    std::chrono::seconds(10)));
+    return monotonicNow() - acked;
+  };
+  int version = 10;
+  Duration greatest = Duration::zero();
+  for (const int routes : {50, 1450, 4250, 12'000, 12'001})
+    greatest = std::max(greatest, lagof(++version, routes));
+  CHECK(greatest < std::chrono::seconds(2)); // plan_apply
+}
--- a/tests/standins/standin-consortium.cpp
+++ b/tests/standins/standin-consortium.cpp
@@ -15,9 +15,10 @@
 namespace {
 
 Result<void> serve(Consortium &st, const std::string &store,
-                   const std::vector<std::string> &engines) {
+                   const std::vector<std::string> &engines,
+                   const std::string &narrowstore) {
   BOOST_LEAF_CHECK(openLoop(st.Lp));
-  BOOST_LEAF_CHECK(startConsortium(st, store, engines));
+  BOOST_LEAF_CHECK(startConsortium(st, store, engines, narrowstore));
   std::puts("serves");
   std::fflush(stdout);
   run(st.Lp);
@@ -28,6 +29,7 @@
 
 int main(int argc, char **argv) {
   std::string store;
+  std::string narrowstore;
   std::vector<std::string> engines;
   CommandLine line;
   line.Program = "standin-consortium";
@@ -35,16 +37,20 @@
   line.Options = {
       {"store", "IP:PORT", "Where the store listens", OptionTarget(&store)},
       {"engine", "IP:PORT", "Where an engine listens; may be repeated",
-       OptionTarget(&engines)}};
+       OptionTarget(&engines)},
+      {"narrow-store", "IP:PORT",
+       "Where the store listens as behind a narrow link",
+       OptionTarget(&narrowstore)}};
   line.ExitCodes = {ExitCode::Ok, ExitCode::Failed, ExitCode::Usage};
   const ParsedCommand cmd = parseCommandLine(line, argc, argv);
   if (cmd.Exit)
     return toInt(*cmd.Exit);
   Consortium st;
-  return toInt(handleResult(
-      [&] { return serve(st, store, engines); }, [] { return ExitCode::Ok; },
-      [](const Error &err) {
-        std::fprintf(stderr, "%s\n", describe(err).c_str());
-        return ExitCode::Failed;
-      }));
+  return toInt(
+      handleResult([&] { return serve(st, store, engines, narrowstore); },
+                   [] { return ExitCode::Ok; },
+                   [](const Error &err) {
+                     std::fprintf(stderr, "%s\n", describe(err).c_str());
+                     return ExitCode::Failed;
+                   }));
 }
--- a/tests/support/consortium.cpp
+++ b/tests/support/consortium.cpp
@@ -23,9 +23,33 @@
   return out;
 }
 
+/// How often a connection with limited bandwidth sends.
+constexpr Duration SendInterval = std::chrono::milliseconds(10);
+
+/// Sends what the bandwidth of the connection allows within SendInterval.
+void onSendTimer(void *ctx, Time now) {
+  PortConnection &conn = *static_cast<PortConnection *>(ctx);
+  const std::size_t n = conn.Port->BytesPerSecond *
+                        static_cast<std::size_t>(SendInterval.count()) /
+                        1'000'000'000;
+  send(conn.Connection, std::string_view(conn.DelayedResponse).substr(0, n));
+  conn.DelayedResponse.erase(0, n);
+  if (!conn.DelayedResponse.empty())
+    arm(conn.Port->Owner->Lp, conn.EventTimer, now + SendInterval);
+}
+
 void reply(PortConnection &conn, int status, std::string_view body,
            std::initializer_list<HeaderField> more = {}) {
-  send(conn.Connection, responseText(status, body, more, conn.Port->Asked));
+  const std::string text = responseText(status, body, more, conn.Port->Asked);
+  if (conn.Port->BytesPerSecond == 0) {
+    send(conn.Connection, text);
+    return;
+  }
+  conn.DelayedResponse.append(text);
+  conn.EventTimer.Fn = onSendTimer;
+  conn.EventTimer.Ctx = &conn;
+  if (!conn.EventTimer.Hook.is_linked())
+    onSendTimer(&conn, conn.Port->Owner->Lp.Now);
 }
 
 std::string queryValue(std::string_view target, std::string_view name) {
@@ -405,10 +429,15 @@
 }
 
 Result<void> startConsortium(Consortium &st, const std::string &store,
-                             const std::vector<std::string> &engines) {
+                             const std::vector<std::string> &engines,
+                             const std::string &narrowstore) {
   BOOST_LEAF_CHECK(addPort(st, store, -1));
   for (std::size_t n = 0; n < engines.size(); ++n)
     BOOST_LEAF_CHECK(addPort(st, engines[n], static_cast<int>(n)));
+  if (!narrowstore.empty()) {
+    BOOST_LEAF_CHECK(addPort(st, narrowstore, -1));
+    st.Ports.back()->BytesPerSecond = NarrowLinkBytesPerSecond;
+  }
   st.Timer.Fn = onTimer;
   st.Timer.Ctx = &st;
   onTimer(&st, st.Lp.Now);
--- a/tests/support/consortium.h
+++ b/tests/support/consortium.h
@@ -31,6 +31,8 @@
   Watch Listener;
   PeerAddress Address;
   int Engine = -1; // Index of the engine; -1 for the store.
+  /// Of the responses on each connection; zero: no limit.
+  std::size_t BytesPerSecond = 0;
   std::string Mode = "ok";
   std::string Asked; // Header lines of all responses of an engine.
   int Runs = 0;
@@ -45,9 +47,9 @@
   ConsortiumPort *Port = nullptr;
   MessageParser Parser;
   std::string Body;
-  LoopTimer EventTimer; // Sends the next event, or DelayedResponse.
-  std::string DelayedResponse;
-  int NextEvent = 0; // Id of the next event to send.
+  LoopTimer EventTimer;        // Sends the next event, or DelayedResponse.
+  std::string DelayedResponse; // All of it, or what BytesPerSecond holds back.
+  int NextEvent = 0;           // Id of the next event to send.
 };
 
 /// A call that arrived at an engine.
@@ -92,7 +94,7 @@
 /// The state of the store and the engines.
 struct Consortium {
   Loop Lp;
-  // The store's port, then those of the engines.
+  // The store's port, then those of the engines, then the store's narrow one.
   std::vector<std::unique_ptr<ConsortiumPort>> Ports;
   std::map<PortConnection *, std::shared_ptr<PortConnection>> Connections;
   std::map<std::pair<std::string, std::string>, nlohmann::json> Rows;
@@ -122,11 +124,17 @@
 /// assigned again. Pending reads are dropped with their connections.
 void restoreStore(Consortium &st, const StoreCopy &copy);
 
-/// Listens at the "ip:port" of the store and of each engine. The loop must be
-/// open. Fails with Unavailable if an address can't be bound.
+/// What a link of 10 Mbit/s carries.
+inline constexpr std::size_t NarrowLinkBytesPerSecond = 1'250'000;
+
+/// Listens at the "ip:port" of the store and of each engine, and, unless it is
+/// empty, at \p narrowstore, where each connection to the store is as slow as a
+/// narrow link. The loop must be open. Fails with Unavailable if an address
+/// can't be bound.
 [[nodiscard]] Result<void>
 startConsortium(Consortium &st, const std::string &store,
-                const std::vector<std::string> &engines);
+                const std::vector<std::string> &engines,
+                const std::string &narrowstore = {});
 
 } // namespace zinniagauge::testing
 
--- a/tests/support/consortium_rows.cpp
+++ b/tests/support/consortium_rows.cpp
@@ -59,6 +59,14 @@
              {"burst", rate}}}}};
 }
 
+json bigConfigOf(int version, const json &keys, int count) {
+  json config = configOf(version, keys);
+  for (int n = 0; n < count; ++n)
+    config["routes"].push_back(
+        route(("/" + std::to_string(n) + "/").c_str(), "unsafe", true));
+  return config;
+}
+
 json frontSettings(const std::string &node, const FrontPorts &ports) {
   json settings = {{"node", node},
                    {"zone", "z"},
--- a/tests/support/consortium_rows.h
+++ b/tests/support/consortium_rows.h
@@ -19,6 +19,11 @@
 [[nodiscard]] nlohmann::json configOf(int version, const nlohmann::json &keys,
                                       int rate = 0);
 
+/// The same with \p count routes more that need no key: "/N/" at "h.example", N
+/// from 0 on.
+[[nodiscard]] nlohmann::json bigConfigOf(int version,
+                                         const nlohmann::json &keys, int count);
+
 /// The ports on which a front listens, and the port of its table service.
 struct FrontPorts {
   std::uint16_t Callers = 0;
--- a/tests/support/front_deployment.h
+++ b/tests/support/front_deployment.h
@@ -49,12 +49,13 @@
                                  std::uint16_t port = 0,
                                  const std::string &body = "hi") const;
 
-  std::vector<std::uint16_t> Ports = freePorts(8);
+  std::vector<std::uint16_t> Ports = freePorts(9);
   ScratchFolder Folder;
   Process Platform{{std::string(ZINNIA_BINARY_DIR) + "/standin-consortium",
                     "--store", loopbackAddress(Ports[0]), "--engine",
                     loopbackAddress(Ports[1]), "--engine",
-                    loopbackAddress(Ports[2])}};
+                    loopbackAddress(Ports[2]), "--narrow-store",
+                    loopbackAddress(Ports[8])}};
   std::optional<Process> Front;
   mutable int LastCall = 0;
 };
--- a/tests/support/front_fleet.cpp
+++ b/tests/support/front_fleet.cpp
@@ -7,17 +7,19 @@
 
 namespace zinniagauge::testing {
 
-FrontFleet::FrontFleet() {
+FrontFleet::FrontFleet(FleetLinks links) {
+  const bool narrow = links == FleetLinks::Narrow;
   for (int n = 2; n <= 5; ++n) {
     const std::string name = "front-" + std::to_string(n);
     Ports.push_back(freePorts(5));
     const auto &p = Ports.back();
-    More.push_back(std::make_unique<Process>(std::vector<std::string>{
-        ZINNIA_BINARY_DIR "/zinnia-front",
-        D.Folder.write(
-            name + ".json",
-            frontSettings(name, {p[0], p[1], p[2], p[3], D.Ports[0], p[4]})
-                .dump())}));
+    nlohmann::json set = frontSettings(
+        name, {p[0], p[1], p[2], p[3], D.Ports[narrow ? 8 : 0], p[4]});
+    if (narrow)
+      set["cpu_share"] = 0.12;
+    More.push_back(std::make_unique<Process>(
+        std::vector<std::string>{ZINNIA_BINARY_DIR "/zinnia-front",
+                                 D.Folder.write(name + ".json", set.dump())}));
   }
   for (const auto &p : Ports)
     REQUIRE(waitForStatus("http://" + loopbackAddress(p[1]) + "/v1/readiness",
--- a/tests/support/front_fleet.h
+++ b/tests/support/front_fleet.h
@@ -12,10 +12,13 @@
 
 namespace zinniagauge::testing {
 
+/// The links over which the fronts but the first one reach the store.
+enum class FleetLinks : std::uint8_t { Wide, Narrow };
+
 /// The front of FrontDeployment and four more. The constructor waits until all
 /// are ready.
 struct FrontFleet {
-  FrontFleet();
+  explicit FrontFleet(FleetLinks links = FleetLinks::Wide);
 
   [[nodiscard]] static bool holdsSlot(const Process &front);
   /// The fronts that hold a coordinator's slot.
--- a/tests/unit/plan_proof_test.cpp
+++ b/tests/unit/plan_proof_test.cpp
@@ -60,3 +60,29 @@
   controller.join();
   CHECK(routed == 0);
 }
+
+// Guards against calls that are served for any time by a plan whose front has
+// learnt of a newer one.
+TEST_CASE("a plan that is known to be outdated is used for no longer than a "
+          "change may take",
+          "[front][plan]") {
+  TestedFrontLoop f(0);
+  const auto served = [&](Duration age, std::uint64_t reportedrow) {
+    TrafficPlan plan = planOf(1, "/open/");
+    plan.Routes[0].AllowsAnonymous = true;
+    f.Board.Plan.publish(plan);
+    f.Board.Proof.publish({1, toNanos(bootNow() - age)});
+    f.Board.OperatorRows.publish({{1, 5}, toNanos(bootNow() - age)});
+    f.Board.ReportedOperatorRows.publish({{1, reportedrow}, 0});
+    Call call;
+    call.Head.Target = "/open/x";
+    addField(call.Head.Fields, "Host", "h");
+    return !routeCall(*f.Rl, call);
+  };
+  const Duration limit = f.Rl->Settings.FreshnessBounds.MaxRejectAge;
+  const Duration margin = std::chrono::milliseconds(100);
+  CHECK(served(limit - margin, 5));
+  CHECK(served(limit - margin, 6));
+  CHECK(served(limit + margin, 5));
+  CHECK_FALSE(served(limit + margin, 6));
+}
--- a/tests/unit/store_connection_test.cpp
+++ b/tests/unit/store_connection_test.cpp
@@ -93,3 +93,43 @@
     REQUIRE(t.Responses.at(1).Body == "whole");
   }
 }
+
+// Guards against a large response being given up, and requested again, while it
+// arrives over a slow link.
+TEST_CASE("a response that keeps arriving isn't given up", "[store]") {
+  TestedStoreConnection t;
+  t.request(milliseconds(100));
+  const TestSocket server = t.accept();
+  REQUIRE(server.Fd >= 0);
+  constexpr std::size_t PartBytes = std::size_t{64} << 10U;
+  constexpr std::size_t Parts = 10;
+  sendText(server, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(Parts * PartBytes) + "\r\n\r\n");
+  for (std::size_t n = 0; n < Parts && t.Responses.empty(); ++n) {
+    sendText(server, std::string(PartBytes, 'x'));
+    const Time until = monotonicNow() + milliseconds(40);
+    while (monotonicNow() < until)
+      runOnce(t.EventLoop);
+  }
+  t.waitForResponses(1);
+  CHECK(t.Responses.at(0).Status == 200);
+  CHECK(t.Responses.at(0).Body.size() == Parts * PartBytes);
+}
+
+// Guards against a service that sends a byte now and then keeping a request
+// open.
+TEST_CASE("a response that hardly arrives is given up", "[store]") {
+  TestedStoreConnection t;
+  t.request(milliseconds(100));
+  const TestSocket server = t.accept();
+  REQUIRE(server.Fd >= 0);
+  sendText(server, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+  for (int n = 0; n < 50 && t.Responses.empty(); ++n) {
+    sendText(server, "x");
+    const Time until = monotonicNow() + milliseconds(10);
+    while (monotonicNow() < until)
+      runOnce(t.EventLoop);
+  }
+  REQUIRE(t.Responses.size() == 1);
+  CHECK(t.Responses.at(0).Status == 0);
+}
