Give up no response of the table service while it arrives

Cause: the time limit of a reading, 700 ms at most, covered the whole response, whose time grows with the configuration and shrinks with the link: 1.1 MB over 10 Mbit/s take a second. Each reading was given up with most of its bytes received and begun anew. The limit now covers progress: a response is given up if it neither ends nor grows by 16 KiB within it, so a silent service is noticed as fast as before, and one that sends a byte now and then too. This holds for all uses of the connection: the plan, pages of back ends from the table service and from other fronts, coordinators and version moves.

--- a/include/zinniagauge/decide/freshness.h
+++ b/include/zinniagauge/decide/freshness.h
@@ -54,7 +54,8 @@
   /// The age at which a process replaces a proof received from another by a
   /// reading of its own.
   Duration MaxSharedAge;
-  /// How long a response may take, on top of LongPollWait.
+  /// How long a response may take, on top of LongPollWait, before it ends or
+  /// goes on to arrive.
   Duration ResponseTimeout;
 };
 
--- a/include/zinniagauge/store/store_connection.h
+++ b/include/zinniagauge/store/store_connection.h
@@ -1,5 +1,5 @@
-// One connection to the table service: one HTTP request at a time, each with a
-// timeout.
+// One connection to the table service: one HTTP request at a time. A response
+// may take as long as it keeps arriving.
 #ifndef ZINNIAGAUGE_STORE_STORE_CONNECTION_H
 #define ZINNIAGAUGE_STORE_STORE_CONNECTION_H
 
@@ -38,6 +38,8 @@
   MessageParser Parser;
   std::string Body;
   LoopTimer Timer;
+  Duration Timeout = Duration::zero(); // Of the request in progress.
+  std::size_t CheckedBytes = 0; // Of Body, when the timer was last armed.
   bool Busy = false;
   StoreCallback Callback = nullptr;
   void *Ctx = nullptr;
@@ -47,9 +49,14 @@
 /// Prepares \p conn for requests to \p server. It doesn't open the connection.
 void setUpStoreConnection(StoreConnection &conn, Loop &lp, PeerAddress server);
 
+/// The bytes of a body by which a response has to grow within each timeout, if
+/// it isn't complete before.
+inline constexpr std::size_t MinProgressBytes = std::size_t{16} << 10U;
+
 /// Sends a request; the connection must not be busy. \p callback is called with
-/// the response, or with Status zero on failure or after \p timeout. It is
-/// never called from within this function.
+/// the response, or with Status zero on failure, or if within \p timeout the
+/// response neither ends nor grows by MinProgressBytes. It is never called from
+/// within this function.
 void sendRequest(StoreConnection &conn, const StoreRequest &request,
                  Duration timeout, StoreCallback callback, void *ctx);
 
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -53,6 +53,10 @@
     finish(conn, nullptr, "malformed answer", false);
     return data.size();
   }
+  if (conn.Body.size() - conn.CheckedBytes >= MinProgressBytes) {
+    conn.CheckedBytes = conn.Body.size();
+    arm(*conn.Lp, conn.Timer, conn.Lp->Now + conn.Timeout);
+  }
   return n;
 }
 
@@ -85,6 +89,8 @@
   conn.Ctx = ctx;
   conn.RequestedAtBoot = bootNow();
   conn.Body.clear();
+  conn.Timeout = timeout;
+  conn.CheckedBytes = 0;
   beginMessage(conn.Parser, MessageKind::Response, MaxHeadBytes, MaxBodyBytes);
   arm(*conn.Lp, conn.Timer, conn.Lp->Now + timeout);
   if (!isOpen(conn.Tcp) &&
