Use no plan that is known to be outdated for longer than a change may take

The bound for changes was applied to rejections only. A front that knows of later rows, or is receiving some, now refuses all calls with 503 once its proof is older than plan_apply, isn't ready then, and rejects no key or path as unknown, since the newer plan may have added it. A front that knows of none, as while the table service is away, serves as before.

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -63,6 +63,8 @@
 
   /// The newest operators' row that was read. Written by the plan controller.
   Cell<ConfirmedVersion> OperatorRows;
+  /// A response with later rows is arriving. Written by the plan controller.
+  std::atomic<bool> OperatorRowsArriving{false};
   /// A digest of the last list of back ends that was read, and when that read
   /// was requested, in nanoseconds of bootNow.
   std::atomic<std::uint64_t> BackendsDigest{0};
@@ -99,6 +101,15 @@
   std::atomic<bool> Stopping{false};
 };
 
+/// Whether there are operators' rows that this front hasn't read, as far as it
+/// knows.
+[[nodiscard]] inline bool lacksOperatorRows(const FrontBoard &board,
+                                            const ReadGuard &guard) noexcept {
+  return board.OperatorRowsArriving ||
+         board.ReportedOperatorRows.read(guard).Version >
+             board.OperatorRows.read(guard).Version;
+}
+
 } // namespace zinniagauge
 
 #endif // ZINNIAGAUGE_BOARD_FRONT_BOARD_H
--- a/include/zinniagauge/decide/freshness.h
+++ b/include/zinniagauge/decide/freshness.h
@@ -22,6 +22,7 @@
 
 /// What the age of a proof allows.
 struct Freshness {
+  bool MayRoute = false;  // To route calls at all.
   bool MayServe = false;  // To serve calls with keys.
   bool MayReject = false; // To reject a key or path as unknown.
 };
@@ -37,12 +38,18 @@
   return now - Time(Duration(proof.ConfirmedAt));
 }
 
-/// What a proof of age \p age allows; nothing: there is none.
-[[nodiscard]] constexpr Freshness
-freshnessOf(const FreshnessLimits &lim, std::optional<Duration> age) noexcept {
+/// What a proof of age \p age allows; nothing: there is none. \p outdated: a
+/// newer configuration is known to exist. It may have added what seems unknown,
+/// and once the proof is older than MaxRejectAge it must be in force.
+[[nodiscard]] constexpr Freshness freshnessOf(const FreshnessLimits &lim,
+                                              std::optional<Duration> age,
+                                              bool outdated = false) noexcept {
   if (!age)
-    return {};
-  return {!lim.FailClosed || *age <= lim.MaxServeAge, *age <= lim.MaxRejectAge};
+    return {!outdated, false, false};
+  const bool recent = *age <= lim.MaxRejectAge;
+  const bool mayroute = recent || !outdated;
+  return {mayroute, mayroute && (!lim.FailClosed || *age <= lim.MaxServeAge),
+          recent && !outdated};
 }
 
 /// The timing by which proofs are renewed.
--- a/src/front/admission.cpp
+++ b/src/front/admission.cpp
@@ -169,7 +169,10 @@
   call.Plan.Version = plan.Version; // A denial is logged with this version.
   call.Plan.ProofAge = proofAge(proof, plan.Version, bootNow());
   const Freshness fresh =
-      freshnessOf(rl.Settings.FreshnessBounds, call.Plan.ProofAge);
+      freshnessOf(rl.Settings.FreshnessBounds, call.Plan.ProofAge,
+                  lacksOperatorRows(rl.Board, guard));
+  if (!fresh.MayRoute)
+    return OutdatedPlan;
   const auto host = findField(call.Head.Fields, "Host").value_or("");
   const PlanRoute *route = findRoute(plan, host, pathOf(call));
   if (!route)
--- a/src/front/request_loop.cpp
+++ b/src/front/request_loop.cpp
@@ -94,6 +94,12 @@
     rl.OnLoadsChanged();
 }
 
+/// Whether this front knows that there is a newer plan than its own.
+bool isOutdated(const FrontBoard &board) {
+  const ReadGuard guard;
+  return lacksOperatorRows(board, guard);
+}
+
 /// The version of the plan, the age of its proof, and the greatest age with
 /// which a call was routed by it; -1: there is none.
 void setPlanGauges(const RequestLoop &rl) {
@@ -104,9 +110,7 @@
            static_cast<double>(rl.Board.PlanVersion.load()));
   setGauge(rl.Metrics, "plan_proof_age_seconds", seconds(planProofAge(rl)));
   setGauge(rl.Metrics, "plan_proof_age_max_seconds", seconds(rl.OldestProof));
-  const bool outdated = rl.Board.ReportedOperatorRows.copy().Version >
-                        rl.Board.OperatorRows.copy().Version;
-  setGauge(rl.Metrics, "newer_rows_reported", outdated ? 1 : 0);
+  setGauge(rl.Metrics, "plan_outdated", isOutdated(rl.Board) ? 1 : 0);
 }
 
 void onHousekeepingTimer(void *ctx, Time now) {
@@ -193,7 +197,9 @@
 
 bool isReady(const RequestLoop &rl) {
   return !rl.Board.Stopping && rl.Board.PlanVersion > 0 &&
-         freshnessOf(rl.Settings.FreshnessBounds, planProofAge(rl)).MayServe;
+         freshnessOf(rl.Settings.FreshnessBounds, planProofAge(rl),
+                     isOutdated(rl.Board))
+             .MayServe;
 }
 
 } // namespace zinniagauge
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -102,8 +102,18 @@
     requestNext(pc);
 }
 
-void onTimer(void *ctx, Time /*now*/) {
-  scheduleNext(*static_cast<PlanController *>(ctx));
+/// A response without rows is smaller than this.
+constexpr std::size_t MaxEmptyResponseBytes = 1024;
+
+void onTimer(void *ctx, Time now) {
+  PlanController &pc = *static_cast<PlanController *>(ctx);
+  if (!pc.Connection.Busy) {
+    scheduleNext(pc);
+    return;
+  }
+  if (!pc.ReadsAll && pc.Connection.Body.size() > MaxEmptyResponseBytes)
+    pc.Owner->Board.OperatorRowsArriving = true;
+  arm(pc.Owner->EventLoop, pc.Timer, now + ProofCheckPeriod);
 }
 
 void handleFailure(PlanController &pc, const StoreResponse &response,
@@ -229,6 +239,7 @@
     confirmRows(pc, toNanos(requestedat), 0);
   else if (board.OperatorRows.copy().Version != pc.NewestRow)
     board.OperatorRows.publish({pc.NewestRow, 0});
+  board.OperatorRowsArriving = false;
   if (board.PlanVersion != before)
     pc.Owner->OnChange();
   const Time now = pc.Owner->EventLoop.Now;
@@ -270,6 +281,8 @@
   const Duration timeout =
       proofRenewal(pc.Owner->Settings.FreshnessBounds).ResponseTimeout;
   pc.ReadsAll = !pc.FullyRead || pc.Owner->Board.PlanVersion == 0;
+  arm(pc.Owner->EventLoop, pc.Timer,
+      pc.Owner->EventLoop.Now + ProofCheckPeriod);
   if (pc.ReadsAll)
     sendRequest(pc.Connection, protocol.ReadRequest(StoreTable::Operators, {}),
                 timeout, onResponse, &pc);
