Report to coordinators that the table doesn't list yet

Cause: the others reported only to the coordinators of the table as they last read it, every 4 s, so that the new one heard nobody, took itself for the only one and read for others. They now also report to those who report to them.

--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -93,10 +93,27 @@
          !changedLoads(before.Loads, now.Loads).empty();
 }
 
+/// Whether \p address is that of a coordinator in the table as last read.
+bool isInTable(const Gossip &gossip, PeerAddress address) {
+  return std::ranges::any_of(
+      gossip.OtherCoordinators,
+      [&](const CoordinatorRow &row) { return row.Address == address; });
+}
+
+/// Sends \p rep to all coordinators in the table, and to those that have won a
+/// slot since it was read. Without an answer, these would act for themselves
+/// until the next reading.
 void sendToCoordinators(Gossip &gossip, const GossipReport &rep) {
   const std::string raw = encodeReport(rep);
   for (const CoordinatorRow &row : gossip.OtherCoordinators)
     sendRaw(gossip, raw, row.Address);
+  const Time now = gossip.Owner->EventLoop.Now;
+  for (const auto &[node, peer] : gossip.PeerReports.Peers) {
+    const auto it = gossip.AddressByNode.find(node);
+    if (now - peer.LastReportAt < FrontTimeout &&
+        it != gossip.AddressByNode.end() && !isInTable(gossip, it->second))
+      sendRaw(gossip, raw, it->second);
+  }
 }
 
 /// Sends \p rep to each live member, with the acknowledgement of its reports.
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -288,3 +288,23 @@
   CHECK(f.Board.ReportedOperatorRows.copy().ConfirmedAt == 0);
   CHECK(f.Board.ReportedBackendsDigestAt == 0);
 }
+
+// Guards against a new coordinator that hears nobody until the others have read
+// the table again, and reads the table service for itself over its own link.
+TEST_CASE("a coordinator that isn't in the table yet is reported to",
+          "[gossip]") {
+  TestedFront f("front-1");
+  OtherFront known("known");
+  OtherFront added("added");
+  f.setCoordinators(std::vector<CoordinatorRow>{rowOf(known, 1)}, true);
+  f.advance(milliseconds(250));
+  CHECK(added.takeReports().empty());
+  f.receive(added, added.report(ReportKind::Group));
+  f.advance(milliseconds(250));
+  CHECK_FALSE(added.takeReports().empty());
+  CHECK_FALSE(known.takeReports().empty());
+  f.advance(2 * FrontTimeout);
+  static_cast<void>(added.takeReports());
+  f.advance(milliseconds(250));
+  CHECK(added.takeReports().empty());
+}
