Parse only the routes of a configuration that changed

The text of a configuration is now split at its list of routes, and a route whose text an earlier plan has (by a 128-bit hash) is copied from it; what remains is parsed as before, so that malformed texts are refused as before. A text that doesn't look like a list of routes is parsed whole.

--- a/include/zinniagauge/board/traffic_plan.h
+++ b/include/zinniagauge/board/traffic_plan.h
@@ -29,6 +29,14 @@
   std::uint32_t Weight = 1;
 };
 
+/// Identifies the text that something was parsed from.
+struct TextDigest {
+  std::uint64_t Low = 0;
+  std::uint64_t High = 0;
+
+  bool operator==(const TextDigest &) const = default;
+};
+
 /// Assigns calls of one host and path prefix to pools.
 struct PlanRoute {
   std::string Name;
@@ -45,6 +53,7 @@
   bool AllowsAnonymous = false;  // Calls need no key.
   bool Resumable = false;        // A stream may be resumed at another endpoint.
   std::vector<PoolWeight> Pools; // At least one; weights are above zero.
+  TextDigest Source;             // All zero: unknown.
 };
 
 /// A pool of the plan.
--- a/include/zinniagauge/store/store_protocol.h
+++ b/include/zinniagauge/store/store_protocol.h
@@ -49,9 +49,11 @@
   /// Parses the response to WriteRequest. Committed is false if a condition of
   /// the transaction didn't hold. Fails with Unavailable, Overloaded or Broken.
   Result<TableResult> (*ParseWriteResult)(const StoreResponse &response);
-  /// Parses the plan in a row of Operators. Fails with NotFound if the row
-  /// holds something else, with Invalid if it can't be read.
-  Result<TrafficPlan> (*ParsePlan)(const TableRow &row);
+  /// Parses the plan in a row of Operators, and reuses what it has in common
+  /// with the earlier plan \p before. Fails with NotFound if the row holds
+  /// something else, with Invalid if it can't be read.
+  Result<TrafficPlan> (*ParsePlan)(const TableRow &row,
+                                   const TrafficPlan &before);
   /// Parses the order in a row of Operators. Fails with NotFound if the row
   /// holds something else, with Invalid if it can't be read.
   Result<VersionMoveOrder> (*ParseOrder)(const TableRow &row);
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -192,22 +192,27 @@
       pc.FromPeer ? "another front" : "table service";
   const PlanReading reading{source, version, row.Value.size(), requestedat,
                             bootNow()};
-  handleResult([&] { return pc.Owner->Protocol.ParsePlan(row); },
-               [&](TrafficPlan plan) {
-                 pc.Row = nextPlanRow(pc.Row, version, plan.Version);
-                 activatePlan(pc, std::move(plan), reading);
-                 return 0;
-               },
-               [&](const Error &err) {
-                 if (err.Code == ErrorCode::NotFound)
-                   return 0;
-                 pc.Row = nextPlanRow(pc.Row, version, UnreadablePlan);
-                 EventLine line = eventLine("plan_unreadable");
-                 add(line, "row", static_cast<std::int64_t>(row.Version));
-                 add(line, err);
-                 pc.Owner->Log.write(line);
-                 return 0;
-               });
+  const auto parse = [&] {
+    const ReadGuard guard;
+    return pc.Owner->Protocol.ParsePlan(row, pc.Owner->Board.Plan.read(guard));
+  };
+  handleResult(
+      parse,
+      [&](TrafficPlan plan) {
+        pc.Row = nextPlanRow(pc.Row, version, plan.Version);
+        activatePlan(pc, std::move(plan), reading);
+        return 0;
+      },
+      [&](const Error &err) {
+        if (err.Code == ErrorCode::NotFound)
+          return 0;
+        pc.Row = nextPlanRow(pc.Row, version, UnreadablePlan);
+        EventLine line = eventLine("plan_unreadable");
+        add(line, "row", static_cast<std::int64_t>(row.Version));
+        add(line, err);
+        pc.Owner->Log.write(line);
+        return 0;
+      });
 }
 
 /// Discards what was read so far and reads all rows.
