Pass on changes also to fronts that began to read earlier

Cause: a front passed rows on only to those that had read up to the version of its own first reading, since it can't know of rows that were deleted before. But the version counts all tables and a front that relies on reports doesn't read on, so it is soon behind. The message now lists the keys of all rows that exist, and a front that has a row which isn't listed reads from the table service.

--- a/include/zinniagauge/store/operator_rows.h
+++ b/include/zinniagauge/store/operator_rows.h
@@ -28,8 +28,7 @@
 /// The rows of one era of the table service.
 struct OperatorRowLog {
   std::uint64_t Era = 0;
-  std::uint64_t CompleteSince = 0; // All changes after this version are known.
-  std::uint64_t ReadUpTo = 0;      // Changes up to it were read.
+  std::uint64_t ReadUpTo = 0; // Changes up to it were read.
   /// The newest version of each row, also of deleted ones, by key.
   std::map<std::string, TableRow> Rows;
   std::deque<RowPatch> Patches; // Oldest first.
--- a/schema/operator_rows.capnp
+++ b/schema/operator_rows.capnp
@@ -9,6 +9,7 @@
   era @0 :UInt64;             # Of the table service, to which all versions belong.
   readUpTo @1 :UInt64;        # The rows are all that changed up to this version.
   rows @2 :List(OperatorRow);
+  liveKeys @3 :List(Text);    # Of all rows that exist.
 }
 
 struct OperatorRow {
--- a/schema/operator_rows.capnp.h
+++ b/schema/operator_rows.capnp.h
@@ -34,7 +34,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e1a26215974ca7c0, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e1a26215974ca7c0, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -97,6 +97,9 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::zinniagauge::wire::OperatorRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasLiveKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLiveKeys() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -138,6 +141,14 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::OperatorRow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::zinniagauge::wire::OperatorRow,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasLiveKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLiveKeys();
+  inline void setLiveKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLiveKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLiveKeys(unsigned int size);
+  inline void adoptLiveKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLiveKeys();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -420,6 +431,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool OperatorRows::Reader::hasLiveKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool OperatorRows::Builder::hasLiveKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OperatorRows::Reader::getLiveKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OperatorRows::Builder::getLiveKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void OperatorRows::Builder::setLiveKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void OperatorRows::Builder::setLiveKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OperatorRows::Builder::initLiveKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void OperatorRows::Builder::adoptLiveKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OperatorRows::Builder::disownLiveKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool OperatorRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/store/operator_rows.cpp
+++ b/src/store/operator_rows.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <set>
 
 namespace zinniagauge {
 
@@ -167,18 +168,34 @@
   return row;
 }
 
+/// Whether some row of \p log is neither in \p keys nor in \p passed. The
+/// sender may have begun to read after that row was deleted.
+bool lacksDeletion(const OperatorRowLog &log, const TableReadResult &passed,
+                   capnp::List<capnp::Text>::Reader keys) {
+  std::set<std::string_view> known;
+  for (const auto key : keys)
+    known.insert({key.begin(), key.size()});
+  for (const TableRow &row : passed.Rows)
+    known.insert(row.Key);
+  return std::ranges::any_of(log.Rows, [&](const auto &it) {
+    return !it.second.Deleted && !known.contains(it.first);
+  });
+}
+
 Result<PassedRows> decodeMessage(const OperatorRowLog &log,
                                  wire::OperatorRows::Reader in) {
   PassedRows out;
   out.Era = in.getEra();
   out.Rows.Version = in.getReadUpTo();
   if (out.Era != log.Era || out.Rows.Version < log.ReadUpTo ||
-      in.getRows().size() > MaxRows)
+      in.getRows().size() > MaxRows || in.getLiveKeys().size() > MaxRows)
     return invalid("isn't about later rows of the same era");
   for (const auto row : in.getRows()) {
     BOOST_LEAF_AUTO(decoded, decodeRow(log, row, out.Patches));
     out.Rows.Rows.push_back(std::move(decoded));
   }
+  if (lacksDeletion(log, out.Rows, in.getLiveKeys()))
+    return invalid("lacks a deletion");
   return out;
 }
 
@@ -191,10 +208,8 @@
   if (makepatches == MakePatches::Yes)
     for (const TableRow &row : rd.Rows)
       patchRow(log, row);
-  if (isfull) {
+  if (isfull)
     log.Rows.clear();
-    log.CompleteSince = rd.Version;
-  }
   log.Era = era;
   log.ReadUpTo = rd.Version;
   for (const TableRow &row : rd.Rows)
@@ -218,13 +233,16 @@
 std::optional<std::string> encodeRows(OperatorRowLog &log,
                                       std::string_view path) {
   const auto q = parsePath(path);
-  if (!q || q->Era != log.Era || q->After < log.CompleteSince ||
-      q->After > log.ReadUpTo)
+  if (!q || q->Era != log.Era || q->After > log.ReadUpTo)
     return std::nullopt;
   std::vector<const TableRow *> changed;
-  for (const auto &[key, row] : log.Rows)
+  std::vector<const TableRow *> live;
+  for (const auto &[key, row] : log.Rows) {
     if (row.Version > q->After)
       changed.push_back(&row);
+    if (!row.Deleted)
+      live.push_back(&row);
+  }
   capnp::MallocMessageBuilder msg;
   auto out = msg.initRoot<wire::OperatorRows>();
   out.setEra(log.Era);
@@ -232,6 +250,9 @@
   auto rows = out.initRows(static_cast<unsigned>(changed.size()));
   for (unsigned n = 0; n < rows.size(); ++n)
     encodeRow(rows[n], log, *changed[n], q->Base);
+  auto keys = out.initLiveKeys(static_cast<unsigned>(live.size()));
+  for (unsigned n = 0; n < keys.size(); ++n)
+    keys.set(n, live[n]->Key);
   const auto words = capnp::messageToFlatArray(msg);
   const auto raw = words.asChars();
   std::string text(raw.begin(), raw.size());
--- a/tests/unit/operator_rows_test.cpp
+++ b/tests/unit/operator_rows_test.cpp
@@ -106,6 +106,19 @@
   CHECK(passOn(reader, member) == 0);
 }
 
+// Guards against the whole configuration being read by all fronts of a group
+// whose coordinator has started after them.
+TEST_CASE("a front that began to read later passes on what changed",
+          "[store][plan]") {
+  OperatorRowLog member = logAt10();
+  OperatorRowLog reader;
+  recordRows(reader, readingOf({planRow(10), {"order", "a", 8, false}}, 20), 1,
+             true, MakePatches::Yes);
+  recordRows(reader, readingOf({planRow(22)}, 22), 1, false, MakePatches::Yes);
+  CHECK(passOn(reader, member) > 0);
+  CHECK(member.Rows.at("config").Value == longValue(22));
+}
+
 TEST_CASE("damaged rows of another front aren't taken", "[store][plan]") {
   OperatorRowLog reader = logAt10();
   const OperatorRowLog member = logAt10();
