Wait longer for rows that several fronts ask for at once

Cause: five members ask at the same moment, and answers of 100 kB queue on the coordinator's link, so that the last ones begin to arrive after 350 ms and more. The time for a page of back ends was used; it is now the one for the table service, a third of the bound for changes and 700 ms at most. As before, an answer that goes on to arrive isn't given up, and a front that doesn't answer is passed over.

--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -1,5 +1,4 @@
 // Keeps the board's traffic plan up to date and proves that it is the newest.
-#include "zinniagauge/decide/list_source.h"
 #include "zinniagauge/decide/row_source.h"
 #include "zinniagauge/store/controllers.h"
 
@@ -361,8 +360,10 @@
     closeStoreConnection(pc.PeerConnection);
     setUpStoreConnection(pc.PeerConnection, pc.Owner->EventLoop, peer);
   }
+  // As long as for the table service: several fronts may share its link.
   sendRequest(pc.PeerConnection, {"GET", rowsPath(pc.Rows), {}},
-              PeerResponseTimeout, onPeerResponse, &pc);
+              proofRenewal(pc.Owner->Settings.FreshnessBounds).ResponseTimeout,
+              onPeerResponse, &pc);
 }
 
 void requestNext(PlanController &pc) {
