Report a configuration that is too large, and don't read it in a loop

The limit of a response now follows from that of a value; beyond it the log says "response too large", and the front reads again after 5 s. The last plan serves calls that need no key, as with one that can't be parsed.

--- a/include/zinniagauge/store/store_connection.h
+++ b/include/zinniagauge/store/store_connection.h
@@ -11,6 +11,17 @@
 
 namespace zinniagauge {
 
+/// The longest value of a row that is read.
+inline constexpr std::size_t MaxRowValueBytes = std::size_t{4} << 20U;
+
+/// The largest body that is read: a row with such a value, which is a third
+/// longer in base64, and a megabyte of others.
+inline constexpr std::uint64_t MaxResponseBytes =
+    MaxRowValueBytes * 4 / 3 + (std::uint64_t{1} << 20U);
+
+/// The reason of a failure if a body is larger than that.
+inline constexpr std::string_view TooLargeResponse = "response too large";
+
 /// An HTTP request to the service, made by its StoreProtocol.
 struct StoreRequest {
   std::string Method;
--- a/include/zinniagauge/store/store_protocol.h
+++ b/include/zinniagauge/store/store_protocol.h
@@ -10,7 +10,6 @@
 #include "zinniagauge/decide/pool_move.h"
 #include "zinniagauge/store/store_connection.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,9 +17,6 @@
 
 namespace zinniagauge {
 
-/// The longest value of a row that is read.
-inline constexpr std::size_t MaxRowValueBytes = std::size_t{4} << 20U;
-
 /// The tables that controllers use.
 enum class StoreTable : std::uint8_t {
   Operators, ///< Written by operators: the plan and version-move orders.
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -12,6 +12,10 @@
 /// accepted only while the plan has been confirmed recently.
 constexpr Duration MaxBackoff = std::chrono::milliseconds(400);
 
+/// The wait after a response that is too large, which takes all of a narrow
+/// link for seconds and stays so until the operators write again.
+constexpr Duration TooLargeBackoff = std::chrono::seconds(5);
+
 /// How long the service should wait for a change before it responds. An empty
 /// response confirms the plan only up to the time of the request, so the wait
 /// adds to the age of the confirmation. A front that reads for itself only
@@ -123,6 +127,12 @@
   pc.Backoff = pc.Backoff == Duration::zero()
                    ? MinReadBackoff
                    : std::min(pc.Backoff * 2, MaxBackoff);
+  if (response.FailureReason == TooLargeResponse) {
+    // As with a plan that can't be parsed, calls that need no key are served
+    // on.
+    pc.Owner->Board.OperatorRowsArriving = false;
+    pc.Backoff = TooLargeBackoff;
+  }
   arm(pc.Owner->EventLoop, pc.Timer, pc.Owner->EventLoop.Now + pc.Backoff);
 }
 
--- a/src/store/store_connection.cpp
+++ b/src/store/store_connection.cpp
@@ -5,10 +5,7 @@
 
 namespace {
 
-/// Limits of a response's header and body. A page of rows has at most a
-/// megabyte, which base64 within JSON makes larger.
 constexpr std::size_t MaxHeadBytes = 8192;
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{4} << 20U;
 
 /// A service that acknowledges no data for this long counts as unreachable.
 constexpr Duration AckTimeout = std::chrono::milliseconds(1500);
@@ -50,7 +47,11 @@
     return data.size();
   }
   if (hasFailed(conn.Parser)) {
-    finish(conn, nullptr, "malformed answer", false);
+    finish(conn, nullptr,
+           stateOf(conn.Parser) == ParseState::BodyTooLarge
+               ? TooLargeResponse
+               : "malformed answer",
+           false);
     return data.size();
   }
   if (conn.Body.size() - conn.CheckedBytes >= MinProgressBytes) {
@@ -91,7 +92,8 @@
   conn.Body.clear();
   conn.Timeout = timeout;
   conn.CheckedBytes = 0;
-  beginMessage(conn.Parser, MessageKind::Response, MaxHeadBytes, MaxBodyBytes);
+  beginMessage(conn.Parser, MessageKind::Response, MaxHeadBytes,
+               MaxResponseBytes);
   arm(*conn.Lp, conn.Timer, conn.Lp->Now + timeout);
   if (!isOpen(conn.Tcp) &&
       !openConnection(conn.Tcp, *conn.Lp, conn.ServerAddress, AckTimeout,
--- a/tests/process/outdated_plan_test.cpp
+++ b/tests/process/outdated_plan_test.cpp
@@ -45,3 +45,27 @@
     CHECK(lag < std::chrono::seconds(2)); // plan_apply
   }
 }
+
+// Guards against a configuration that is read again and again, each time up to
+// the limit, and against a front that stops to serve for it.
+TEST_CASE("a configuration that is too large is reported and the next one "
+          "is read",
+          "[process][front][plan]") {
+  const FrontDeployment d;
+  REQUIRE(hasStatus(d.call("/unsafe/a"), 200));
+  constexpr std::size_t TooLarge = std::size_t{6} << 20U;
+  d.control({{"row", rawTableRow("op", "config", std::string(TooLarge, ' '))}});
+  REQUIRE(d.Front->waitForOutput("response too large"));
+  CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a"), 503); }));
+  CHECK(hasStatus(d.call("/open/a", ""), 200));
+  const std::string metrics =
+      callHttp("GET", "http://" + loopbackAddress(d.Ports[5]) + "/metrics")
+          .Body;
+  const std::string counter =
+      "zinnia_table_calls_total{call=\"plan\",result=\"unavailable\"} ";
+  const std::size_t at = metrics.find(counter);
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stoi(metrics.substr(at + counter.size())) <= 2);
+  d.putRow("op", "config", configOf(9, {"k2"}));
+  CHECK(waitUntil([&] { return hasStatus(d.call("/unsafe/a", "k2"), 200); }));
+}
