Count and log reports that are too large to be read

The sender now logs report_too_large and counts it.

Evidence: "a report that is too large for a datagram is counted".

--- a/include/zinniagauge/store/gossip.h
+++ b/include/zinniagauge/store/gossip.h
@@ -95,6 +95,7 @@
   /// bootNow minus the loop's clock; it grows while the machine is suspended.
   Duration ClockOffset = Duration::zero();
   std::optional<bool> LoggedReader; // Whether this front reads for others.
+  bool LoggedTooLarge = false;      // That a report was too large to be read.
 };
 
 /// Sends what has changed since the last report. Called when the board's own
--- a/include/zinniagauge/store/gossip_report.h
+++ b/include/zinniagauge/store/gossip_report.h
@@ -32,6 +32,9 @@
 /// long.
 inline constexpr std::uint32_t UnconfirmedAgeMs = 3'600'000;
 
+/// Receivers reject larger reports. One datagram can't be much larger.
+inline constexpr std::size_t MaxReportBytes = std::size_t{60} << 10U;
+
 /// A list of relay peers and its lists of pools are read up to these sizes; a
 /// front that can't reach more pools isn't listed.
 inline constexpr std::size_t MaxRelaysRead = 64;
--- a/src/store/gossip.cpp
+++ b/src/store/gossip.cpp
@@ -53,7 +53,20 @@
 /// Above this time everything that was received before is forgotten.
 constexpr Duration MaxSuspension = std::chrono::milliseconds(300);
 
-void sendRaw(const Gossip &gossip, std::string_view raw, PeerAddress to) {
+/// Counts a report that no receiver reads, and logs the first one.
+void recordTooLarge(Gossip &gossip, std::size_t bytes) {
+  countTableCall(gossip.Owner->Metrics, "gossip", "too_large");
+  if (std::exchange(gossip.LoggedTooLarge, true))
+    return;
+  EventLine line = eventLine("report_too_large");
+  add(line, "bytes", static_cast<std::int64_t>(bytes));
+  add(line, "limit", static_cast<std::int64_t>(MaxReportBytes));
+  gossip.Owner->Log.write(line);
+}
+
+void sendRaw(Gossip &gossip, std::string_view raw, PeerAddress to) {
+  if (raw.size() > MaxReportBytes)
+    recordTooLarge(gossip, raw.size());
   const sockaddr_in sa = socketAddress(to);
   // Errors are ignored: a datagram that can't be sent is handled like a lost
   // one. The next full report contains everything, and queries are retried.
--- a/src/store/gossip_codec.cpp
+++ b/src/store/gossip_codec.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Larger datagrams are rejected.
-constexpr std::size_t MaxDatagramBytes = std::size_t{60} << 10U;
-
 void writeVersionStats(wire::FrontEvidence::Builder out,
                        const VersionStats &e) {
   out.setPool(e.Key.Pool.Value);
@@ -292,7 +289,7 @@
 }
 
 std::optional<GossipReport> decodeReport(std::span<const char> raw) {
-  if (raw.size() > MaxDatagramBytes)
+  if (raw.size() > MaxReportBytes)
     return std::nullopt;
   std::optional<GossipReport> out;
   const auto exception = kj::runCatchingExceptions([&] {
--- a/tests/unit/gossip_exchange_test.cpp
+++ b/tests/unit/gossip_exchange_test.cpp
@@ -308,3 +308,21 @@
   f.advance(milliseconds(250));
   CHECK(added.takeReports().empty());
 }
+
+// Guards against reports that outgrow a datagram without a trace.
+TEST_CASE("a report that is too large for a datagram is counted", "[gossip]") {
+  TestedFront f("front-1");
+  OtherFront other("other");
+  f.setCoordinators(std::vector<CoordinatorRow>{rowOf(other, 1)}, true);
+  const auto toolarge = [&] {
+    return metricsText(f.Metrics).find("too_large") != std::string::npos;
+  };
+  f.advance(milliseconds(250));
+  CHECK_FALSE(toolarge());
+  SpendList spend;
+  for (std::uint64_t n = 1; n <= MaxReportBytes / 8; ++n)
+    spend.List.push_back({WorkspaceId{n * 0x9E3779B97F4A7C15}, n << 30U});
+  f.Board.OwnSpend.publish(spend);
+  f.advance(milliseconds(250));
+  CHECK(toolarge());
+}
