--- a/tests/support/soak_world.cpp
+++ b/tests/support/soak_world.cpp
@@ -207,7 +207,7 @@
   nlohmann::json keys = nlohmann::json::array();
   for (const std::string &k : w.ActiveKeys)
     keys.push_back(k);
-  nlohmann::json config = configOf(++w.Version, keys);
+  nlohmann::json config = bigConfigOf(++w.Version, keys, w.MoreRoutes);
   nlohmann::json &routes = config.at("routes");
   for (const int version : {w.Version - 1, w.Version}) {
     nlohmann::json route = routes.front();
@@ -221,6 +221,11 @@
 /// Writes a new version of the configuration, and schedules the next one.
 void changeConfig(SoakWorld &w) {
   ++w.Faults["configuration changed"];
+  constexpr std::uint64_t ResizeOdds = 3; // One in so many changes its size.
+  if (randomBelow(w.SizeRandom, ResizeOdds) == 0) {
+    ++w.Faults["configuration resized"];
+    w.MoreRoutes = w.MoreRoutes > 0 ? 0 : MaxMoreRoutes;
+  }
   writeConfig(w);
   runAfter(w, milliseconds(300 + randomBelow(w.PlanRandom, 3500)), [&w] {
     if (now(w) < w.FaultsEnd)
@@ -540,6 +545,7 @@
     : Options(opt), Random(mix64(opt.Seed)), AskRandom(mix64(opt.Seed + 2)),
       RestoreRandom(mix64(opt.Seed + 3)), EvacuationRandom(mix64(opt.Seed + 4)),
       PlanRandom(mix64(opt.Seed + 5)), BuildRandom(mix64(opt.Seed + 6)),
+      SizeRandom(mix64(opt.Seed + 7)),
       ActiveKeys(AllKeys.begin(), AllKeys.end()) {}
 
 Result<void> startWorld(SoakWorld &w) {
--- a/tests/support/soak_world.h
+++ b/tests/support/soak_world.h
@@ -85,6 +85,7 @@
   std::uint64_t EvacuationRandom = 0; // Likewise, for evacuations.
   std::uint64_t PlanRandom = 0;  // Likewise, for changes of the configuration.
   std::uint64_t BuildRandom = 0; // Likewise, for the builds of the fronts.
+  std::uint64_t SizeRandom = 0;  // Likewise, for the size of the configuration.
   Consortium Platform;
   SoakCallers Callers;
   SoakCallers Probes; // Call routes that come and go with the configuration.
@@ -101,6 +102,7 @@
   std::map<std::string, std::vector<TimeRange>> Evacuations;   // By zone.
   std::set<std::string> ActiveKeys;                            // Valid keys.
   int Version = 1;               // Version of the configuration.
+  int MoreRoutes = 0;            // Beside those of a small configuration.
   std::map<int, Time> WrittenAt; // When each version was written.
   std::multimap<Time, std::function<void()>> PendingEvents;
   LoopTimer Tick;
@@ -111,6 +113,9 @@
   ScratchFolder Folder;
 };
 
+/// The routes that a large configuration has beside those of a small one.
+inline constexpr int MaxMoreRoutes = 1400;
+
 /// The time after which a withdrawn key must be rejected.
 inline constexpr Duration KeyWithdrawalTimeout = std::chrono::seconds(5);
 
