Take reported rows for known that were deleted before the first reading

Found by reading; such a row is that of an ended evacuation. All rows up to the version of a reading are known, also those that are gone, and count so now.

Evidence: the case added to "a plan that is known to be outdated is used for no longer than a change may take".

--- a/include/zinniagauge/board/front_board.h
+++ b/include/zinniagauge/board/front_board.h
@@ -16,6 +16,7 @@
 #include "zinniagauge/board/store_era.h"
 #include "zinniagauge/board/traffic_plan.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 
@@ -105,9 +106,10 @@
 /// knows.
 [[nodiscard]] inline bool lacksOperatorRows(const FrontBoard &board,
                                             const ReadGuard &guard) noexcept {
+  const ConfirmedVersion &own = board.OperatorRows.read(guard);
   return board.OperatorRowsArriving ||
          board.ReportedOperatorRows.read(guard).Version >
-             board.OperatorRows.read(guard).Version;
+             std::max(own.Version, own.ReadUpTo);
 }
 
 } // namespace zinniagauge
--- a/include/zinniagauge/board/store_era.h
+++ b/include/zinniagauge/board/store_era.h
@@ -34,6 +34,9 @@
   TableVersion Version;
   std::int64_t ConfirmedAt = 0; // Nanoseconds of bootNow; zero: never.
   std::uint64_t Reporter = 0; // nameHash of the front that said so; zero: none.
+  /// All rows up to it are known, also if the newest one was deleted before the
+  /// first reading. Not used for reports.
+  TableVersion ReadUpTo = {};
 };
 
 /// What proves that a plan is the newest.
--- a/src/store/plan_controller.cpp
+++ b/src/store/plan_controller.cpp
@@ -50,12 +50,25 @@
   pc.Owner->Log.write(line);
 }
 
+/// All operators' rows up to this version are known.
+TableVersion readUpTo(const PlanController &pc) {
+  return {pc.Rows.Era, pc.Rows.ReadUpTo};
+}
+
+/// Whether another front has reported a later row than this one knows. The
+/// newest row that this one knows may be earlier than the reported one, which
+/// was deleted before this one read.
+bool hasNews(const PlanController &pc) {
+  return pc.Owner->Board.ReportedOperatorRows.copy().Version >
+         std::max(pc.NewestRow, readUpTo(pc));
+}
+
 /// Records that the operators' rows that were read were the newest ones at
 /// \p at, in nanoseconds of bootNow. \p reporter is the nameHash of the front
 /// that reported this; zero: this one has read them.
 void confirmRows(PlanController &pc, std::int64_t at, std::uint64_t reporter) {
   FrontBoard &board = pc.Owner->Board;
-  board.OperatorRows.publish({pc.NewestRow, at});
+  board.OperatorRows.publish({pc.NewestRow, at, 0, readUpTo(pc)});
   board.Proof.publish({board.PlanVersion, at});
   logConfirmation(pc, reporter);
 }
@@ -66,11 +79,11 @@
   FrontBoard &board = pc.Owner->Board;
   const ConfirmedVersion reported = board.ReportedOperatorRows.copy();
   if (board.IsStoreReader || !pc.FullyRead || board.PlanVersion == 0 ||
-      reported.Version > pc.NewestRow)
+      hasNews(pc))
     return false;
   // Rows without a plan, or with an older one than this front's, are those of a
   // copy.
-  if (reported.Version == pc.NewestRow &&
+  if (reported.Version >= pc.NewestRow &&
       pc.Row.Version.Era == pc.NewestRow.Era &&
       pc.Row.Plan >= board.PlanVersion &&
       reported.ConfirmedAt > board.Proof.copy().ConfirmedAt)
@@ -82,11 +95,6 @@
   return age && *age < maxage;
 }
 
-/// Whether another front has reported a later row than this one has read.
-bool hasNews(const PlanController &pc) {
-  return pc.Owner->Board.ReportedOperatorRows.copy().Version > pc.NewestRow;
-}
-
 void scheduleNext(PlanController &pc) {
   if (!pc.Owner->Moves.HeldOrders.empty() &&
       !mayLackRows(pc.Owner->Board.TableEra.copy(), bootNow()))
@@ -258,7 +266,7 @@
   if (!pc.FromPeer && confirmsPlan(pc.Row, board.PlanVersion, era, requestedat))
     confirmRows(pc, toNanos(requestedat), 0);
   else if (board.OperatorRows.copy().Version != pc.NewestRow)
-    board.OperatorRows.publish({pc.NewestRow, 0});
+    board.OperatorRows.publish({pc.NewestRow, 0, 0, readUpTo(pc)});
   board.OperatorRowsArriving = false;
   if (board.PlanVersion != before)
     pc.Owner->OnChange();
@@ -358,7 +366,7 @@
   st.IsStoreReader = board.IsStoreReader;
   st.HasFullReading = pc.FullyRead && board.PlanVersion > 0 &&
                       pc.Rows.Era == board.TableEra.copy().Number;
-  st.NewerReported = reported.Version > pc.NewestRow;
+  st.NewerReported = hasNews(pc);
   st.LacksOrders = lacksOrders(pc.Evacuations);
   st.HasPeer = peer.has_value();
   st.PeerFailed = pc.PeerFailed == reported.Version;
--- a/tests/unit/plan_proof_test.cpp
+++ b/tests/unit/plan_proof_test.cpp
@@ -67,12 +67,14 @@
           "change may take",
           "[front][plan]") {
   TestedFrontLoop f(0);
-  const auto served = [&](Duration age, std::uint64_t reportedrow) {
+  const auto served = [&](Duration age, std::uint64_t reportedrow,
+                          std::uint64_t readupto = 5) {
     TrafficPlan plan = planOf(1, "/open/");
     plan.Routes[0].AllowsAnonymous = true;
     f.Board.Plan.publish(plan);
     f.Board.Proof.publish({1, toNanos(bootNow() - age)});
-    f.Board.OperatorRows.publish({{1, 5}, toNanos(bootNow() - age)});
+    f.Board.OperatorRows.publish(
+        {{1, 5}, toNanos(bootNow() - age), 0, {1, readupto}});
     f.Board.ReportedOperatorRows.publish({{1, reportedrow}, 0});
     Call call;
     call.Head.Target = "/open/x";
@@ -85,4 +87,6 @@
   CHECK(served(limit - margin, 6));
   CHECK(served(limit + margin, 5));
   CHECK_FALSE(served(limit + margin, 6));
+  // Row 6 was deleted before this front's first reading.
+  CHECK(served(limit + margin, 6, 6));
 }
